Never call a request not run once an earlier try may have run

Cause: after a try that was lost on the way the gateway tried elsewhere, and when no endpoint was left it said no_endpoint with outcome not_run. Ruled out: closing every connection after a refusal.

--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import re
 import shutil
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -14,6 +16,7 @@
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.MULTILINE
 )
 KNOWN_RED = Path("KNOWN-RED.txt")
+PARALLEL_FEATURES = 3
 
 
 @dataclass(frozen=True)
@@ -55,18 +58,36 @@
 
 
 def run_behave() -> Counts:
-    """Run the scenarios and read their counts."""
-    command = [str(BIN / "behave"), "--no-skipped", "--format=progress"]
-    done = subprocess.run(command, check=False, stdout=subprocess.PIPE, text=True)
-    print(done.stdout, flush=True)
+    """Run the features, a few at a time, and add up their counts."""
+    features = sorted(
+        Path("features").glob("*.feature"), key=lambda f: -f.stat().st_size
+    )
+    with ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        return sum(pool.map(run_feature, features), Counts())
+
+
+def run_feature(feature: Path) -> Counts:
+    """Run one feature and read its counts; print all of it only on a failure."""
+    command = [str(BIN / "behave"), "--format=progress", str(feature)]
+    done = subprocess.run(
+        command,
+        check=False,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env={**os.environ, "PYTHONPATH": "."},
+    )
     found = SCENARIOS.search(done.stdout)
     if found is None:
+        print(done.stdout, flush=True)
         return Counts(failed=1)
-    passed = int(found.group(1))
-    failed = int(found.group(2)) + int(found.group(3) or 0)
-    if done.returncode != 0 and failed == 0:
-        failed = 1
-    return Counts(passed, failed)
+    counts = Counts(int(found[1]), int(found[2]) + int(found[3] or 0))
+    if done.returncode != 0 and not counts.failed:
+        counts += Counts(failed=1)
+    if counts.failed:
+        print(done.stdout, flush=True)
+    print(f"{feature.name}: {counts.passed} passed, {counts.failed} failed", flush=True)
+    return counts
 
 
 if __name__ == "__main__":
--- a/features/not_run.feature
+++ b/features/not_run.feature
@@ -45,3 +45,13 @@
       | cause                        | code                |
       | all endpoints are drained    | no_endpoint         |
       | its account is over its rate | rate_limited        |
+
+  Scenario Outline: The first endpoint dies midway and <after>
+    Given a running deployment
+    When a <request> runs at one endpoint, <after>, and its agent is killed
+    Then its outcome is not called not_run
+
+    Examples:
+      | request    | after                      |
+      | call       | no other endpoint is there |
+      | generation | no other endpoint is there |
--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,59 @@
+Feature: Settings are checked as a whole
+
+  Scenario: Five mistakes are named with their lines
+    Given this settings file
+      """
+      kind: Gateway
+      name: gateway-1
+      spec:
+        data_hall: 7
+        listen: nowhere
+        peer_listen: 127.0.0.1:1
+        platform_url: http://127.0.0.1:2
+        retry_share: 3
+        colour: red
+        caps:
+          body_bytes: many
+          size: 1
+      """
+    When it is validated
+    Then the findings are
+      | line | path                 | code          |
+      | 4    | spec.data_hall       | wrong_type    |
+      | 9    | spec.colour          | unknown_key   |
+      | 11   | spec.caps.body_bytes | wrong_type    |
+      | 12   | spec.caps.size       | unknown_key   |
+
+  Scenario Outline: <mistake>
+    Given the settings text "<text>"
+    When it is validated
+    Then one finding has line <line>, path <path> and code <code>
+
+    Examples:
+      | mistake             | text                                        | line | path | code         |
+      | nothing in the file |                                             | 1    | $    | empty        |
+      | no YAML             | a: [                                        | 1    | $    | invalid_yaml |
+      | a list              | - a                                         | 1    | $    | wrong_type   |
+      | no name             | kind: Gateway\nspec: {}                     | 1    | name | missing      |
+      | an unknown kind     | kind: Ship\nname: a\nspec: {}               | 1    | kind | unknown_kind |
+      | a spec of a list    | kind: Gateway\nname: a\nspec: []            | 3    | spec | wrong_type   |
+      | a key beside spec   | kind: Service\nname: a\nspec: {}\nmore: 1   | 4    | more | unknown_key  |
+
+  Scenario Outline: A value out of range in <kind>
+    Given the settings text "kind: <kind>\nname: a\nspec:\n  <text>"
+    When it is validated
+    Then some finding has code <code>
+
+    Examples:
+      | kind            | text                                                              | code          |
+      | Service         | {type: plain, kinds: [a], slots: 0}                               | invalid_value |
+      | Service         | {type: plain, kinds: [a], non_repeatable_kinds: [b]}              | invalid_value |
+      | Service         | {type: ship, kinds: [a]}                                          | invalid_value |
+      | AccountTemplate | {parameters: {working_hours: {time_zone: Mars/X, start: "08:00", end: "09:00"}}} | invalid_value |
+      | AccountTemplate | {parameters: {requests_per_second: -1}}                           | invalid_value |
+      | ClientAccount   | {key_hashes: []}                                                  | missing       |
+      | Gateway         | {data_hall: a, listen: b, peer_listen: "c:1", platform_url: d}    | invalid_value |
+      | Agent           | {data_hall: a, service: s, listen: "c:99999", platform_url: d, endpoint_url: e} | invalid_value |
+
+  Scenario: The examples are valid
+    Then all example files are valid
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -174,3 +174,30 @@
 @then("the refusal says when to return")
 def check_retry_after(context):
     assert context.world.results[-1].body["retry_after"] >= 1
+
+
+@when(
+    "a {request} runs at one endpoint, no other endpoint is there, and its agent is killed"
+)
+def die_midway(context, request):
+    world = context.world
+    prefix = "order" if request == "call" else "review"
+    world.deployment.process(f"{prefix}-2").kill()
+    wait_until(lambda: state_of(world, f"{prefix}-2") == "silent", "its loss")
+    if request == "call":
+        caller = world.caller()
+        future = world.submit(caller.call, SERVICE, PLAIN_KIND, tag="m", seconds=20)
+        wait_until(lambda: world.tags()["m"], "the call to run")
+    else:
+        url = world.deployment.url("engine-1")
+        world.deployment.client.post(url + "/_pause", json={"paused": True})
+        future = world.submit(world.caller().generate, MODEL, "stack_up_check", 50)
+        count = world.deployment.client.get
+        wait_until(lambda: count(url + "/_generations").json()["started"], "it to run")
+    world.deployment.process(f"{prefix}-1").kill()
+    world.results.append(future.result(60))
+
+
+def state_of(world, box_name):
+    boxes = world.deployment.admin("gateway-1", "GET", "status").json()["boxes"]
+    return next(box["state"] for box in boxes if box["box"] == box_name)
--- a/src/piershore/core/configuration/codec.py
+++ b/src/piershore/core/configuration/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from functools import lru_cache
 from typing import TypeVar
 
@@ -37,7 +38,8 @@
 def converter() -> Converter:
     """Return the converter that refuses unknown keys and wrong types."""
     strict = Converter(forbid_extra_keys=True, detailed_validation=True)
-    strict.register_structure_hook_func(SCALARS.__contains__, _strict_scalar)
+    for scalar in SCALARS:
+        strict.register_structure_hook(scalar, _strict_scalar)
     return strict
 
 
@@ -72,6 +74,8 @@
 
 
 def _strict_scalar(value: object, target: type) -> object:
+    if issubclass(target, Enum):
+        return target(value)
     if target is float and type(value) is int:
         return float(value)
     if type(value) is not target:
--- a/src/piershore/core/configuration/objects.py
+++ b/src/piershore/core/configuration/objects.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, time
 from enum import StrEnum
-from zoneinfo import ZoneInfo
+from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
 
 class ObjectKind(StrEnum):
@@ -38,7 +38,10 @@
     days: tuple[int, ...] = (0, 1, 2, 3, 4, 5)
 
     def __post_init__(self) -> None:
-        ZoneInfo(self.time_zone)
+        try:
+            ZoneInfo(self.time_zone)
+        except (ZoneInfoNotFoundError, OSError) as error:
+            raise ValueError(f"unknown time zone {self.time_zone!r}") from error
         time.fromisoformat(self.start)
         time.fromisoformat(self.end)
         if not all(0 <= day <= 6 for day in self.days):
--- a/src/piershore/gateway/call_service.py
+++ b/src/piershore/gateway/call_service.py
@@ -12,16 +12,16 @@
 from piershore.core.ownership.claim import Answer
 from piershore.core.ownership.key_minter import intervals_for, mint_key
 from piershore.core.ownership.minted_key import MintedKey
-from piershore.core.refusal_reason import RefusalReason, RETRYABLE_REASONS
+from piershore.core.refusal_reason import RefusalReason
 from piershore.core.routing.retry_budget import RetryBudget
 from piershore.gateway.agent_link import AgentLink, LinkRequest
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
+from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import Answered, Call, Refused
 
 REATTACH_SECONDS = 5.0
-RETRY_AFTER_SECONDS = 1.0
 MILLISECONDS = 1_000
 
 CERTAIN_REASONS = frozenset({RefusalReason.ALREADY_RUN, RefusalReason.OUTCOME_UNKNOWN})
@@ -59,7 +59,6 @@
 
     async def call(self, order: CallOrder) -> CallAnswer:
         """Run one call; raise `RequestRefusedError` with its outcome."""
-        self._budget.note_first_try()
         if not order.non_repeatable:
             return await self._call_repeatable(order)
         if order.key is not None:
@@ -79,16 +78,9 @@
         return key
 
     async def _call_repeatable(self, order: CallOrder) -> CallAnswer:
-        excluded: set[str] = set()
+        tries = Tries(self._links, self._budget)
         while True:
-            link = self._links.choose(order.service, "", excluded)
-            if link is None:
-                raise RequestRefusedError(
-                    RefusalReason.NO_ENDPOINT,
-                    f"no endpoint of {order.service} takes work now",
-                    retry_after=RETRY_AFTER_SECONDS,
-                )
-            excluded.add(link.state.name)
+            link = tries.next_link(order.service)
             try:
                 return CallAnswer(await self._send(link, order, key=""))
             except LinkLostError as error:
@@ -97,7 +89,7 @@
                 refusal = RequestRefusedError(reason, error.message, outcome)
             except RequestRefusedError as error:
                 refusal = error
-            self._spend_retry(refusal)
+            tries.failed(refusal)
 
     async def _call_with_key(self, order: CallOrder, key: MintedKey) -> CallAnswer:
         # Only the owner of the key's mint time can say that it was not run.
@@ -117,13 +109,16 @@
         return CallAnswer(answer, key.text)
 
     async def _call_with_minted_keys(self, order: CallOrder) -> CallAnswer:
+        tries = Tries(self._links, self._budget)
         while True:
             key = self.mint(order.service)
             try:
                 return await self._call_with_key(order, key)
             except RequestRefusedError as error:
                 refusal = self._certain(error)
-            self._spend_retry(refusal)
+            if refusal.outcome is not Outcome.NOT_RUN:
+                raise refusal
+            tries.failed(refusal)
 
     def _certain(self, error: RequestRefusedError) -> RequestRefusedError:
         """Return what a refusal means for a key that nobody else has seen."""
@@ -209,13 +204,6 @@
             RefusalReason.OUTCOME_UNKNOWN, "the answer took too long", Outcome.UNKNOWN
         )
 
-    def _spend_retry(self, error: RequestRefusedError) -> None:
-        if error.reason not in RETRYABLE_REASONS:
-            raise error
-        if not self._budget.spend():
-            raise error
-        metrics.RETRIES.labels(reason=error.reason).inc()
-
 
 class _ResentRefusedError(RequestRefusedError):
     """A refusal after a second sending, so the first may still be on its way."""
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -79,6 +79,7 @@
         self._directory.listen(self._share_limits)
         self._stopping = trio.Event()
         self._leaving = False
+        self._reader = RequestReader(settings.caps, self._accounts)
         self._app = self._build_app()
         self._in_flight = InFlightRequests(self._app)
 
@@ -145,9 +146,9 @@
 
     def _build_app(self) -> QuartTrio:
         app = QuartTrio(__name__)
-        app.config["MAX_CONTENT_LENGTH"] = self._settings.caps.body_bytes
+        app.config["MAX_CONTENT_LENGTH"] = None
         app.config["RESPONSE_TIMEOUT"] = None
-        reader = RequestReader(self._settings.caps, self._accounts)
+        reader = self._reader
         budget = RetryBudget(self._settings.retry_share)
         timeout = self._settings.request_timeout
         callers = CallersApi(
@@ -195,7 +196,10 @@
 
     async def _refused(self, error: RequestRefusedError) -> Response:
         count_refusal(error)
-        return problem_response(error)
+        response = problem_response(error)
+        if not await self._reader.discard():
+            response.headers["Connection"] = "close"
+        return response
 
     async def _http_error(self, error: HTTPException) -> Response:
         reason = HTTP_REASONS.get(error.code, RefusalReason.MALFORMED_BODY)
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -8,13 +8,14 @@
 import trio
 
 from piershore.core.outcome import Outcome
-from piershore.core.refusal_reason import RefusalReason, RETRYABLE_REASONS
+from piershore.core.refusal_reason import RefusalReason
 from piershore.core.routing.retry_budget import RetryBudget
 from piershore.core.streams.event_id import EventId
 from piershore.gateway.agent_link import AgentLink, LinkRequest
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
 from piershore.gateway.generation_order import GenerationOrder, ShownTokens
+from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import (
     Accepted,
@@ -27,7 +28,6 @@
 )
 
 REATTACH_SECONDS = 5.0
-RETRY_AFTER_SECONDS = 1.0
 
 
 class GenerationService:
@@ -44,36 +44,32 @@
         Before the first token another endpoint may be tried; after it, a lost
         generation ends the stream with the error that says so.
         """
-        self._budget.note_first_try()
-        excluded: set[str] = set()
+        tries = Tries(self._links, self._budget)
         while True:
             shown = False
             try:
-                attempts = self._attempt(order, excluded, resumable=True)
-                async with aclosing(attempts) as attempt:
-                    async for tokens in attempt:
+                async with aclosing(self._try(tries, order, resumable=True)) as tokens:
+                    async for item in tokens:
                         shown = True
-                        yield tokens
+                        yield item
                 return
             except RequestRefusedError as error:
                 if shown:
                     raise
-                self._spend_retry(error)
+                tries.failed(error)
 
     async def complete(self, order: GenerationOrder) -> tuple[str, ...]:
         """Return all tokens of one whole generation."""
-        self._budget.note_first_try()
-        excluded: set[str] = set()
+        tries = Tries(self._links, self._budget)
         while True:
-            tokens: list[str] = []
+            collected: list[str] = []
             try:
-                attempts = self._attempt(order, excluded, resumable=False)
-                async with aclosing(attempts) as attempt:
-                    async for shown in attempt:
-                        tokens.extend(shown.tokens)
-                return tuple(tokens)
+                async with aclosing(self._try(tries, order, resumable=False)) as tokens:
+                    async for item in tokens:
+                        collected.extend(item.tokens)
+                return tuple(collected)
             except RequestRefusedError as error:
-                self._spend_retry(error)
+                tries.failed(error)
 
     async def resume(
         self, account: str, event_id: EventId
@@ -93,33 +89,16 @@
             async for shown in tokens:
                 yield shown
 
-    async def _attempt(
-        self, order: GenerationOrder, excluded: set[str], *, resumable: bool
+    async def _try(
+        self, tries: Tries, order: GenerationOrder, *, resumable: bool
     ) -> AsyncIterator[ShownTokens]:
-        link = self._links.choose(order.service, order.prompt, excluded)
-        if link is None:
-            raise RequestRefusedError(
-                RefusalReason.NO_ENDPOINT,
-                f"no endpoint of {order.service} takes work now",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
-        excluded.add(link.state.name)
+        link = tries.next_link(order.service, order.prompt)
         reader = _GenerationReader(link, order.account, self._timeout, resumable)
         reader.submit(order)
         async with aclosing(reader.read()) as tokens:
             async for shown in tokens:
                 yield shown
 
-    def _spend_retry(self, error: RequestRefusedError) -> None:
-        if error.reason not in RETRYABLE_REASONS:
-            raise error
-        if not self._budget.spend():
-            metrics.REFUSALS.labels(
-                reason=RefusalReason.RETRY_BUDGET_SPENT, outcome=error.outcome
-            ).inc()
-            raise error
-        metrics.RETRIES.labels(reason=error.reason).inc()
-
 
 class _GenerationReader:
     """Reads one generation, and attaches again when its link was lost.
--- a/src/piershore/gateway/request_reader.py
+++ b/src/piershore/gateway/request_reader.py
@@ -7,7 +7,6 @@
 
 import orjson
 from quart import request
-from werkzeug.exceptions import RequestEntityTooLarge
 
 from piershore.core.configuration.codec import structure
 from piershore.core.configuration.effective_account import EffectiveAccount
@@ -18,6 +17,7 @@
 from piershore.settings.process_settings import RequestCaps
 
 JSON_TYPE = "application/json"
+DISCARDED_BODIES = 8
 
 Body = TypeVar("Body")
 
@@ -50,13 +50,27 @@
 
     async def read_bytes(self) -> bytes:
         """Return the body as sent; refuse one that is too large."""
-        try:
-            return await request.get_data(cache=False)
-        except RequestEntityTooLarge as error:
-            raise RequestRefusedError(
-                RefusalReason.BODY_TOO_LARGE,
-                f"the body is larger than {self._caps.body_bytes} bytes",
-            ) from error
+        body = bytearray()
+        async for chunk in request.body:
+            body += chunk
+            if len(body) > self._caps.body_bytes:
+                raise RequestRefusedError(
+                    RefusalReason.BODY_TOO_LARGE,
+                    f"the body is larger than {self._caps.body_bytes} bytes",
+                )
+        return bytes(body)
+
+    async def discard(self) -> bool:
+        """Read what is left of the body; tell whether that was all.
+
+        Without this the connection's next request would never be seen.
+        """
+        left = self._caps.body_bytes * DISCARDED_BODIES
+        async for chunk in request.body:
+            left -= len(chunk)
+            if left < 0:
+                return False
+        return True
 
     async def read_json(self) -> object:
         """Return the body as plain data; refuse what isn't JSON."""
--- /dev/null
+++ b/src/piershore/gateway/tries.py
@@ -0,0 +1,56 @@
+"""The tries of one repeatable request at several endpoints."""
+
+from __future__ import annotations
+
+from piershore.core.outcome import Outcome
+from piershore.core.refusal_reason import RefusalReason, RETRYABLE_REASONS
+from piershore.core.routing.retry_budget import RetryBudget
+from piershore.gateway.agent_link import AgentLink
+from piershore.gateway.agent_links import AgentLinks
+from piershore.gateway.exceptions import RequestRefusedError
+from piershore.telemetry import metrics
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+class Tries:
+    """Chooses an endpoint for each try and knows what the earlier ones mean.
+
+    Once a try may have run, no later refusal can say that the request did not.
+    """
+
+    def __init__(self, links: AgentLinks, budget: RetryBudget) -> None:
+        self._links = links
+        self._budget = budget
+        self._tried: set[str] = set()
+        self._last: RequestRefusedError | None = None
+        self._outcome = Outcome.NOT_RUN
+        budget.note_first_try()
+
+    def next_link(self, service: str, prompt: str = "") -> AgentLink:
+        """Return the link for the next try; raise the last refusal if none is left."""
+        link = self._links.choose(service, prompt, self._tried)
+        if link is not None:
+            self._tried.add(link.state.name)
+            return link
+        raise self._last or RequestRefusedError(
+            RefusalReason.NO_ENDPOINT,
+            f"no endpoint of {service} takes work now",
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
+    def failed(self, error: RequestRefusedError) -> None:
+        """Spend a retry on a failed try; raise `error` if there may be none."""
+        if error.outcome is not Outcome.NOT_RUN:
+            self._outcome = error.outcome
+        error.outcome = self._outcome
+        if error.reason not in RETRYABLE_REASONS:
+            raise error
+        if not self._budget.spend():
+            reason = RefusalReason.RETRY_BUDGET_SPENT
+            metrics.REFUSALS.labels(reason=reason, outcome=error.outcome).inc()
+            raise error
+        metrics.RETRIES.labels(reason=error.reason).inc()
+        if error.retry_after is None:
+            error.retry_after = RETRY_AFTER_SECONDS
+        self._last = error
