--- /dev/null
+++ b/devtools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on admission policies, in virtual time."""
--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -17,6 +17,7 @@
 )
 KNOWN_RED = Path("KNOWN-RED.txt")
 PARALLEL_FEATURES = 3
+BEHAVE_OPTIONS = ("--format=progress3", "--logging-level=WARNING")
 
 
 @dataclass(frozen=True)
@@ -68,7 +69,7 @@
 
 def run_feature(feature: Path) -> Counts:
     """Run one feature and read its counts; print all of it only on a failure."""
-    command = [str(BIN / "behave"), "--format=progress", str(feature)]
+    command = [str(BIN / "behave"), *BEHAVE_OPTIONS, str(feature)]
     done = subprocess.run(
         command,
         check=False,
--- a/src/piershore/core/admission/engine_queue.py
+++ b/src/piershore/core/admission/engine_queue.py
@@ -115,6 +115,10 @@
         self._queue.remove(entry)
         return True
 
+    def waiting(self) -> tuple[Candidate, ...]:
+        """Return the requests that wait, the most urgent first."""
+        return tuple(entry[1] for entry in self._queue)
+
     def poll(self, now: float) -> Iterator[AdmissionAction]:
         """Yield what is to be done now, the most urgent first."""
         yield from self._take_refused()
--- a/src/piershore/core/admission/length_histogram.py
+++ b/src/piershore/core/admission/length_histogram.py
@@ -24,6 +24,7 @@
         self._older: HdrHistogram | None = None
         self._newer_count = 0
         self._count = 0
+        self._recorded = 0
         self._built_count = 0
         self._lengths: list[int] = []
         self._cumulative: list[int] = []
@@ -33,6 +34,11 @@
         """Number of samples that still weigh."""
         return self._count
 
+    @property
+    def recorded(self) -> int:
+        """Number of samples that were ever recorded."""
+        return self._recorded
+
     def record(self, length: int) -> None:
         """Add the length of a finished generation, in tokens."""
         if self._newer_count >= ROTATE_AFTER:
@@ -40,6 +46,7 @@
             self._newer_count = 0
         self._newer.record_value(max(1, min(length, LONGEST_TOKENS)))
         self._newer_count += 1
+        self._recorded += 1
         older = self._older.get_total_count() if self._older else 0
         self._count = self._newer_count + older
 
--- a/src/piershore/core/admission/length_model.py
+++ b/src/piershore/core/admission/length_model.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator, Sequence
 
 from piershore.core.admission.candidate import LengthKey
 from piershore.core.admission.length_histogram import LengthHistogram
 
 ENOUGH_SAMPLES = 32
 KEYS_KEPT = 512
+MEAN_STEPS = (0, *(int(8 * 1.3**n) for n in range(40)))
+"""Lengths in tokens at which the mean is summed up, up to some 200,000."""
 
 
 class LengthModel:
@@ -23,6 +26,8 @@
         self._by_key: OrderedDict[LengthKey, LengthHistogram] = OrderedDict()
         self._by_kind: dict[str, LengthHistogram] = {}
         self._service = LengthHistogram()
+        self._expected: dict[tuple[LengthKey, int, int], float] = {}
+        self._expected_at = 0
 
     def record(self, key: LengthKey, length: int) -> None:
         """Add the length of a finished generation, in tokens."""
@@ -33,34 +38,46 @@
         self._by_kind.setdefault(key.kind, LengthHistogram()).record(length)
         self._service.record(length)
 
-    def survival(
-        self, key: LengthKey, generated: int, further: int, max_tokens: int
-    ) -> float:
-        """Return the chance of more than `further` tokens after `generated`."""
-        reached = generated + further
-        if reached >= max_tokens:
-            return 0.0
+    def survivals(
+        self, key: LengthKey, generated: int, steps: Sequence[int], max_tokens: int
+    ) -> Iterator[float]:
+        """Yield the chance of more than each of `steps` further tokens.
+
+        Ends at the first step that can't be survived.
+        """
         histogram = self._histogram(key)
-        if histogram is None:
-            return (max_tokens - reached) / max(1, max_tokens - generated)
-        given = histogram.survival(generated)
-        if given <= 0:
-            # Longer than anything seen: nothing is known but the maximum.
-            return (max_tokens - reached) / max(1, max_tokens - generated)
-        return histogram.survival(reached) / given
+        given = 0.0 if histogram is None else histogram.survival(generated)
+        left = max(1, max_tokens - generated)
+        for further in steps:
+            if generated + further >= max_tokens:
+                return
+            if given > 0:
+                chance = histogram.survival(generated + further) / given
+            else:
+                # Longer than anything seen: nothing is known but the maximum.
+                chance = 1 - further / left
+            if chance <= 0:
+                return
+            yield chance
 
     def expected_further(
         self, key: LengthKey, generated: int, max_tokens: int
     ) -> float:
         """Return the mean number of tokens still to come."""
-        total, step, place = 0.0, 8, 0
-        while generated + place < max_tokens:
-            chance = self.survival(key, generated, place, max_tokens)
-            if chance < 0.001:
-                break
-            total += chance * min(step, max_tokens - generated - place)
-            place += step
-            step = max(8, place // 4)
+        if self._expected_at != self._service.recorded:
+            self._expected_at = self._service.recorded
+            self._expected.clear()
+        place = (key, generated, max_tokens)
+        if place not in self._expected:
+            self._expected[place] = self._sum_survivals(key, generated, max_tokens)
+        return self._expected[place]
+
+    def _sum_survivals(self, key: LengthKey, generated: int, max_tokens: int) -> float:
+        chances = list(self.survivals(key, generated, MEAN_STEPS, max_tokens))
+        total = 0.0
+        for number, chance in enumerate(chances):
+            end = min(MEAN_STEPS[number + 1], max_tokens - generated)
+            total += chance * max(0, end - MEAN_STEPS[number])
         return total
 
     def _histogram(self, key: LengthKey) -> LengthHistogram | None:
--- a/src/piershore/core/admission/projected_demand.py
+++ b/src/piershore/core/admission/projected_demand.py
@@ -64,13 +64,11 @@
     def add(self, candidate: Candidate, generated: int) -> None:
         """Count one generation in that has `generated` tokens so far."""
         held = candidate.prompt_tokens + generated
-        for place, further in enumerate(HORIZON_STEPS):
-            chance = self._model.survival(
-                candidate.length_key, generated, further, candidate.max_tokens
-            )
-            if chance <= 0.0:
-                break
-            size = held + further
+        chances = self._model.survivals(
+            candidate.length_key, generated, HORIZON_STEPS, candidate.max_tokens
+        )
+        for place, chance in enumerate(chances):
+            size = held + HORIZON_STEPS[place]
             self._mean[place] += chance * size
             self._variance[place] += chance * (1 - chance) * size * size
 
