--- /dev/null
+++ b/features/core.feature
@@ -0,0 +1,57 @@
+Feature: The core's decisions, in virtual time and with seeds
+
+  Scenario Outline: Whatever comes from outside, <parser> reads it or refuses it with its code
+    Then <parser> never fails in another way
+
+    Examples:
+      | parser              |
+      | the event id        |
+      | the idempotency key |
+      | a settings file     |
+      | a stored object     |
+      | a caller's body     |
+
+  @at_most_once
+  Scenario Outline: Agents, stale reads, lost answers and restarts in any order, <slots> slots
+    Then no key runs twice in 200 random histories with <slots> slots
+
+    Examples:
+      | slots |
+      | 1     |
+      | 3     |
+
+  @tokens_once_in_order
+  Scenario: Engine, readers and acknowledgements in any order
+    Then each reader of 300 random histories sees tokens once and in order
+
+  @accepted_config_in_force
+  Scenario: Changes, snapshots and repeats in any order
+    Then no view of 300 random histories goes back, and all agree in the end
+
+  Scenario Outline: Admission under <policy>, <situation>
+    Given an engine queue with the policy <policy>
+    When <situation>
+    Then <result>
+
+    Examples:
+      | policy          | situation                                     | result                                        |
+      | projected_peak  | one request is longer than the engine         | it is refused at once as too_long_for_engine  |
+      | projected_peak  | more come than the queue holds                | the last is refused at once as queue_full     |
+      | projected_peak  | the queue can't reach a request by its deadline | it is refused at once as deadline_unreachable |
+      | projected_peak  | an urgent request comes after many others     | it is started first of those that wait        |
+      | projected_peak  | the engine is empty and the request is huge   | it is started                                 |
+      | projected_peak  | learned long answers would outgrow the engine | fewer are started than fit now                |
+      | projected_peak  | learned short answers leave room              | more are started than with the maximum reserved |
+      | fixed_slots     | more come than there are slots                | as many run as there are slots                |
+      | memory_free_now | learned long answers would outgrow the engine | all that fit now are started                  |
+
+  Scenario Outline: An account's limit over gateways, <case>
+    Then with <case> no more than the stated bound is admitted
+
+    Examples:
+      | case                              |
+      | one gateway                       |
+      | four gateways with equal shares   |
+
+  Scenario: Retries are bound to first tries
+    Then 1000 first tries with a share of 0.1 allow no more than 120 retries
