--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -30,6 +30,7 @@
       | the engine stands still                     |
       | the engine is gone                          |
       | the load is reported                        |
+      | cache events come late and with gaps        |
 
   Scenario Outline: The plain service, <case>
     Given the stand-ins
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -234,6 +234,19 @@
     assert report.capacity_tokens == 16_384 and report.running == 0
 
 
+async def cache(engine, world):
+    for number in range(12):
+        identity, prompt = f"g{number}", f"{number} length=1"
+        await read(engine.generate(GenerationRequest(identity, prompt, 10, 0)))
+    events = ()
+    while len(events) < 11:
+        events = await engine.cache_events(0)
+        await trio.sleep(0.05)
+    assert [event.number for event in events] == [*range(1, 10), 11, 12]
+    assert all(event.cached for event in events)
+    assert [event.number for event in await engine.cache_events(9)] == [11, 12]
+
+
 ENGINE_CASES = {
     "a generation is streamed to its end": generate,
     "a stream is resumed at an offset": resume,
@@ -242,6 +255,7 @@
     "the engine stands still": still,
     "the engine is gone": gone,
     "the load is reported": load,
+    "cache events come late and with gaps": cache,
 }
 
 
--- /dev/null
+++ b/features/steps/two_fault_steps.py
@@ -0,0 +1,79 @@
+"""Steps with two faults at once."""
+
+from __future__ import annotations
+
+from behave import then, when
+from once_steps import first_call, kill_owner, sleep_through_takeover
+from stream_steps import serving_number, set_engines_paused
+from support.world import GATEWAYS, MODEL, NUMBERS
+
+from devtools.deployment import wait_until
+
+LONG_CALL_SECONDS = 2.0
+
+
+@when("the platform goes out and its owner is killed while it runs")
+def kill_owner_in_outage(context):
+    world = context.world
+    first, arguments = first_call(world, LONG_CALL_SECONDS)
+    world.deployment.set_faults(outage=True)
+    kill_owner(world, first)
+    again = world.call_once("gateway-2", world.values["key"], **arguments)
+    world.results += [first.result(60), again]
+
+
+@then("keys of the other owner still run, once")
+def check_other_owner(context):
+    world = context.world
+    for gateway in GATEWAYS:
+        result = world.call_once(gateway, tag=f"after-{gateway}")
+        assert result.is_whole, result
+        assert world.executions()[result.key] == 1
+
+
+@when("its owner loses write answers, is frozen until taken over, and woken")
+def lose_and_freeze(context):
+    world = context.world
+    first, arguments = first_call(world, 0)
+    world.deployment.set_faults(lose_answers=3)
+    sleep_through_takeover(world, first)
+    world.results.append(first.result(60))
+    for gateway in GATEWAYS:
+        world.results.append(world.call_once(gateway, world.values["key"], **arguments))
+
+
+@when("all links are cut")
+def cut_links(context):
+    context.world.streams[-1].wait_tokens(5)
+    for relay in context.world.relays.values():
+        relay.cut()
+
+
+@when("an engine is killed under whole answers while the other agent is replaced")
+def kill_and_replace(context):
+    world = context.world
+    set_engines_paused(world, True)
+    futures = [
+        world.submit(world.caller(gateway).generate, MODEL, "stack_up_check", 60 + n)
+        for n in range(4)
+        for gateway in GATEWAYS
+    ]
+    number = int(serving_number(world))
+    other = next(n for n in NUMBERS if n != number)
+    stopped = world.deployment.process(f"review-{other}")
+    stopped.terminate()
+    world.deployment.process(f"engine-{number}").kill()
+    set_engines_paused(world, False)
+    wait_until(lambda: not stopped.is_running, "the other agent's end")
+    assert stopped.wait() == 0
+    world.start_agent(f"review-{other}")
+    world.results = [future.result(90) for future in futures]
+
+
+@then("every answer is whole or says that it was lost, and none is spliced")
+def check_results(context):
+    for result in context.world.results:
+        assert not result.fault, result
+        assert result.is_whole or result.outcome in ("unknown", "not_run"), result
+        if result.outcome == "not_run":
+            assert result.code in ("no_endpoint", "leaving"), result
--- a/src/piershore/core/ports.py
+++ b/src/piershore/core/ports.py
@@ -68,6 +68,18 @@
     preemptions: int
 
 
+@dataclass(frozen=True)
+class CacheEvent:
+    """A prompt prefix came into the engine's cache, or left it.
+
+    Events come late; a number that is missing was lost.
+    """
+
+    number: int
+    prefix: str
+    cached: bool
+
+
 class PlatformStore(ABC):
     """The platform's object API: versions, conditional updates and watches."""
 
@@ -124,6 +136,10 @@
     async def load(self) -> EngineLoad:
         """Return the engine's last load report."""
 
+    @abstractmethod
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a number; hints only."""
+
 
 class ServiceClient(ABC):
     """A plain service."""
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from typing import Any
 
 import httpx
 import orjson
 
 from piershore.core.ports import (
+    CacheEvent,
     EngineClient,
     EngineLoad,
     EngineTokens,
@@ -65,11 +67,7 @@
 
     async def load(self) -> EngineLoad:
         """Return the engine's last load report."""
-        try:
-            response = await self._client.get("/v1/load")
-            body = response.raise_for_status().json()
-        except httpx.HTTPError as error:
-            raise EngineLostError("the engine can't be reached") from error
+        body = await self._get("/v1/load")
         return EngineLoad(
             capacity_tokens=body["capacity_tokens"],
             used_tokens=body["used_tokens"],
@@ -77,6 +75,20 @@
             preemptions=body["preemptions"],
         )
 
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a number; hints only."""
+        body = await self._get(f"/v1/cache-events?after={after}")
+        return tuple(
+            CacheEvent(item["number"], item["prefix"], item["cached"]) for item in body
+        )
+
+    async def _get(self, path: str) -> Any:
+        try:
+            response = await self._client.get(path)
+            return response.raise_for_status().json()
+        except httpx.HTTPError as error:
+            raise EngineLostError("the engine can't be reached") from error
+
     async def _stream(
         self, method: str, path: str, body: dict | None
     ) -> AsyncIterator[EngineTokens]:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,6 +22,7 @@
 CHARACTERS_PER_TOKEN = 4
 IDLE_SECONDS = 0.005
 LOAD_LAG_SECONDS = 0.5
+EVERY_LOST_EVENT = 10
 LENGTH_PATTERN = re.compile(r"length=(\d+)")
 
 
@@ -55,6 +56,7 @@
         self._logs: dict[str, GenerationLog] = {}
         self._paused = False
         self._load: dict = self._load_now()
+        self._told_events = 0
 
     def app(self) -> QuartTrio:
         """Return the HTTP application."""
@@ -63,6 +65,7 @@
         app.get("/v1/generations/<identity>")(self.resume)
         app.delete("/v1/generations/<identity>")(self.cancel)
         app.get("/v1/load")(self.load)
+        app.get("/v1/cache-events")(self.cache_events)
         app.post("/_pause")(self.pause)
         app.get("/_generations")(self.generations)
         return app
@@ -74,6 +77,7 @@
             if trio.current_time() - reported_at > LOAD_LAG_SECONDS:
                 reported_at = trio.current_time()
                 self._load = self._load_now()
+                self._told_events = len(self._model.cache_changes)
             if self._paused or not self._model.is_busy:
                 await trio.sleep(IDLE_SECONDS)
                 continue
@@ -113,6 +117,16 @@
         """Return the last load report."""
         return Response(orjson.dumps(self._load), content_type="application/json")
 
+    async def cache_events(self) -> Response:
+        """Return cache events after a number, late and with every tenth lost."""
+        after = int(request.args["after"])
+        events = [
+            {"number": number, "prefix": prefix, "cached": cached}
+            for number, (prefix, cached) in enumerate(self._model.cache_changes, 1)
+            if after < number <= self._told_events and number % EVERY_LOST_EVENT
+        ]
+        return Response(orjson.dumps(events), content_type="application/json")
+
     async def pause(self) -> Response:
         """Stop stepping, or go on."""
         self._paused = orjson.loads(await request.get_data())["paused"]
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -56,7 +56,10 @@
 
 @dataclass
 class EngineModel:
-    """State of the engine between steps."""
+    """State of the engine between steps.
+
+    `cache_changes` names each prefix that came into the cache (True) or left it.
+    """
 
     settings: EngineSettings = field(default_factory=EngineSettings)
     waiting: list[EngineGeneration] = field(default_factory=list)
@@ -64,6 +67,7 @@
     preemptions: int = 0
     _prefixes: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _order: int = 0
+    cache_changes: list[tuple[str, bool]] = field(default_factory=list)
 
     @property
     def used_tokens(self) -> int:
@@ -134,8 +138,11 @@
         cached = self._prefixes.get(generation.prefix, 0)
         self._prefixes[generation.prefix] = generation.prompt_tokens
         self._prefixes.move_to_end(generation.prefix)
+        if not cached:
+            self.cache_changes.append((generation.prefix, True))
         while len(self._prefixes) > self.settings.prefixes_kept:
-            self._prefixes.popitem(last=False)
+            evicted, _ = self._prefixes.popitem(last=False)
+            self.cache_changes.append((evicted, False))
         shared = min(cached, generation.prompt_tokens)
         return generation.held - shared
 
