Share slots among the agents of a service

Cause: the agent that came first took all slots and kept extending them, so when it died during an outage of the platform nobody could take a non-repeatable call. Found by the scenario 'a key's owner dies while the platform is out' (failed with no_owner before). Now the agent that the hash prefers writes that it wants a slot; the owner lets that lease run out, and no key is lost, since intervals adjoin. Ruled out: the owner giving way to every announced agent (a dead one is announced as well, and slots would have no owner at times).

--- a/devtools/grpc_ways.py
+++ b/devtools/grpc_ways.py
@@ -15,6 +15,7 @@
 
 import grpc
 import trio
+import trio_asyncio
 from tabulate import tabulate
 
 from devtools.process import free_port
@@ -27,6 +28,7 @@
 )
 
 MESSAGES = 20_000
+LONGEST_SECONDS = 90
 TOKENS = ("a token", "and one")
 
 
@@ -147,6 +149,12 @@
     await trio.to_thread.run_sync(thread.join)
 
 
+async def bounded(way: Callable, message: AgentFrame, count: int) -> None:
+    """Run one way, but not for ever."""
+    with trio.fail_after(LONGEST_SECONDS):
+        await way(message, count)
+
+
 WAYS = {
     "reader threads": blocking,
     "bridge thread": bridged,
@@ -162,7 +170,7 @@
         count = MESSAGES if streams == 1 else MESSAGES // 10
         for name, way in WAYS.items():
             started = time.process_time()
-            trio.run(way, message, count)
+            trio.run(bounded, way, message, count)
             each = (time.process_time() - started) / count
             tokens = streams * len(TOKENS)
             rows.append((name, streams, each * 1e6, each * 1e6 / tokens))
--- a/features/core.feature
+++ b/features/core.feature
@@ -20,6 +20,11 @@
       | 1     |
       | 3     |
 
+  @at_most_once
+  Scenario: Slots come to be shared among agents, although one came first
+    Then of 3 agents, of which one came first, each owns some of 16 slots in the end
+    And when one of them falls silent the others own all slots in the end
+
   @tokens_once_in_order
   Scenario: Engine, readers and acknowledgements in any order
     Then each reader of 300 random histories sees tokens once and in order
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -153,6 +153,44 @@
     assert ran > count, "hardly anything ran, so nothing was shown"
 
 
+def keep_leases(context, agents, seconds):
+    """Let the agents keep their leases in turn for some seconds."""
+    names = {name for name, _ in context.members}
+    for _ in range(seconds * 4):
+        context.clock += 250
+        for agent in agents:
+            context.slots = agent.change(context.slots, context.clock, names)
+            context.version += 1
+            agent.confirm(context.slots, context.version)
+
+
+def slot_owners(context):
+    return {slot.last.owner.endpoint for slot in context.slots.current.slots}
+
+
+@then("of 3 agents, of which one came first, each owns some of 16 slots in the end")
+def check_shared(context):
+    context.clock, context.version = 1_000_000, 1
+    context.slots = SlotTable.create("s", 16, context.clock)
+    context.members = [
+        (name, SlotOwner("s", Owner(name, "1"), OwnershipSettings())) for name in "abc"
+    ]
+    agents = [agent for _, agent in context.members]
+    first, context.members = context.members, context.members[:1]
+    keep_leases(context, agents[:1], 5)
+    assert slot_owners(context) == {"a"}
+    context.members = first
+    keep_leases(context, agents, 30)
+    assert slot_owners(context) == {"a", "b", "c"}, slot_owners(context)
+
+
+@then("when one of them falls silent the others own all slots in the end")
+def check_silent(context):
+    agents = [agent for name, agent in context.members if name != "b"]
+    keep_leases(context, agents, 60)
+    assert slot_owners(context) == {"a", "c"}, slot_owners(context)
+
+
 @then("each reader of {count:d} random histories sees tokens once and in order")
 def check_streams(context, count):
     for seed in range(count):
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -10,9 +10,8 @@
 
 def serving_number(world):
     """Return the number of the engine that works on the first stream."""
-    stream = world.streams[0]
-    if stream.endpoint:
-        return stream.endpoint.partition("-")[2]
+    if world.streams and world.streams[0].endpoint:
+        return world.streams[0].endpoint.partition("-")[2]
 
     def started():
         for number in (1, 2):
--- a/features/steps/two_fault_steps.py
+++ b/features/steps/two_fault_steps.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from behave import then, when
-from once_steps import first_call, kill_owner, sleep_through_takeover
+from once_steps import (
+    first_call,
+    kill_owner,
+    read_slot_table,
+    sleep_through_takeover,
+)
 from stream_steps import serving_number, set_engines_paused
 from support.world import GATEWAYS, MODEL, NUMBERS
 
@@ -12,9 +17,18 @@
 LONG_CALL_SECONDS = 2.0
 
 
+def all_share(world):
+    slots = read_slot_table(world)["layouts"][-1]["slots"]
+    owners = {slot["intervals"][-1]["owner"]["endpoint"] for slot in slots}
+    return owners == {f"order-{number}" for number in NUMBERS}
+
+
 @when("the platform goes out and its owner is killed while it runs")
 def kill_owner_in_outage(context):
     world = context.world
+    wait_until(lambda: all_share(world), "both agents to own slots")
+    for gateway in GATEWAYS:
+        world.deployment.wait_boxes(gateway, 6)
     first, arguments = first_call(world, LONG_CALL_SECONDS)
     world.deployment.set_faults(outage=True)
     kill_owner(world, first)
--- a/src/piershore/core/ownership/slot_owner.py
+++ b/src/piershore/core/ownership/slot_owner.py
@@ -151,14 +151,26 @@
         """
         if self._leaving:
             return self._release_all(table)
+        for index in range(len(table.current.slots)):
+            table = self._change_slot(table, index, now, members)
+        return table
+
+    def _change_slot(
+        self, table: SlotTable, index: int, now: int, members: Collection[str]
+    ) -> SlotTable:
+        slot = table.current.slots[index]
+        last = slot.last
         end = now + self._settings.lease_length
-        for index, slot in enumerate(table.current.slots):
-            last = slot.last
-            if last is not None and last.owner == self._owner and not last.released:
-                if last.end < now + self._settings.lease_length // 2:
-                    table = table.extend(index, self._owner, end)
-            elif self._may_take(table, index, last, now, members):
-                table = table.take(index, self._owner, end)
+        if last is not None and last.owner == self._owner and not last.released:
+            is_due = last.end < now + self._settings.lease_length // 2
+            is_kept = slot.wanted_by in (None, self._owner)
+            return (
+                table.extend(index, self._owner, end) if is_due and is_kept else table
+            )
+        if self._may_take(table, index, now, members):
+            return table.take(index, self._owner, end)
+        if slot.wanted_by is None and self._is_preferred(index, members):
+            return table.want(index, self._owner)
         return table
 
     def intervals(self) -> Iterator[HeldInterval]:
@@ -227,35 +239,35 @@
                 yield index
 
     def _may_take(
-        self,
-        table: SlotTable,
-        index: int,
-        last: Interval | None,
-        now: int,
-        members: Collection[str],
+        self, table: SlotTable, index: int, now: int, members: Collection[str]
     ) -> bool:
-        grace = self._settings.takeover_grace
-        if now + self._settings.lease_length <= table.current.start:
-            return False
-        silent = last is None or last.released or last.end + grace < now
-        replaced = last is not None and (
-            last.owner.endpoint == self._owner.endpoint
-            and last.owner.incarnation != self._owner.incarnation
-        )
-        if last is not None and now + self._settings.lease_length <= last.end:
+        slot = table.current.slots[index]
+        last = slot.last
+        end = now + self._settings.lease_length
+        if end <= (last.end if last else table.current.start):
             return False
-        return (silent or replaced) and self._is_preferred(index, now, last, members)
+        if last is None or last.released:
+            return self._is_preferred(index, members) or self._has_waited(last, now)
+        if self._is_own_predecessor(last.owner):
+            return True
+        if slot.wanted_by == self._owner:
+            return last.end < now
+        is_silent = last.end + self._settings.takeover_grace < now
+        is_next = self._is_preferred(index, members) or self._has_waited(last, now)
+        return is_silent and is_next
 
-    def _is_preferred(
-        self, index: int, now: int, last: Interval | None, members: Collection[str]
-    ) -> bool:
+    def _is_own_predecessor(self, owner: Owner) -> bool:
+        is_same = owner.endpoint == self._owner.endpoint
+        return is_same and owner.incarnation != self._owner.incarnation
+
+    def _has_waited(self, last: Interval | None, now: int) -> bool:
+        # The preferred agent has had its time: anyone may step in.
+        return now - (last.end if last else 0) > 2 * self._settings.lease_length
+
+    def _is_preferred(self, index: int, members: Collection[str]) -> bool:
         candidates = {*members, self._owner.endpoint}
         preferred = max(candidates, key=lambda name: self._weight(name, index))
-        if preferred == self._owner.endpoint:
-            return True
-        # The preferred agent has had its time: anyone may step in.
-        waited = now - (last.end if last else 0)
-        return waited > 2 * self._settings.lease_length
+        return preferred == self._owner.endpoint
 
     def _weight(self, endpoint: str, index: int) -> int:
         return stable_hash(self._service, index, endpoint)
--- a/src/piershore/core/ownership/slot_table.py
+++ b/src/piershore/core/ownership/slot_table.py
@@ -20,9 +20,13 @@
 
 @dataclass(frozen=True)
 class Slot:
-    """Adjoining intervals, oldest first; only the last may still change."""
+    """Adjoining intervals, oldest first; only the last may still change.
+
+    `wanted_by` is an agent that asks the present owner to let its lease run out.
+    """
 
     intervals: tuple[Interval, ...] = ()
+    wanted_by: Owner | None = None
 
     @property
     def last(self) -> Interval | None:
@@ -109,6 +113,11 @@
         last = self._last_owned(index, owner)
         return self._with_last(index, last.released_at(end))
 
+    def want(self, index: int, owner: Owner) -> SlotTable:
+        """Ask the present owner of a slot to let its lease run out."""
+        slot = replace(self.current.slots[index], wanted_by=owner)
+        return self._with_slot(index, slot)
+
     def resize(self, slot_count: int, spec_version: int) -> SlotTable:
         """Start a layout of `slot_count` slots above every mint time given out.
 
@@ -136,7 +145,8 @@
 
     def _with_last(self, index: int, interval: Interval) -> SlotTable:
         slot = self.current.slots[index]
-        return self._with_slot(index, Slot((*slot.intervals[:-1], interval)))
+        intervals = (*slot.intervals[:-1], interval)
+        return self._with_slot(index, replace(slot, intervals=intervals))
 
     def _with_slot(self, index: int, slot: Slot) -> SlotTable:
         layout = self.current
