Keep links to an aperture of the endpoints; split the generation runner

Cause: each gateway kept a link to every agent: at the target size 2,300 links and 4,600 threads a gateway, and 410 links at an agent that takes 64. Now a gateway links to 32 endpoints of each model service, three quarters in its own hall, and opens a link when a caller resumes elsewhere. In the core's check of 410 gateways and 460 endpoints each endpoint has 5 to 64 links. Plain services are still linked to as a whole (CAPACITY.md).

--- a/features/core.feature
+++ b/features/core.feature
@@ -58,5 +58,14 @@
       | one gateway                       |
       | four gateways with equal shares   |
 
+  Scenario Outline: The apertures of <gateways> gateways over <endpoints> endpoints
+    Then with <gateways> gateways, <endpoints> endpoints and an aperture of <size> every endpoint has <least> to <most> links
+    And each gateway has some links to other data halls, and one endpoint less moves few links
+
+    Examples:
+      | gateways | endpoints | size | least | most |
+      | 2        | 6         | 32   | 2     | 2    |
+      | 410      | 460       | 32   | 5     | 64   |
+
   Scenario: Retries are bound to first tries
     Then 1000 first tries with a share of 0.1 allow no more than 120 retries
--- a/features/steps/common_steps.py
+++ b/features/steps/common_steps.py
@@ -18,3 +18,8 @@
 @given("the stand-ins")
 def start_standins(context):
     context.world.start(standins_only=True)
+
+
+@given("a running deployment whose gateways link to one engine each")
+def start_narrow(context):
+    context.world.start(aperture=1)
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 from behave import given, then, when
@@ -27,6 +28,7 @@
 from piershore.core.ownership.minted_key import MintedKey
 from piershore.core.ownership.slot_owner import OwnershipSettings, SlotOwner
 from piershore.core.ownership.slot_table import SlotTable
+from piershore.core.routing.aperture import choose_aperture
 from piershore.core.routing.retry_budget import RetryBudget
 from piershore.core.streams.event_id import EventId
 from piershore.core.streams.generation import Ending, Generation
@@ -75,7 +77,7 @@
         self.versions = [(1, self.table)]
         self.runs = {}
         self.keys = [
-            MintedKey.mint(self.random.randrange(1, 400), self.random)
+            MintedKey.mint(self.random.randrange(1, 1_500), self.random)
             for _ in range(30)
         ]
         self.agents = [self.agent(n) for n in range(2)]
@@ -87,7 +89,7 @@
         return SlotOwner("s", owner, settings_)
 
     def step(self):
-        self.now += self.random.randrange(4)
+        self.now += self.random.randrange(9)
         number = self.random.randrange(2)
         agent = self.agents[number]
         action = self.random.choice(
@@ -430,3 +432,39 @@
         budget.note_first_try()
         retries += budget.spend()
     assert most * 0.8 <= retries <= most, retries
+
+
+HALLS = 9
+
+
+def apertures(gateways, endpoints, size):
+    halls = {f"e{n}": f"hall-{n % HALLS}" for n in range(endpoints)}
+    return {
+        g: choose_aperture(f"g{g}", f"hall-{g % HALLS}", halls, size)
+        for g in range(gateways)
+    }
+
+
+@then(
+    "with {gateways:d} gateways, {endpoints:d} endpoints and an aperture of {size:d} "
+    "every endpoint has {least:d} to {most:d} links"
+)
+def check_apertures(context, gateways, endpoints, size, least, most):
+    chosen = apertures(gateways, endpoints, size)
+    links = Counter(name for names in chosen.values() for name in names)
+    counts = [links[f"e{n}"] for n in range(endpoints)]
+    assert least <= min(counts) and max(counts) <= most, (min(counts), max(counts))
+    context.aperture = (gateways, endpoints, size, chosen)
+
+
+@then(
+    "each gateway has some links to other data halls, and one endpoint less "
+    "moves few links"
+)
+def check_remote(context):
+    gateways, endpoints, size, chosen = context.aperture
+    fewer = apertures(gateways, endpoints - 1, size)
+    for gateway, names in chosen.items():
+        own = gateway % HALLS
+        assert any(int(name[1:]) % HALLS != own for name in names)
+        assert len(names - fewer[gateway]) <= 1
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -6,6 +6,7 @@
 
 from devtools.caller import token_fault
 from devtools.deployment import wait_until
+from piershore.core.routing.aperture import choose_aperture
 
 
 def serving_number(world):
@@ -245,3 +246,23 @@
 @then("that resumption is refused with {code}")
 def check_refusal(context, code):
     assert context.world.values["refusal"]["code"] == code
+
+
+@when("another gateway without a link to its agent resumes it")
+def resume_without_link(context):
+    world = context.world
+    set_engines_paused(world, False)
+    first = world.streams[0]
+    halls = {"review-1": "ikeja", "review-2": "ikeja"}
+    name = next(
+        name
+        for name in (f"gateway-{number}" for number in range(3, 40))
+        if first.endpoint not in choose_aperture(name, "ikeja", halls, 1)
+    )
+    world.deployment.start_gateway(name, "ikeja", aperture=1)
+    world.deployment.wait_ready(name)
+    other = ({*halls} - {first.endpoint}).pop()
+    process = world.deployment.process(name)
+    wait_until(lambda: f"endpoint={other} " in process.output, "its own link")
+    assert f"endpoint={first.endpoint} " not in process.output
+    world.stream(150, name, first.last_id)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -106,7 +106,13 @@
             print(f"== {name} (running: {process.is_running})")
             print(process.output[-3000:])
 
-    def start(self, *, relayed: bool = False, standins_only: bool = False) -> None:
+    def start(
+        self,
+        *,
+        relayed: bool = False,
+        standins_only: bool = False,
+        aperture: int = 32,
+    ) -> None:
         """Start a small deployment of the first example."""
         deployment = self.deployment
         deployment.start_platform()
@@ -117,7 +123,7 @@
             deployment.wait_standins()
             return
         for gateway, hall in GATEWAYS.items():
-            deployment.start_gateway(gateway, hall)
+            deployment.start_gateway(gateway, hall, aperture=aperture)
         for number in NUMBERS:
             self.start_agent(f"review-{number}", relayed=relayed)
             self.start_agent(f"order-{number}", relayed=relayed)
--- a/features/tokens_once_in_order.feature
+++ b/features/tokens_once_in_order.feature
@@ -46,3 +46,10 @@
     When a stream of 150 tokens is asked for
     And another account resumes it after 20 tokens
     Then that resumption is refused with generation_unknown
+
+  Scenario: A stream is resumed at a gateway that had no link to its agent
+    Given a running deployment whose gateways link to one engine each
+    When a stream of 150 tokens is asked for
+    And the caller drops after 20 tokens
+    And another gateway without a link to its agent resumes it
+    Then both parts together are whole, in order, from one generation
--- /dev/null
+++ b/src/piershore/agent/engine_reader.py
@@ -0,0 +1,51 @@
+"""Reading one generation from the engine, whatever happens to its streams."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+import trio
+
+from piershore.core.ports import EngineClient, EngineTokens, GenerationRequest
+from piershore.endpoints.exceptions import EngineLostError, EngineStalledError
+from piershore.telemetry import metrics
+
+RESUME_ATTEMPTS = 4
+RESUME_PAUSE_SECONDS = 0.1
+
+
+class EngineReader:
+    """Opens a generation's stream again, by offset, when it breaks."""
+
+    def __init__(self, engine: EngineClient, request: GenerationRequest) -> None:
+        self._engine = engine
+        self._request = request
+        self._next_index = 0
+        self._failures = 0
+
+    async def read(self) -> AsyncIterator[EngineTokens]:
+        """Yield tokens until the generation is whole.
+
+        Raise `EngineLostError` after `RESUME_ATTEMPTS` failures without a token,
+        and `EngineUnknownGenerationError` at once.
+        """
+        source = self._engine.generate(self._request)
+        while True:
+            try:
+                async with aclosing(source):
+                    async for tokens in source:
+                        self._failures = 0
+                        self._next_index = tokens.first_index + len(tokens.tokens)
+                        yield tokens
+                return
+            except EngineStalledError:
+                # The engine holds it still: preempted, or waiting in its queue.
+                self._failures = 0
+            except EngineLostError:
+                self._failures += 1
+                if self._failures > RESUME_ATTEMPTS:
+                    raise
+            await trio.sleep(RESUME_PAUSE_SECONDS * self._failures)
+            metrics.RESUMES.labels(by="engine").inc()
+            source = self._engine.resume(self._request.identity, self._next_index)
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Callable
 from contextlib import aclosing, suppress
 from secrets import token_hex
@@ -15,6 +14,8 @@
     WorkContext,
     WorkLoad,
 )
+from piershore.agent.engine_reader import EngineReader
+from piershore.agent.stream_sender import StreamSender
 from piershore.core.admission.actions import Refuse
 from piershore.core.admission.candidate import Candidate, LengthKey
 from piershore.core.admission.engine_queue import EngineQueue
@@ -27,7 +28,6 @@
 from piershore.core.streams.stall_detector import StallDetector
 from piershore.endpoints.exceptions import (
     EngineLostError,
-    EngineStalledError,
     EngineUnknownGenerationError,
 )
 from piershore.endpoints.http_engine_client import HttpEngineClient
@@ -42,15 +42,11 @@
     Ended,
     GatewayFrame,
     Refused,
-    StreamTokens,
     Submit,
-    TokenBatch,
 )
 
 CHARACTERS_PER_TOKEN = 4
 IDENTITY_BYTES = 16
-RESUME_ATTEMPTS = 4
-RESUME_PAUSE_SECONDS = 0.1
 JANITOR_PERIOD_SECONDS = 0.5
 POLL_PERIOD_SECONDS = 0.1
 
@@ -77,8 +73,7 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._ended_at: dict[str, float] = {}
         self._names: dict[tuple[int, int], str] = {}
-        self._dirty: set[str] = set()
-        self._wake_flush = trio.Event()
+        self._sender = StreamSender(self._generations, settings.flush_interval, send)
         self._wake_poll = trio.Event()
         self._stalls = StallDetector()
         self._pace_probe: str | None = None
@@ -114,7 +109,7 @@
         """Admit, stream and clean up until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll_loop, nursery)
-            nursery.start_soon(self._flush_loop)
+            nursery.start_soon(self._sender.run)
             nursery.start_soon(self._janitor_loop)
 
     async def close(self) -> None:
@@ -180,7 +175,7 @@
         metrics.RESUMES.labels(by="reader").inc()
         self._names[link, attach.request] = attach.generation
         self._send(link, _accepted(attach.request, attach.generation))
-        self._mark_dirty(attach.generation)
+        self._sender.mark(attach.generation)
 
     def acknowledge(self, link: int, message: Acknowledge) -> None:
         """Note how far the reader has come."""
@@ -189,7 +184,7 @@
             self._generations[identity].acknowledge(
                 link, message.request, message.index
             )
-            self._mark_dirty(identity)
+            self._sender.mark(identity)
 
     def cancel(self, link: int, message: Cancel) -> None:
         """Note that the reader is gone, perhaps for good."""
@@ -261,41 +256,28 @@
         ending = Ending(RefusalReason.CANCELLED)
         with trio.CancelScope() as scope:
             self._scopes[identity] = scope
-            ending = Ending(await self._stream(generation, request))
+            ending = Ending(await self._read(generation, request))
         self._scopes.pop(identity, None)
         generation.end(ending)
         self._ended_at[identity] = trio.current_time()
         self._queue.finish(identity, whole=ending.reason is None)
-        self._mark_dirty(identity)
+        self._sender.mark(identity)
         self._wake_poll.set()
         if ending.reason is not None:
             with trio.CancelScope(shield=True), suppress(EngineLostError):
                 await self._engine.cancel(identity)
 
-    async def _stream(
+    async def _read(
         self, generation: Generation, request: GenerationRequest
     ) -> RefusalReason | None:
-        source = self._engine.generate(request)
-        failures = 0
-        while True:
-            before = generation.next_index
-            try:
-                async with aclosing(source):
-                    async for tokens in source:
-                        self._take(generation, tokens)
-                return None
-            except (EngineUnknownGenerationError, TokenGapError):
-                return RefusalReason.ENGINE_LOST
-            except EngineStalledError:
-                # The engine holds it still: preempted, or waiting in its queue.
-                failures = 0
-            except EngineLostError:
-                failures = 1 if generation.next_index > before else failures + 1
-            if failures > RESUME_ATTEMPTS:
-                return RefusalReason.ENGINE_LOST
-            await trio.sleep(RESUME_PAUSE_SECONDS * failures)
-            metrics.RESUMES.labels(by="engine").inc()
-            source = self._engine.resume(generation.identity, generation.next_index)
+        reader = EngineReader(self._engine, request)
+        try:
+            async with aclosing(reader.read()) as source:
+                async for tokens in source:
+                    self._take(generation, tokens)
+        except (EngineLostError, EngineUnknownGenerationError, TokenGapError):
+            return RefusalReason.ENGINE_LOST
+        return None
 
     def _take(self, generation: Generation, tokens: EngineTokens) -> None:
         now = trio.current_time()
@@ -308,15 +290,15 @@
         self._new_tokens += new
         metrics.TOKENS.inc(new)
         if is_first:
-            self._mark_dirty(generation.identity)
-            self._flush()
+            self._sender.mark(generation.identity)
+            self._sender.flush()
             return
         stalled = self._stalls.observe(gap / new)
         if stalled:
             metrics.STALLS.inc()
             metrics.STALL_SECONDS.inc(stalled)
         self._probe_pace(generation.identity, gap / new, now)
-        self._mark_dirty(generation.identity)
+        self._sender.mark(generation.identity)
 
     def _probe_pace(self, identity: str, gap: float, now: float) -> None:
         if self._pace_probe not in self._scopes:
@@ -325,50 +307,6 @@
             tokens, self._new_tokens = self._new_tokens, 0
             self._queue.step(tokens, self._queue.running_count, gap, now)
 
-    def _mark_dirty(self, identity: str) -> None:
-        self._dirty.add(identity)
-        self._wake_flush.set()
-
-    async def _flush_loop(self) -> None:
-        while True:
-            await self._wake_flush.wait()
-            self._wake_flush = trio.Event()
-            self._flush()
-            await trio.sleep(self._settings.flush_interval)
-
-    def _flush(self) -> None:
-        batches: dict[int, TokenBatch] = defaultdict(TokenBatch)
-        drained: list[Generation] = []
-        for identity in self._dirty:
-            generation = self._generations.get(identity)
-            if generation is None:
-                continue
-            segment = generation.send()
-            if segment is not None:
-                batches[segment.reader.link].streams.append(
-                    StreamTokens(
-                        request=segment.reader.request,
-                        first_index=segment.first_index,
-                        tokens=segment.tokens,
-                    )
-                )
-            if generation.is_drained():
-                drained.append(generation)
-        self._dirty.clear()
-        for link, batch in batches.items():
-            self._send(link, AgentFrame(tokens=batch))
-        for generation in drained:
-            self._send_end(generation)
-
-    def _send_end(self, generation: Generation) -> None:
-        reader = generation.reader
-        ended = Ended(
-            request=reader.request,
-            reason=generation.ending.reason or "",
-            next_index=generation.next_index,
-        )
-        self._send(reader.link, AgentFrame(ended=ended))
-
     async def _janitor_loop(self) -> None:
         grace = self._settings.resume_grace
         while True:
--- a/src/piershore/agent/lease_keeper.py
+++ b/src/piershore/agent/lease_keeper.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from random import Random
 from uuid import uuid4
 
 import trio
@@ -21,6 +22,8 @@
 from piershore.telemetry import metrics
 
 PERIOD_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 4.0
+MOST_FAILURES_COUNTED = 8
 MILLISECONDS = 1_000
 
 
@@ -41,12 +44,15 @@
         self._store = store
         self._config = config
         self._on_change = on_change
+        self._random = Random()
+        self._failures = 0
 
     async def run(self) -> None:
-        """Keep the leases until cancelled."""
+        """Keep the leases until cancelled; ask less often while that fails."""
         while True:
             await self.keep()
-            await trio.sleep(PERIOD_SECONDS)
+            pause = min(LONGEST_PAUSE_SECONDS, PERIOD_SECONDS * 2**self._failures)
+            await trio.sleep(pause * self._random.uniform(0.5, 1.0))
 
     async def keep(self) -> None:
         """Make one round: nothing is written when nothing is due."""
@@ -56,6 +62,7 @@
         try:
             stored = await self._store.get(self._name)
             await self._write(spec, stored)
+            self._failures = 0
         except StaleVersionError as error:
             # Somebody was faster, or the read was stale: the next round starts
             # from the record that the platform showed.
@@ -63,6 +70,7 @@
                 self._confirm(error.current)
         except PiershoreError as error:
             metrics.PLATFORM_ERRORS.labels(code=error.code).inc()
+            self._failures = min(self._failures + 1, MOST_FAILURES_COUNTED)
 
     def _is_due(self, spec: Service) -> bool:
         table = self._owner.table
--- /dev/null
+++ b/src/piershore/agent/stream_sender.py
@@ -0,0 +1,77 @@
+"""Sending tokens to readers: one frame a link for each flush interval."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+
+import trio
+
+from piershore.core.streams.generation import Generation
+from piershore.wire.link_pb2 import AgentFrame, Ended, StreamTokens, TokenBatch
+
+
+class StreamSender:
+    """Sends what the marked generations have for their readers.
+
+    `interval` is in seconds; a flush that is asked for doesn't wait for it.
+    """
+
+    def __init__(
+        self,
+        generations: Mapping[str, Generation],
+        interval: float,
+        send: Callable[[int, AgentFrame], None],
+    ) -> None:
+        self._generations = generations
+        self._interval = interval
+        self._send = send
+        self._marked: set[str] = set()
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Flush whatever is marked, once an interval, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            self.flush()
+            await trio.sleep(self._interval)
+
+    def mark(self, identity: str) -> None:
+        """Note that a generation may have something for its reader."""
+        self._marked.add(identity)
+        self._wake.set()
+
+    def flush(self) -> None:
+        """Send now."""
+        marked = [self._generations.get(identity) for identity in self._marked]
+        self._marked.clear()
+        present = [generation for generation in marked if generation is not None]
+        self._send_tokens(present)
+        for generation in present:
+            if generation.is_drained():
+                self._send_end(generation)
+
+    def _send_tokens(self, generations: list[Generation]) -> None:
+        batches: dict[int, TokenBatch] = defaultdict(TokenBatch)
+        for generation in generations:
+            segment = generation.send()
+            if segment is None:
+                continue
+            tokens = StreamTokens(
+                request=segment.reader.request,
+                first_index=segment.first_index,
+                tokens=segment.tokens,
+            )
+            batches[segment.reader.link].streams.append(tokens)
+        for link, batch in batches.items():
+            self._send(link, AgentFrame(tokens=batch))
+
+    def _send_end(self, generation: Generation) -> None:
+        reader = generation.reader
+        ended = Ended(
+            request=reader.request,
+            reason=generation.ending.reason or "",
+            next_index=generation.next_index,
+        )
+        self._send(reader.link, AgentFrame(ended=ended))
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -2,26 +2,47 @@
 
 from __future__ import annotations
 
+from collections import defaultdict, OrderedDict
 from collections.abc import Collection, Iterator
 from random import Random
 
 import trio
 
 from piershore.core.configuration.config_view import ConfigView
-from piershore.core.configuration.objects import EndpointStatus, ObjectKind
+from piershore.core.configuration.objects import (
+    EndpointStatus,
+    ObjectKind,
+    ServiceType,
+)
 from piershore.core.ownership.interval import HeldInterval
+from piershore.core.routing.aperture import choose_aperture
 from piershore.core.routing.endpoint_choice import CHOICES
 from piershore.core.routing.endpoint_state import EndpointState
 from piershore.gateway.agent_link import AgentLink
 
+MOST_ASKED_FOR = 32
+
 
 class AgentLinks:
-    """Opens a link to each announced endpoint and closes those withdrawn."""
+    """Keeps links to the endpoints of the aperture and to those asked for.
+
+    A model service's aperture is bounded by `aperture`. Plain services are linked
+    to as a whole: any of their agents may own a caller's key.
+    """
 
     def __init__(
-        self, gateway: str, data_hall: str, choice: str, config: ConfigView
+        self,
+        gateway: str,
+        data_hall: str,
+        choice: str,
+        aperture: int,
+        config: ConfigView,
     ) -> None:
         self._gateway = gateway
+        self._data_hall = data_hall
+        self._aperture = aperture
+        self._asked_for: OrderedDict[str, None] = OrderedDict()
+        self._nursery: trio.Nursery | None = None
         self._config = config
         self._choice = CHOICES[choice](data_hall, Random())
         self._links: dict[str, AgentLink] = {}
@@ -38,9 +59,10 @@
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             while True:
                 self._changed = trio.Event()
-                self._follow(nursery)
+                self._follow()
                 for link in self.all:
                     link.config_changed()
                 await self._changed.wait()
@@ -55,6 +77,18 @@
         """Note which boxes the platform says are leaving."""
         self._leaving = frozenset(names)
 
+    def find_or_open(self, endpoint: str, incarnation: str) -> AgentLink | None:
+        """Return the link to an agent's incarnation, opened now if need be."""
+        link = self.find(endpoint, incarnation)
+        status = self._config.get(ObjectKind.ENDPOINT, endpoint)
+        if link is not None or status is None or status.incarnation != incarnation:
+            return link
+        self._asked_for[endpoint] = None
+        while len(self._asked_for) > MOST_ASKED_FOR:
+            self._asked_for.popitem(last=False)
+        self._follow()
+        return self.find(endpoint, incarnation)
+
     def find(self, endpoint: str, incarnation: str) -> AgentLink | None:
         """Return the link to an agent's incarnation, replaced ones too."""
         for link in (*self._links.values(), *self._retired):
@@ -101,22 +135,38 @@
         is_drained = status is None or status.drain
         return not is_drained and state.name not in self._leaving
 
-    def _follow(self, nursery: trio.Nursery) -> None:
-        announced = dict(self._config.all(ObjectKind.ENDPOINT))
-        for name, status in announced.items():
+    def _follow(self) -> None:
+        wanted = self._wanted()
+        for name, status in wanted.items():
             link = self._links.get(name)
             if link is not None and _same_process(link.status, status):
                 continue
             if link is not None:
                 self._retire(name)
-            self._open(name, status, nursery)
-        for name in set(self._links) - set(announced):
+            self._open(name, status)
+        for name in set(self._links) - set(wanted):
             self._retire(name)
 
-    def _open(self, name: str, status: EndpointStatus, nursery: trio.Nursery) -> None:
+    def _wanted(self) -> dict[str, EndpointStatus]:
+        announced = dict(self._config.all(ObjectKind.ENDPOINT))
+        halls: dict[str, dict[str, str]] = defaultdict(dict)
+        for name, status in announced.items():
+            halls[status.service][name] = status.data_hall
+        names = {name for name in self._asked_for if name in announced}
+        for service, of_service in halls.items():
+            names |= self._aperture_of(service, of_service)
+        return {name: announced[name] for name in names}
+
+    def _aperture_of(self, service: str, halls: dict[str, str]) -> frozenset[str]:
+        spec = self._config.get(ObjectKind.SERVICE, service)
+        if spec is None or spec.type is ServiceType.PLAIN:
+            return frozenset(halls)
+        return choose_aperture(self._gateway, self._data_hall, halls, self._aperture)
+
+    def _open(self, name: str, status: EndpointStatus) -> None:
         link = AgentLink(self._gateway, name, status, self._config)
         self._links[name] = link
-        nursery.start_soon(self._run_link, link)
+        self._nursery.start_soon(self._run_link, link)
 
     async def _run_link(self, link: AgentLink) -> None:
         await link.run()
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -62,7 +62,9 @@
         self._accounts = AccountDirectory(self._view)
         self._limiter = AccountLimiter()
         hall = settings.data_hall
-        self._links = AgentLinks(name, hall, settings.endpoint_choice, self._view)
+        self._links = AgentLinks(
+            name, hall, settings.endpoint_choice, settings.aperture, self._view
+        )
         self._source = ConfigSource(
             name,
             hall,
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -75,7 +75,7 @@
         self, account: str, event_id: EventId
     ) -> AsyncIterator[ShownTokens]:
         """Yield the tokens of a running generation from the event id on."""
-        link = self._links.find(event_id.endpoint, event_id.incarnation)
+        link = self._links.find_or_open(event_id.endpoint, event_id.incarnation)
         if link is None or not await link.wait_open(REATTACH_SECONDS):
             raise RequestRefusedError(
                 RefusalReason.AGENT_LOST,
--- a/src/piershore/settings/process_settings.py
+++ b/src/piershore/settings/process_settings.py
@@ -45,6 +45,7 @@
     caps: RequestCaps = field(default_factory=RequestCaps)
     retry_share: float = 0.1
     endpoint_choice: str = "least_work_of_two"
+    aperture: int = 32
     request_timeout: float = 600.0
     leave_notice: float = 1.0
     box_list_period: float = 2.0
@@ -55,6 +56,8 @@
         check_address(self.peer_listen)
         if not 0 <= self.retry_share <= 1:
             raise ValueError("retry_share must lie between 0 and 1")
+        if self.aperture < 1:
+            raise ValueError("aperture must be at least 1")
 
 
 @dataclass(frozen=True)
