Make the random histories dense enough to notice a re-owned interval

Cause: with slots shared among agents fewer keys met a second owner, so the mutant 're-owned interval' was missed in 400 histories.

--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -78,7 +78,7 @@
         self.runs = {}
         self.keys = [
             MintedKey.mint(self.random.randrange(1, 1_500), self.random)
-            for _ in range(30)
+            for _ in range(120)
         ]
         self.agents = [self.agent(n) for n in range(2)]
         self.now = 1
