Report faults of ranges beside faults of types, each with its own line

Cause: ranges were checked when an object was built, which a wrong type or an unknown key anywhere in it prevented: of six mistakes four were named. Now a check stands at its field and runs on the plain data as well.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -1,6 +1,6 @@
 Feature: Settings are checked as a whole
 
-  Scenario: Five mistakes are named with their lines
+  Scenario: Mistakes of every sort are named together with their lines
     Given this settings file
       """
       kind: Gateway
@@ -20,6 +20,8 @@
     Then the findings are
       | line | path                 | code          |
       | 4    | spec.data_hall       | wrong_type    |
+      | 5    | spec.listen          | invalid_value |
+      | 8    | spec.retry_share     | invalid_value |
       | 9    | spec.colour          | unknown_key   |
       | 11   | spec.caps.body_bytes | wrong_type    |
       | 12   | spec.caps.size       | unknown_key   |
@@ -39,6 +41,30 @@
       | a spec of a list    | kind: Gateway\nname: a\nspec: []            | 3    | spec | wrong_type   |
       | a key beside spec   | kind: Service\nname: a\nspec: {}\nmore: 1   | 4    | more | unknown_key  |
 
+  Scenario: Five mistakes are five findings, each once
+    Given this settings file
+      """
+      kind: AccountTemplate
+      name: shop
+      spec:
+        parameters:
+          working_hours:
+            time_zone: Mars/Olympus
+            start: "25:00"
+            end: "18:00"
+            days: [1, 9]
+          requests_per_second: 0
+          concurrent_request: 5
+      """
+    When it is validated
+    Then the findings are
+      | line | path                                    | code          |
+      | 6    | spec.parameters.working_hours.time_zone | invalid_value |
+      | 7    | spec.parameters.working_hours.start     | invalid_value |
+      | 9    | spec.parameters.working_hours.days      | invalid_value |
+      | 10   | spec.parameters.requests_per_second     | invalid_value |
+      | 11   | spec.parameters.concurrent_request      | unknown_key   |
+
   Scenario Outline: A value out of range in <kind>
     Given the settings text "kind: <kind>\nname: a\nspec:\n  <text>"
     When it is validated
--- /dev/null
+++ b/src/piershore/core/configuration/checked.py
@@ -0,0 +1,82 @@
+"""Checks of single fields, declared where the field is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, fields, is_dataclass
+from typing import Any, get_args, get_type_hints
+
+CHECK = "check"
+
+Check = Callable[[Any], None]
+
+
+@dataclass(frozen=True)
+class FieldFault:
+    """A field whose value is of the right type but not allowed."""
+
+    path: tuple[str, ...]
+    message: str
+
+
+def checked(check: Check, **options: Any) -> Any:
+    """Return a data class field whose value `check` may refuse by `ValueError`."""
+    return field(metadata={CHECK: check}, **options)
+
+
+def check_fields(instance: object) -> None:
+    """Raise the first fault of a data class; for `__post_init__`."""
+    for each in fields(instance):
+        check = each.metadata.get(CHECK)
+        value = getattr(instance, each.name)
+        if check is not None and value is not None:
+            check(value)
+
+
+def field_faults(
+    target: type, data: object, path: tuple[str, ...] = ()
+) -> Iterator[FieldFault]:
+    """Yield the faults of plain data, although other fields may be wrong as well."""
+    if not isinstance(data, dict):
+        return
+    hints = get_type_hints(target)
+    for each in fields(target):
+        value = data.get(each.name)
+        if value is None:
+            continue
+        place = (*path, each.name)
+        check = each.metadata.get(CHECK)
+        if check is not None:
+            yield from _run(check, value, place)
+        for inner in (hints[each.name], *get_args(hints[each.name])):
+            if is_dataclass(inner):
+                yield from field_faults(inner, value, place)
+
+
+def _run(check: Check, value: object, place: tuple[str, ...]) -> Iterator[FieldFault]:
+    try:
+        check(value)
+    except ValueError as error:
+        yield FieldFault(place, str(error))
+    except (TypeError, AttributeError):
+        # Of a wrong type: that is another finding.
+        return
+
+
+def positive(value: float) -> None:
+    """Refuse a number that isn't above 0."""
+    if value <= 0:
+        raise ValueError("must be above 0")
+
+
+def share(value: float) -> None:
+    """Refuse a number outside 0 to 1."""
+    if not 0 <= value <= 1:
+        raise ValueError("must lie between 0 and 1")
+
+
+def address(value: str) -> None:
+    """Refuse what isn't host:port."""
+    host, separator, port = value.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65_535:
+        raise ValueError(f"{value!r} is not host:port")
--- a/src/piershore/core/configuration/objects.py
+++ b/src/piershore/core/configuration/objects.py
@@ -7,6 +7,13 @@
 from enum import StrEnum
 from zoneinfo import ZoneInfo, ZoneInfoNotFoundError
 
+from piershore.core.configuration.checked import (
+    check_fields,
+    checked,
+    positive,
+    share,
+)
+
 
 class ObjectKind(StrEnum):
     """Kinds of object; the values are the platform's collection names."""
@@ -25,6 +32,22 @@
     PLAIN = "plain"
 
 
+def _known_time_zone(name: str) -> None:
+    try:
+        ZoneInfo(name)
+    except (ZoneInfoNotFoundError, OSError) as error:
+        raise ValueError(f"unknown time zone {name!r}") from error
+
+
+def _clock_time(text: str) -> None:
+    time.fromisoformat(text)
+
+
+def _week_days(days: tuple[int, ...]) -> None:
+    if not all(0 <= day <= 6 for day in days):
+        raise ValueError("days must lie between 0 (Monday) and 6 (Sunday)")
+
+
 @dataclass(frozen=True)
 class WorkingHours:
     """Local hours of a client account: ``start``/``end`` as HH:MM.
@@ -32,20 +55,13 @@
     ``days`` counts from Monday = 0. An end before the start is on the next day.
     """
 
-    time_zone: str
-    start: str
-    end: str
-    days: tuple[int, ...] = (0, 1, 2, 3, 4, 5)
+    time_zone: str = checked(_known_time_zone)
+    start: str = checked(_clock_time)
+    end: str = checked(_clock_time)
+    days: tuple[int, ...] = checked(_week_days, default=(0, 1, 2, 3, 4, 5))
 
     def __post_init__(self) -> None:
-        try:
-            ZoneInfo(self.time_zone)
-        except (ZoneInfoNotFoundError, OSError) as error:
-            raise ValueError(f"unknown time zone {self.time_zone!r}") from error
-        time.fromisoformat(self.start)
-        time.fromisoformat(self.end)
-        if not all(0 <= day <= 6 for day in self.days):
-            raise ValueError("days must lie between 0 (Monday) and 6 (Sunday)")
+        check_fields(self)
 
     def contains(self, moment: datetime) -> bool:
         """Tell whether the aware `moment` lies within the hours."""
@@ -70,14 +86,11 @@
     working_hours: WorkingHours | None = None
     priorities: dict[str, int] | None = None
     non_repeatable_kinds: tuple[str, ...] | None = None
-    requests_per_second: float | None = None
-    concurrent_requests: int | None = None
+    requests_per_second: float | None = checked(positive, default=None)
+    concurrent_requests: int | None = checked(positive, default=None)
 
     def __post_init__(self) -> None:
-        if self.requests_per_second is not None and self.requests_per_second <= 0:
-            raise ValueError("requests_per_second must be above 0")
-        if self.concurrent_requests is not None and self.concurrent_requests <= 0:
-            raise ValueError("concurrent_requests must be above 0")
+        check_fields(self)
 
 
 @dataclass(frozen=True)
@@ -106,12 +119,15 @@
     """
 
     policy: str = "projected_peak"
-    capacity_tokens: int = 16_384
-    slots: int = 16
-    risk: float = 0.05
-    token_pace: float | None = None
-    queue_length: int = 256
-    default_max_tokens: int = 4_096
+    capacity_tokens: int = checked(positive, default=16_384)
+    slots: int = checked(positive, default=16)
+    risk: float = checked(share, default=0.05)
+    token_pace: float | None = checked(positive, default=None)
+    queue_length: int = checked(positive, default=256)
+    default_max_tokens: int = checked(positive, default=4_096)
+
+    def __post_init__(self) -> None:
+        check_fields(self)
 
 
 @dataclass(frozen=True)
@@ -121,15 +137,14 @@
     type: ServiceType
     kinds: tuple[str, ...]
     non_repeatable_kinds: tuple[str, ...] = ()
-    slots: int = 8
+    slots: int = checked(positive, default=8)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
 
     def __post_init__(self) -> None:
         unknown = set(self.non_repeatable_kinds) - set(self.kinds)
         if unknown:
             raise ValueError(f"non_repeatable_kinds has unknown {sorted(unknown)}")
-        if self.slots < 1:
-            raise ValueError("slots must be at least 1")
+        check_fields(self)
 
 
 @dataclass(frozen=True)
--- a/src/piershore/settings/document.py
+++ b/src/piershore/settings/document.py
@@ -13,6 +13,7 @@
 from ruamel.yaml.comments import CommentedBase
 from ruamel.yaml.error import MarkedYAMLError
 
+from piershore.core.configuration.checked import field_faults, FieldFault
 from piershore.core.configuration.codec import converter
 from piershore.core.configuration.objects import (
     AccountTemplate,
@@ -103,17 +104,36 @@
         place = _line_of(root, ["spec"])
         faults.append(Finding(file, place, "spec", "wrong_type", "must be a mapping"))
         return None
+    checked = [_field_finding(file, root, f) for f in field_faults(target, plain)]
+    faults.extend(checked)
     try:
         return converter().structure(plain, target)
     except ClassValidationError as error:
         for text in transform_error(error, format_exception=_format):
-            faults.extend(_findings_of(file, root, text))
+            found = _findings_of(file, root, text)
+            faults.extend(f for f in found if not _is_told(f, checked))
     except (TypeError, ValueError) as error:
-        place = _line_of(root, ["spec"])
-        faults.append(Finding(file, place, "spec", "invalid_value", str(error)))
+        if not checked:
+            place = _line_of(root, ["spec"])
+            message = str(error)
+            faults.append(Finding(file, place, "spec", "invalid_value", message))
     return None
 
 
+def _is_told(finding: Finding, checked: list[Finding]) -> bool:
+    """Tell whether a fault of a whole object is one of its fields' faults."""
+    return any(
+        known.path.startswith(f"{finding.path}.") and known.message in finding.message
+        for known in checked
+    )
+
+
+def _field_finding(file: str, root: dict, fault: FieldFault) -> Finding:
+    steps = ["spec", *fault.path]
+    line = _line_of(root, steps)
+    return Finding(file, line, _join(steps), "invalid_value", fault.message)
+
+
 def _format(error: BaseException, target: type | None) -> str:
     if isinstance(error, ForbiddenExtraKeysError):
         return EXTRA_KEYS_MARK + ",".join(sorted(error.extra_fields))
--- a/src/piershore/settings/process_settings.py
+++ b/src/piershore/settings/process_settings.py
@@ -5,6 +5,13 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from piershore.core.configuration.checked import (
+    address,
+    check_fields,
+    checked,
+    positive,
+    share,
+)
 from piershore.core.ownership.slot_owner import OwnershipSettings
 
 KIBIBYTE = 1_024
@@ -17,13 +24,6 @@
     JSON = "json"
 
 
-def check_address(address: str) -> None:
-    """Raise `ValueError` unless `address` is IP:port."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65_535:
-        raise ValueError(f"{address!r} is not host:port")
-
-
 @dataclass(frozen=True)
 class RequestCaps:
     """Largest sizes that callers may send, in bytes."""
@@ -38,26 +38,21 @@
     """A gateway; addresses are host:port, times are seconds."""
 
     data_hall: str
-    listen: str
-    peer_listen: str
+    listen: str = checked(address)
+    peer_listen: str = checked(address)
     platform_url: str
     operator_key_hashes: tuple[str, ...] = ()
     caps: RequestCaps = field(default_factory=RequestCaps)
-    retry_share: float = 0.1
+    retry_share: float = checked(share, default=0.1)
     endpoint_choice: str = "least_work_of_two"
-    aperture: int = 32
+    aperture: int = checked(positive, default=32)
     request_timeout: float = 600.0
     leave_notice: float = 1.0
     box_list_period: float = 2.0
     log_format: LogFormat = LogFormat.KEY_VALUE
 
     def __post_init__(self) -> None:
-        check_address(self.listen)
-        check_address(self.peer_listen)
-        if not 0 <= self.retry_share <= 1:
-            raise ValueError("retry_share must lie between 0 and 1")
-        if self.aperture < 1:
-            raise ValueError("aperture must be at least 1")
+        check_fields(self)
 
 
 @dataclass(frozen=True)
@@ -69,11 +64,11 @@
 
     data_hall: str
     service: str
-    listen: str
+    listen: str = checked(address)
     platform_url: str
     endpoint_url: str
-    metrics_listen: str | None = None
-    advertise: str | None = None
+    metrics_listen: str | None = checked(address, default=None)
+    advertise: str | None = checked(address, default=None)
     retained_tokens: int = 65_536
     resume_grace: float = 30.0
     flush_interval: float = 0.01
@@ -82,7 +77,4 @@
     log_format: LogFormat = LogFormat.KEY_VALUE
 
     def __post_init__(self) -> None:
-        check_address(self.listen)
-        for address in (self.metrics_listen, self.advertise):
-            if address is not None:
-                check_address(address)
+        check_fields(self)
