Free an account's concurrency when its answer is never begun

Cause: the count was released at the end of the answer's generator, which has no end when the caller goes before it began.

--- a/features/core.feature
+++ b/features/core.feature
@@ -58,6 +58,9 @@
       | one gateway                       |
       | four gateways with equal shares   |
 
+  Scenario: An answer that is never begun stops counting against its account
+    Then an account with one concurrent request is free again when its answer is dropped
+
   Scenario Outline: The apertures of <gateways> gateways over <endpoints> endpoints
     Then with <gateways> gateways, <endpoints> endpoints and an aperture of <size> every endpoint has <least> to <most> links
     And each gateway has some links to other data halls, and one endpoint less moves few links
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -33,6 +33,7 @@
 from piershore.core.streams.event_id import EventId
 from piershore.core.streams.generation import Ending, Generation
 from piershore.errors import PiershoreError
+from piershore.gateway.admission import Admission
 from piershore.gateway.chat_request import ChatRequest
 from piershore.settings.document import read_documents
 
@@ -468,3 +469,25 @@
         own = gateway % HALLS
         assert any(int(name[1:]) % HALLS != own for name in names)
         assert len(names - fewer[gateway]) <= 1
+
+
+@then("an account with one concurrent request is free again when its answer is dropped")
+def check_admission(context):
+    limiter = AccountLimiter()
+    limits = AccountLimits(None, 1)
+
+    async def answer(admission):
+        try:
+            yield b""
+        finally:
+            admission.release()
+
+    assert limiter.admit("a", limits, 0.0) is None
+    never_begun = answer(Admission(limiter, "a"))
+    assert limiter.admit("a", limits, 0.0) is not None
+    del never_begun
+    assert limiter.admit("a", limits, 0.0) is None
+    admission = Admission(limiter, "a")
+    admission.release()
+    admission.release()
+    assert limiter.admit("a", limits, 0.0) is None
--- a/src/piershore/gateway/callers_api.py
+++ b/src/piershore/gateway/callers_api.py
@@ -23,6 +23,7 @@
 from piershore.core.refusal_reason import RefusalReason
 from piershore.core.streams.event_id import EventId
 from piershore.core.streams.exceptions import InvalidEventIdError
+from piershore.gateway.admission import Admission
 from piershore.gateway.call_service import CallOrder, CallService
 from piershore.gateway.chat_request import CallRequest, ChatRequest, DEFAULT_KIND
 from piershore.gateway.exceptions import RequestRefusedError
@@ -79,20 +80,20 @@
                 "a generation can't be asked for as not repeatable",
             )
         event_id = self._event_id()
-        self._admit(account)
+        admission = self._admit(account)
         try:
             if event_id is not None:
                 source = self._generations.resume(account.name, event_id)
-                return await self._stream(account, body.model, source)
+                return await self._stream(admission, body.model, source)
             order = self._order(account, service, body)
             if body.stream:
                 source = self._generations.stream(order)
-                return await self._stream(account, body.model, source)
+                return await self._stream(admission, body.model, source)
             tokens = await self._generations.complete(order)
         except BaseException:
-            self._limiter.release(account.name)
+            admission.release()
             raise
-        self._limiter.release(account.name)
+        admission.release()
         return _json(_whole_answer(body.model, tokens))
 
     async def call(self, service: str) -> Response:
@@ -127,11 +128,11 @@
             non_repeatable=non_repeatable,
             key=_parse_key(key_text) if non_repeatable else None,
         )
-        self._admit(account)
+        admission = self._admit(account)
         try:
             result = await self._calls.call(order)
         finally:
-            self._limiter.release(account.name)
+            admission.release()
         response = Response(
             result.answer.body,
             status=result.answer.status,
@@ -142,14 +143,14 @@
         return response
 
     async def _stream(
-        self, account: EffectiveAccount, model: str, source: AsyncIterator[ShownTokens]
+        self, admission: Admission, model: str, source: AsyncIterator[ShownTokens]
     ) -> Response:
         # The first tokens are awaited here, so that a refusal has its status.
         try:
             first = await anext(source)
         except StopAsyncIteration:
             first = None
-        events = self._events(account, model, first, source)
+        events = self._events(admission, model, first, source)
         response = Response(events, content_type=EVENT_STREAM)
         response.timeout = None
         response.headers["Cache-Control"] = "no-store"
@@ -157,7 +158,7 @@
 
     async def _events(
         self,
-        account: EffectiveAccount,
+        admission: Admission,
         model: str,
         first: ShownTokens | None,
         source: AsyncIterator[ShownTokens],
@@ -179,7 +180,7 @@
             count_refusal(error)
             yield b"event: error\n" + _data(problem_body(error))
         finally:
-            self._limiter.release(account.name)
+            admission.release()
 
     def _order(
         self, account: EffectiveAccount, service: Service, body: ChatRequest
@@ -241,7 +242,7 @@
                 RefusalReason.INVALID_EVENT_ID, error.message
             ) from error
 
-    def _admit(self, account: EffectiveAccount) -> None:
+    def _admit(self, account: EffectiveAccount) -> Admission:
         limits = AccountLimits(account.requests_per_second, account.concurrent_requests)
         refusal = self._limiter.admit(account.name, limits, trio.current_time())
         if refusal is not None:
@@ -250,6 +251,7 @@
                 f"{account.name} is over its limit",
                 retry_after=refusal.retry_after,
             )
+        return Admission(self._limiter, account.name)
 
 
 def count_refusal(error: RequestRefusedError) -> None:
