--- a/devtools/bench/simulation.py
+++ b/devtools/bench/simulation.py
@@ -33,7 +33,6 @@
     preemptions: int = 0
     tokens: int = 0
     finished: bool = False
-    lost: bool = False
 
 
 @dataclass
@@ -115,7 +114,6 @@
                 continue
             self.model.cancel(identity)
             self.queue.finish(identity, whole=False)
-            record.lost = True
             if record.first_token_at is None:
                 again.append(record.candidate)
         for candidate in self.queue.waiting():
--- a/src/piershore/core/configuration/config_view.py
+++ b/src/piershore/core/configuration/config_view.py
@@ -37,7 +37,6 @@
         self._applied_beyond: set[int] = set()
         self._complete_to = 0
         self._changes_from = 0
-        self._unreadable = 0
         self._listeners: list[Callable[[StoredObject], None]] = []
 
     @property
@@ -55,11 +54,6 @@
         """Versions that are in force although `complete_to` is lower."""
         return frozenset(self._applied_beyond)
 
-    @property
-    def unreadable_count(self) -> int:
-        """Number of objects that came in but couldn't be read."""
-        return self._unreadable
-
     def listen(self, listener: Callable[[StoredObject], None]) -> None:
         """Call `listener` after each change that was applied."""
         self._listeners.append(listener)
@@ -151,5 +145,5 @@
         try:
             self._specs[change.name] = decode_spec(change.name.kind, change.value)
         except InvalidObjectError:
-            # Written by a newer release: keep what was in force before.
-            self._unreadable += 1
+            # Written by a newer release: what was in force before stays so.
+            return
--- a/src/piershore/core/ownership/slot_owner.py
+++ b/src/piershore/core/ownership/slot_owner.py
@@ -66,11 +66,6 @@
         """The newest confirmed record."""
         return self._table
 
-    @property
-    def claim_count(self) -> int:
-        """Number of keys remembered."""
-        return len(self._claims)
-
     def confirm(self, table: SlotTable, version: int) -> None:
         """Take over a record that the platform has confirmed; older ones pass."""
         if version <= self._version:
@@ -138,12 +133,6 @@
             mark = max(start, self._admitted.get(place, start))
             self._release_marks[place] = mark
 
-    def wants_change(self, now: int, members: Collection[str]) -> bool:
-        """Tell whether `change` would alter the newest confirmed record."""
-        return self._table is None or self.change(self._table, now, members) != (
-            self._table
-        )
-
     def change(self, table: SlotTable, now: int, members: Collection[str]) -> SlotTable:
         """Return `table` with this agent's leases extended, taken or released.
 
--- a/src/piershore/core/ownership/slot_table.py
+++ b/src/piershore/core/ownership/slot_table.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from piershore.core.ownership.exceptions import SlotChangeError
@@ -152,7 +152,3 @@
         layout = self.current
         slots = (*layout.slots[:index], slot, *layout.slots[index + 1 :])
         return replace(self, layouts=(*self.layouts[:-1], replace(layout, slots=slots)))
-
-
-TableChange = Callable[[SlotTable], SlotTable]
-"""A change that is applied to the newest record, perhaps more than once."""
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -69,10 +69,6 @@
                 # Let the rest of a batch come in before it is sent on.
                 await trio.sleep(0)
 
-    def revision_reached(self) -> None:
-        """Send on what was completed without any change of an object."""
-        self._changed.set()
-
     def set_leaving_boxes(self, names: Collection[str]) -> None:
         """Note which boxes the platform says are leaving."""
         self._leaving = frozenset(names)
--- a/src/piershore/gateway/config_source.py
+++ b/src/piershore/gateway/config_source.py
@@ -49,11 +49,6 @@
         self._relaying = False
         self._failures = 0
 
-    @property
-    def is_relay(self) -> bool:
-        """Whether this gateway holds a watch on the platform now."""
-        return self._relaying
-
     async def run(self) -> None:
         """Keep view and directory up to date until cancelled."""
         async with trio.open_nursery() as nursery:
