Let a gateway that starts in an outage take the configuration from a peer

Cause: a new gateway only asked the platform, and knew no peer before the platform had shown it the list of boxes; so it was not ready for the whole outage. Now the setting 'peers' names some.

--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -74,6 +74,10 @@
         self._client.close()
         shutil.rmtree(self._folder, ignore_errors=True)
 
+    def peer_address(self, gateway: str) -> str:
+        """Return where a gateway serves its peers."""
+        return self.reserve_address(f"{gateway}/peers")
+
     def process(self, name: str) -> Process:
         """Return a started process."""
         return self._processes[name]
@@ -105,7 +109,7 @@
     def start_gateway(self, name: str, data_hall: str, **settings: object) -> None:
         """Start a gateway and enter it in the platform's list."""
         listen = self.reserve_address(name)
-        peer = f"127.0.0.1:{free_port()}"
+        peer = self.peer_address(name)
         spec = {
             "data_hall": data_hall,
             "listen": listen,
--- a/features/accepted_config.feature
+++ b/features/accepted_config.feature
@@ -39,6 +39,12 @@
     When the platform is back
     Then the new gateway serves again
 
+  Scenario: A gateway starts while the platform is out and a peer is there
+    Given a running deployment
+    When the platform goes out and a gateway that knows its peer is replaced
+    Then the new gateway serves again
+    And an answer given during the outage is whole at both gateways
+
   Scenario: An edit while the platform is out
     Given a running deployment
     When an account is edited while the platform is out
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -310,3 +310,20 @@
         return rollout["in_force"] == count and not rollout["silent"]
 
     wait_until(complete, "all boxes")
+
+
+@when("the platform goes out and a gateway that knows its peer is replaced")
+def replace_with_peer(context):
+    world = context.world
+    peer = world.deployment.peer_address("gateway-2")
+    world.deployment.set_faults(outage=True)
+    world.deployment.process("gateway-1").kill()
+    world.deployment.start_gateway("gateway-1", GATEWAYS["gateway-1"], peers=[peer])
+
+
+@then("an answer given during the outage is whole at both gateways")
+def check_answers(context):
+    world = context.world
+    for gateway in GATEWAYS:
+        result = world.caller(gateway).generate("design-review", "stack_up_check", 9)
+        assert result.is_whole, result
--- a/src/piershore/gateway/agent_link.py
+++ b/src/piershore/gateway/agent_link.py
@@ -113,6 +113,14 @@
         """Incarnation of the agent at the other end, while the link is open."""
         return self._incarnation if self._state.is_open else None
 
+    @property
+    def newest_incarnation(self) -> str:
+        """Incarnation that greeted last, else the announced one.
+
+        An agent that started during an outage of the platform isn't announced yet.
+        """
+        return self._incarnation or self._status.incarnation
+
     @property
     def intervals(self) -> tuple[HeldInterval, ...]:
         """Mint times that the agent said it may run."""
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -88,8 +88,8 @@
     def find(self, endpoint: str, incarnation: str) -> AgentLink | None:
         """Return the link to an agent's incarnation, replaced ones too."""
         for link in (*self._links.values(), *self._retired):
-            status = link.status
-            if (link.state.name, status.incarnation) == (endpoint, incarnation):
+            process = (link.state.name, link.newest_incarnation)
+            if process == (endpoint, incarnation):
                 return link
         return None
 
--- a/src/piershore/gateway/call_service.py
+++ b/src/piershore/gateway/call_service.py
@@ -130,6 +130,7 @@
     async def _call_owner(
         self, link: AgentLink, order: CallOrder, key: MintedKey
     ) -> Answer:
+        incarnation = link.newest_incarnation
         try:
             return await self._send(link, order, key.text)
         except LinkLostError as error:
@@ -140,13 +141,12 @@
                     Outcome.UNKNOWN,
                     retry_after=RETRY_AFTER_SECONDS,
                 ) from error
-        return await self._ask_again(link, order, key)
+        return await self._ask_again(link, incarnation, order, key)
 
     async def _ask_again(
-        self, link: AgentLink, order: CallOrder, key: MintedKey
+        self, link: AgentLink, incarnation: str, order: CallOrder, key: MintedKey
     ) -> Answer:
         """Send the key again to the same incarnation, which knows if it ran."""
-        incarnation = link.status.incarnation
         if await link.wait_open(REATTACH_SECONDS) and link.incarnation == incarnation:
             metrics.RETRIES.labels(reason=RefusalReason.AGENT_LOST).inc()
             try:
--- a/src/piershore/gateway/config_source.py
+++ b/src/piershore/gateway/config_source.py
@@ -38,7 +38,9 @@
         view: ConfigView,
         directory: BoxDirectory,
         box_list_period: float,
+        seeds: tuple[str, ...] = (),
     ) -> None:
+        self._seeds = seeds
         self._gateway = gateway
         self._data_hall = data_hall
         self._store = store
@@ -59,11 +61,19 @@
                 await trio.sleep(pause * self._random.uniform(0.5, 1.0))
 
     async def _follow_once(self) -> None:
-        if self._view.complete_to and not self._should_relay():
-            for address in self._peer_addresses():
-                if await self._follow(address):
-                    return
+        is_follower = self._view.complete_to > 0 and not self._should_relay()
+        if is_follower and await self._follow_any_peer():
+            return
         await self._follow_platform()
+        if self._failures and not is_follower:
+            # The platform is out: what the peers know is better than nothing.
+            await self._follow_any_peer()
+
+    async def _follow_any_peer(self) -> bool:
+        for address in self._peer_addresses():
+            if await self._follow(address):
+                return True
+        return False
 
     def _should_relay(self) -> bool:
         gateways = self._directory.gateways()
@@ -76,7 +86,8 @@
         in_hall = [n for n, b in gateways.items() if b.data_hall == self._data_hall]
         relays = relays_of(self._data_hall, in_hall)
         others = rendezvous_order(self._gateway, set(gateways) - set(relays))
-        return [gateways[name].peer_address for name in (*relays, *others[:2])]
+        known = [gateways[name].peer_address for name in (*relays, *others[:2])]
+        return known or list(self._seeds)
 
     async def _follow(self, address: str) -> bool:
         """Follow a peer; tell whether it has ever sent anything."""
@@ -100,7 +111,8 @@
             while not closed.is_set():
                 last = heard[0] if heard else started
                 silence = trio.current_time() - last
-                if silence > RELAY_SILENCE_SECONDS or self._should_relay():
+                may_relay = bool(heard) and self._should_relay()
+                if silence > RELAY_SILENCE_SECONDS or may_relay:
                     break
                 with trio.move_on_after(RELAY_SILENCE_SECONDS / 4):
                     await closed.wait()
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -72,6 +72,7 @@
             self._view,
             self._directory,
             settings.box_list_period,
+            settings.peers,
         )
         self._spread = ConfigSpread(
             name, hall, self._view, self._directory, self._links
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -111,7 +111,7 @@
     ) -> None:
         self._resumable = resumable
         self._link = link
-        self._incarnation = link.status.incarnation
+        self._incarnation = link.newest_incarnation
         self._account = account
         self._deadline = trio.current_time() + timeout
         self._request: LinkRequest | None = None
--- a/src/piershore/settings/process_settings.py
+++ b/src/piershore/settings/process_settings.py
@@ -35,13 +35,18 @@
 
 @dataclass(frozen=True)
 class GatewaySettings:
-    """A gateway; addresses are host:port, times are seconds."""
+    """A gateway; addresses are host:port, times are seconds.
+
+    `peers` are other gateways' `peer_listen`: asked for the configuration when the
+    platform is out before this gateway has heard of any.
+    """
 
     data_hall: str
     listen: str = checked(address)
     peer_listen: str = checked(address)
     platform_url: str
     operator_key_hashes: tuple[str, ...] = ()
+    peers: tuple[str, ...] = ()
     caps: RequestCaps = field(default_factory=RequestCaps)
     retry_share: float = checked(share, default=0.1)
     endpoint_choice: str = "least_work_of_two"
