Give each test process ports of its own

Cause: a run of all checks in a fresh clone had 3 scenarios fail to start with 'address already in use': a port found free was given to a second process before the first had bound it, among some 1,400 ports picked from 20,000 in a run. Ruled out: load (the other errors name the port), the system's own outgoing connections (the range lies below theirs).

--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -13,7 +13,8 @@
 import httpx
 from ruamel.yaml import YAML
 
-from devtools.process import free_port, Process
+from devtools.ports import free_port
+from devtools.process import Process
 from piershore.gateway.account_directory import key_hash
 from piershore.settings.load import load_documents
 
--- a/devtools/grpc_ways.py
+++ b/devtools/grpc_ways.py
@@ -18,7 +18,7 @@
 import trio_asyncio
 from tabulate import tabulate
 
-from devtools.process import free_port
+from devtools.ports import free_port
 from piershore.wire.frame_queue import FrameQueue
 from piershore.wire.link_pb2 import AgentFrame, GatewayFrame, StreamTokens, TokenBatch
 from piershore.wire.link_pb2_grpc import (
--- a/devtools/process.py
+++ b/devtools/process.py
@@ -3,30 +3,11 @@
 from __future__ import annotations
 
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
-from random import SystemRandom
 
 STOP_SECONDS = 60.0
-PORTS = range(12_000, 32_000)
-
-
-def free_port() -> int:
-    """Return a port that is free now.
-
-    It lies below the range from which the system picks ports for outgoing
-    connections, so that none of those takes it while its process is restarted.
-    """
-    for port in SystemRandom().sample(PORTS, len(PORTS)):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no port is free")
 
 
 class Process:
