Show that a leaving agent with work to finish gets no new work

Cause: the mutant 'a leaving agent goes on taking work' was missed: in the scenarios the agent was idle and gone at once, and gateways and agent both guard the promise.

--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -25,13 +25,17 @@
 
 @dataclass(frozen=True)
 class Mutant:
-    """A replacement in one source file and the feature that must notice it."""
+    """A replacement in one source file and the feature that must notice it.
+
+    `second` is another replacement, where two mechanisms guard the same promise.
+    """
 
     name: str
     file: str
     old: str
     new: str
     feature: str
+    second: tuple[str, str, str] | None = None
 
 
 OWNER = "core/ownership/slot_owner.py"
@@ -165,6 +169,11 @@
         "        if self._work is not None:\n            self._work.leave()\n",
         "",
         "leaving",
+        (
+            "agent/daemon.py",
+            "leaving=self._leaving.is_set() or self._work is None,",
+            "leaving=self._work is None,",
+        ),
     ),
     Mutant(
         "accepted edits aren't offered to relays",
@@ -190,11 +199,10 @@
         for name in ("src", "features", "devtools", "standins", "examples"):
             shutil.copytree(ROOT / name, folder / name)
         shutil.copy(ROOT / "behave.ini", folder)
-        path = folder / "src" / "piershore" / mutant.file
-        text = path.read_text()
-        if mutant.old not in text:
-            return mutant.name, mutant.feature, "NOT APPLIED"
-        path.write_text(text.replace(mutant.old, mutant.new, 1))
+        first = (mutant.file, mutant.old, mutant.new)
+        for change in (first, mutant.second):
+            if change is not None and not apply(folder, *change):
+                return mutant.name, mutant.feature, "NOT APPLIED"
         done = subprocess.run(
             [str(BEHAVE), "--format=progress", f"features/{mutant.feature}.feature"],
             cwd=folder,
@@ -213,6 +221,14 @@
     return mutant.name, mutant.feature, scenarios[0] + more
 
 
+def apply(folder: Path, file: str, old: str, new: str) -> bool:
+    """Replace text in a copy's source file; tell whether it was there."""
+    path = folder / "src" / "piershore" / file
+    text = path.read_text()
+    path.write_text(text.replace(old, new, 1))
+    return old in text
+
+
 def main() -> int:
     """Run all mutants, or those whose feature is named; 0 if all were caught."""
     chosen = [m for m in MUTANTS if not sys.argv[1:] or m.feature in sys.argv[1:]]
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -4,9 +4,11 @@
   Scenario Outline: An order desk leaves <way>, <condition>
     Given a running deployment
     And <condition>
+    And long calls run at both order desks
     When order-1 leaves <way>
     Then calls go on running, all of them at order-2
     And no call was refused
+    And the long calls come whole
 
     Examples:
       | way                       | condition                                   |
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -25,6 +25,30 @@
     context.world.deployment.set_faults(box_lag=1.0)
 
 
+@given("long calls run at both order desks")
+def run_long_calls(context):
+    # An agent without work ends at once, so nothing would show whom it still serves.
+    world = context.world
+    world.values["long"] = []
+
+    def run_at_both():
+        caller = world.caller()
+        tag = f"long{len(world.values['long'])}"
+        world.values["long"].append(
+            world.submit(caller.call, SERVICE, PLAIN_KIND, tag=tag, seconds=6)
+        )
+        wait_until(lambda: world.tags()[tag], "the call to run")
+        return executions_at(world, 1) and executions_at(world, 2)
+
+    wait_until(run_at_both, "calls at both")
+
+
+@then("the long calls come whole")
+def check_long(context):
+    results = [future.result(60) for future in context.world.values["long"]]
+    assert all(result.is_whole for result in results), results
+
+
 def wait_gone(world, name):
     """Wait until no gateway sends the endpoint work any more."""
     for gateway in GATEWAYS:
