--- a/src/piershore/commands/command.py
+++ b/src/piershore/commands/command.py
@@ -37,6 +37,7 @@
 MODULES = {
     "gateway": "gateway_command",
     "agent": "agent_command",
+    "ingress": "ingress_command",
     "validate": "validate_command",
     "template": "object_commands",
     "account": "object_commands",
--- /dev/null
+++ b/src/piershore/commands/ingress_command.py
@@ -0,0 +1,29 @@
+"""`piershore ingress`."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from piershore.commands.command import Command, command, ExitCode
+from piershore.commands.exceptions import CommandError
+from piershore.commands.options import METRICS_PORT
+from piershore.settings.exceptions import InvalidSettingsError
+
+
+@command("ingress")
+class IngressCommand(Command):
+    """Run a gateway on a box of the platform."""
+
+    usage = "ingress [--metrics_port PORT]"
+    summary = "Run a gateway on a box of the platform, by the platform's settings."
+    example = "piershore ingress --metrics_port 7215"
+
+    def run(self, arguments: Sequence[str]) -> ExitCode:
+        """Serve until SIGTERM."""
+        from piershore.platform.gateway import run_gateway
+
+        try:
+            run_gateway(METRICS_PORT.value)
+        except InvalidSettingsError as error:
+            raise CommandError(ExitCode.INVALID, error.message) from error
+        return ExitCode.OK
--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -21,6 +21,9 @@
 VERSION = flags.DEFINE_integer(
     "version", None, "version that the edit was made on; 0 creates"
 )
+METRICS_PORT = flags.DEFINE_integer(
+    "metrics_port", None, "port on which a gateway of the platform serves its metrics"
+)
 UNDO = flags.DEFINE_bool("undo", False, "end a drain instead")
 
-NAMES = ("config", "gateway", "key", "output", "version", "undo")
+NAMES = ("config", "gateway", "key", "output", "version", "undo", "metrics_port")
--- /dev/null
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -0,0 +1,51 @@
+"""How an attempt at an endpoint ended, and what that allows."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from http import HTTPStatus
+
+from piershore.core.routes.route import RequestKind
+
+
+class AttemptOutcome(StrEnum):
+    """What is known of one attempt.
+
+    Only `NOT_SENT` and `REJECTED` prove that the endpoint has not executed the
+    request and never will.
+    """
+
+    NOT_SENT = "not_sent"
+    REJECTED = "rejected"
+    MAYBE_RUN = "maybe_run"
+    ANSWERED = "answered"
+    FAILED_ANSWER = "failed_answer"
+    BROKEN_OFF = "broken_off"
+    TIMED_OUT = "timed_out"
+
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request has certainly not been executed."""
+        return self in (AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED)
+
+
+def may_try_again(kind: RequestKind, outcome: AttemptOutcome) -> bool:
+    """Tell whether another endpoint may get the request after this outcome."""
+    if outcome is AttemptOutcome.ANSWERED:
+        return False
+    if outcome.proves_not_run:
+        return True
+    return kind is RequestKind.REPEATABLE
+
+
+def final_status(outcomes: tuple[AttemptOutcome, ...]) -> HTTPStatus:
+    """Return the status that is true after all attempts, when none answered.
+
+    503 promises that the request has not run; it is given only if all attempts
+    prove that.
+    """
+    if all(outcome.proves_not_run for outcome in outcomes):
+        return HTTPStatus.SERVICE_UNAVAILABLE
+    if AttemptOutcome.TIMED_OUT in outcomes:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.BAD_GATEWAY
--- /dev/null
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -0,0 +1,130 @@
+"""The endpoints that are known, from a list and its changes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+
+LAPSE_SECONDS = 2.0
+"""An entry that lapsed in an outage is back this long after the outage's end."""
+
+DEPARTED_KEPT = 512
+"""Identities remembered as having left; an identity is never used again."""
+
+
+@dataclass(frozen=True)
+class Departure:
+    """An endpoint that takes no new work from now on; `was_listed` until now."""
+
+    endpoint: Endpoint
+    is_gone: bool
+
+
+class EndpointDirectory:
+    """Endpoints by identity; what was seen leaving stays so.
+
+    An entry that is missing just after an outage of the store may only have
+    lapsed: it is kept until `LAPSE_SECONDS` after the outage.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: dict[str, Endpoint] = {}
+        self._leaving: dict[str, None] = {}
+        self._doubtful: dict[str, float] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which this is complete."""
+        return self._revision
+
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
+    def __iter__(self) -> Iterator[Endpoint]:
+        return iter(self._endpoints.values())
+
+    def get(self, identity: str) -> Endpoint | None:
+        """Return an endpoint that is listed, or None."""
+        return self._endpoints.get(identity)
+
+    def of_service(self, service: str) -> Iterator[Endpoint]:
+        """Yield the endpoints of a service that take new work."""
+        for endpoint in self._endpoints.values():
+            if endpoint.service == service and endpoint.stage is EndpointStage.READY:
+                yield endpoint
+
+    def replace_all(
+        self,
+        listed: Iterable[Endpoint],
+        revision: int,
+        now: float,
+        *,
+        after_outage: bool,
+    ) -> list[Departure]:
+        """Take a whole list; return what left with it."""
+        if revision < self._revision:
+            return []
+        by_identity = {endpoint.identity: endpoint for endpoint in listed}
+        departures = []
+        for identity in [i for i in self._endpoints if i not in by_identity]:
+            departures.extend(self.remove(identity, now, after_outage=after_outage))
+        for endpoint in by_identity.values():
+            departures.extend(self.put(endpoint))
+        self._revision = revision
+        return departures
+
+    def advance(self, revision: int) -> None:
+        """Note that all changes up to `revision` were applied."""
+        self._revision = max(self._revision, revision)
+
+    def put(self, endpoint: Endpoint) -> list[Departure]:
+        """Add or update one endpoint."""
+        self._doubtful.pop(endpoint.identity, None)
+        if endpoint.identity in self._leaving:
+            endpoint = replace(endpoint, stage=EndpointStage.LEAVING)
+        previous = self._endpoints.get(endpoint.identity)
+        self._endpoints[endpoint.identity] = endpoint
+        if endpoint.stage is EndpointStage.READY:
+            return []
+        if endpoint.identity in self._leaving:
+            return []
+        self._remember_leaving(endpoint.identity)
+        return [Departure(endpoint, is_gone=False)] if previous else []
+
+    def remove(
+        self, identity: str, now: float, *, after_outage: bool
+    ) -> list[Departure]:
+        """Take one endpoint out, or doubt it if it may only have lapsed."""
+        endpoint = self._endpoints.get(identity)
+        if endpoint is None:
+            return []
+        if after_outage and endpoint.stage is EndpointStage.READY:
+            self._doubtful.setdefault(identity, now + LAPSE_SECONDS)
+            return []
+        return self._drop(identity)
+
+    def mark_leaving(self, identity: str) -> list[Departure]:
+        """Note that the endpoint itself or its traffic shows that it leaves."""
+        endpoint = self._endpoints.get(identity)
+        if endpoint is None or identity in self._leaving:
+            return []
+        return self.put(replace(endpoint, stage=EndpointStage.LEAVING))
+
+    def drop_lapsed(self, now: float) -> list[Departure]:
+        """Drop the entries that did not come back after an outage."""
+        due = [identity for identity, at in self._doubtful.items() if at <= now]
+        return [departure for identity in due for departure in self._drop(identity)]
+
+    def _drop(self, identity: str) -> list[Departure]:
+        self._doubtful.pop(identity, None)
+        endpoint = self._endpoints.pop(identity)
+        self._remember_leaving(identity)
+        return [Departure(endpoint, is_gone=True)]
+
+    def _remember_leaving(self, identity: str) -> None:
+        self._leaving[identity] = None
+        while len(self._leaving) > DEPARTED_KEPT:
+            del self._leaving[next(iter(self._leaving))]
--- /dev/null
+++ b/src/piershore/core/fleet/endpoint_health.py
@@ -0,0 +1,66 @@
+"""Outcomes of recent attempts at each endpoint, and who is left out for a while."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+FAILURE_WEIGHT = 0.15
+"""Weight of the newest outcome in the moving failure rate."""
+FAILURES_BEFORE_EJECTION = 3
+"""Failures in a row that show more than the usual share of failing answers."""
+FIRST_EJECTION_SECONDS = 1.0
+LONGEST_EJECTION_SECONDS = 8.0
+"""Bounds of an ejection, which doubles each time; a restart takes seconds."""
+
+
+@dataclass
+class _Health:
+    failure_rate: float = 0.0
+    failures_in_a_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+class EndpointHealth:
+    """Failure rates by endpoint identity, from traffic alone."""
+
+    def __init__(self) -> None:
+        self._by_identity: dict[str, _Health] = {}
+
+    def note_success(self, identity: str) -> None:
+        """Count an attempt that the endpoint answered well."""
+        health = self._by_identity.get(identity)
+        if health is None:
+            return
+        health.failures_in_a_row = 0
+        health.failure_rate *= 1 - FAILURE_WEIGHT
+        if health.failure_rate < FAILURE_WEIGHT / 2:
+            del self._by_identity[identity]
+
+    def note_failure(self, identity: str, now: float) -> bool:
+        """Count a failed attempt; tell whether the endpoint is now ejected."""
+        health = self._by_identity.setdefault(identity, _Health())
+        health.failures_in_a_row += 1
+        health.failure_rate += FAILURE_WEIGHT * (1 - health.failure_rate)
+        if health.failures_in_a_row < FAILURES_BEFORE_EJECTION:
+            return False
+        if now < health.ejected_until:
+            return False
+        seconds = FIRST_EJECTION_SECONDS * 2**health.ejections
+        health.ejected_until = now + min(seconds, LONGEST_EJECTION_SECONDS)
+        health.ejections += 1
+        return True
+
+    def is_ejected(self, identity: str, now: float) -> bool:
+        """Tell whether the endpoint should get no work for now."""
+        health = self._by_identity.get(identity)
+        return health is not None and now < health.ejected_until
+
+    def failure_rate(self, identity: str) -> float:
+        """Return the moving share of failed attempts, 0 to 1."""
+        health = self._by_identity.get(identity)
+        return health.failure_rate if health else 0.0
+
+    def forget(self, identity: str) -> None:
+        """Drop what is known of an endpoint that has gone."""
+        self._by_identity.pop(identity, None)
--- /dev/null
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -0,0 +1,76 @@
+"""The load of each endpoint: own work and what peers tell of theirs."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
+
+
+class Work(Protocol):
+    """Something in flight at an endpoint."""
+
+    def load(self) -> EndpointLoad:
+        """Return its part of the endpoint's load."""
+
+
+class PlainWork:
+    """A request in flight at a plain service."""
+
+    _LOAD = EndpointLoad(requests=1)
+
+    def load(self) -> EndpointLoad:
+        """Return one request."""
+        return self._LOAD
+
+
+class FleetLoad:
+    """Own work by endpoint and the loads that peers report."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, dict[int, Work]] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, EndpointLoad]]] = {}
+
+    def add(self, identity: str, work: Work) -> None:
+        """Count work in at an endpoint."""
+        self._own.setdefault(identity, {})[id(work)] = work
+
+    def remove(self, identity: str, work: Work) -> None:
+        """Count work out."""
+        works = self._own.get(identity)
+        if works is None:
+            return
+        works.pop(id(work), None)
+        if not works:
+            del self._own[identity]
+
+    def own_loads(self) -> dict[str, EndpointLoad]:
+        """Return this gateway's load at each endpoint where it has work."""
+        return {identity: self.own(identity) for identity in self._own}
+
+    def own(self, identity: str) -> EndpointLoad:
+        """Return this gateway's load at one endpoint."""
+        works = self._own.get(identity)
+        if not works:
+            return NO_LOAD
+        return sum((work.load() for work in works.values()), NO_LOAD)
+
+    def take_report(
+        self, peer: str, loads: Mapping[str, EndpointLoad], now: float
+    ) -> None:
+        """Replace what a peer has reported."""
+        self._peers[peer] = (now, loads)
+
+    def forget_peers(self, heard_before: float) -> None:
+        """Drop reports older than a time: their requests have ended by now."""
+        old = [peer for peer, (at, _) in self._peers.items() if at < heard_before]
+        for peer in old:
+            del self._peers[peer]
+
+    def at(self, identity: str) -> EndpointLoad:
+        """Return the load of one endpoint as far as it is known."""
+        total = self.own(identity)
+        for _, loads in self._peers.values():
+            total += loads.get(identity, NO_LOAD)
+        return total
--- /dev/null
+++ b/src/piershore/core/fleet/generation_work.py
@@ -0,0 +1,58 @@
+"""A generation in flight and the memory it holds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from piershore.core.fleet.endpoint_load import EndpointLoad
+
+
+@dataclass(frozen=True)
+class GenerationSize:
+    """What a request says of its size, in tokens.
+
+    `hinted_tokens` is the caller's guess of the output, right in the median.
+    """
+
+    prompt_tokens: int
+    max_output_tokens: int
+    hinted_tokens: int | None = None
+    prompt_parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def expected_output(self) -> int:
+        """The output to reckon with; half of the most when nothing was guessed."""
+        if self.hinted_tokens is None:
+            return self.max_output_tokens // 2
+        return min(self.hinted_tokens, self.max_output_tokens)
+
+
+@dataclass
+class GenerationWork:
+    """Progress of one generation at its present endpoint."""
+
+    size: GenerationSize
+    made_tokens: int = 0
+    has_begun: bool = False
+
+    @property
+    def held_tokens(self) -> int:
+        """Memory that it holds now."""
+        return self.size.prompt_tokens + self.made_tokens
+
+    @property
+    def remaining_tokens(self) -> int:
+        """Output still to come, as far as can be told."""
+        size = self.size
+        if self.made_tokens < size.expected_output:
+            return size.expected_output - self.made_tokens
+        return max(0, size.max_output_tokens - self.made_tokens) // 2
+
+    def load(self) -> EndpointLoad:
+        """Return its part of an endpoint's load."""
+        return EndpointLoad(
+            requests=1,
+            held_tokens=self.held_tokens,
+            projected_tokens=self.held_tokens + self.remaining_tokens,
+            unread_tokens=0 if self.has_begun else self.size.prompt_tokens,
+        )
--- /dev/null
+++ b/src/piershore/core/fleet/peer_report.py
@@ -0,0 +1,84 @@
+"""What a gateway tells its peers in one datagram."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import orjson
+
+from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.errors import PiershoreError
+
+
+class InvalidReportError(PiershoreError):
+    """A datagram is not a report."""
+
+    code = "invalid_report"
+
+
+@dataclass(frozen=True)
+class PeerReport:
+    """A gateway's beliefs and work; a new life has another `incarnation`.
+
+    `fingerprint` stands for the list of endpoints that it knows, `members` are
+    hosts of gateways that it heard of lately.
+    """
+
+    host: str
+    incarnation: str
+    number: int
+    config_version: int
+    endpoint_revision: int
+    fingerprint: int
+    reads_store: bool
+    is_leaving: bool
+    members: tuple[str, ...]
+    loads: Mapping[str, EndpointLoad]
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return orjson.dumps(
+            [
+                self.host,
+                self.incarnation,
+                self.number,
+                self.config_version,
+                self.endpoint_revision,
+                self.fingerprint,
+                self.reads_store,
+                self.is_leaving,
+                self.members,
+                {
+                    identity: [
+                        load.requests,
+                        load.held_tokens,
+                        load.projected_tokens,
+                        load.unread_tokens,
+                    ]
+                    for identity, load in self.loads.items()
+                },
+            ]
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> PeerReport:
+        """Read a datagram; raise `InvalidReportError` if it isn't a report."""
+        try:
+            *plain, members, loads = orjson.loads(data)
+            host, incarnation, *numbers = plain
+            version, revision, fingerprint = (int(n) for n in numbers[1:4])
+            return cls(
+                str(host),
+                str(incarnation),
+                int(numbers[0]),
+                version,
+                revision,
+                fingerprint,
+                bool(numbers[4]),
+                bool(numbers[5]),
+                tuple(str(member) for member in members),
+                {k: EndpointLoad(*(int(n) for n in v)) for k, v in loads.items()},
+            )
+        except (ValueError, TypeError, AttributeError, IndexError) as error:
+            raise InvalidReportError(f"not a report: {error!r}") from error
--- /dev/null
+++ b/src/piershore/core/fleet/peer_table.py
@@ -0,0 +1,79 @@
+"""The gateways that this one has heard of."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from piershore.core.fleet.peer_report import PeerReport
+
+SILENT_SECONDS = 2.0
+"""A peer that was not heard for so long is not counted as living."""
+FORGET_SECONDS = 30.0
+"""A peer is no longer called after so long a silence, unless it is a seed."""
+SILENT_CALL_EVERY = 10
+"""Only each tenth report goes to a peer that is silent."""
+MOST_MEMBERS_TOLD = 40
+"""Hosts named in one report, so that it fits into one packet."""
+
+
+@dataclass
+class Peer:
+    """One gateway, by its host; `heard_at` is minus infinity until it is heard."""
+
+    host: str
+    known_since: float
+    heard_at: float = float("-inf")
+    report: PeerReport | None = None
+
+
+class PeerTable:
+    """Peers by host, from seeds and from what peers tell."""
+
+    def __init__(self, own_host: str, seeds: Iterable[str], now: float) -> None:
+        self._own_host = own_host
+        self._seeds = frozenset(seeds) - {own_host}
+        self._peers = {host: Peer(host, now) for host in self._seeds}
+
+    def take(self, report: PeerReport, now: float) -> bool:
+        """Take a report; tell whether it is news and not late or a repeat."""
+        if report.host == self._own_host:
+            return False
+        for host in report.members:
+            self._meet(host, now)
+        peer = self._meet(report.host, now)
+        last = peer.report
+        if (
+            last is not None
+            and last.incarnation == report.incarnation
+            and last.number >= report.number
+        ):
+            return False
+        peer.report = report
+        peer.heard_at = now
+        return True
+
+    def living(self, now: float) -> list[Peer]:
+        """Return the peers that were heard lately."""
+        return [p for p in self._peers.values() if now - p.heard_at < SILENT_SECONDS]
+
+    def members(self, now: float) -> tuple[str, ...]:
+        """Return the hosts to tell others of."""
+        return tuple(peer.host for peer in self.living(now))[:MOST_MEMBERS_TOLD]
+
+    def to_call(self, round_number: int, now: float) -> Iterator[str]:
+        """Yield the hosts that get the report of this round."""
+        for peer in list(self._peers.values()):
+            if now - peer.heard_at < SILENT_SECONDS:
+                yield peer.host
+                continue
+            known = max(peer.heard_at, peer.known_since)
+            if peer.host not in self._seeds and now - known > FORGET_SECONDS:
+                del self._peers[peer.host]
+            elif round_number % SILENT_CALL_EVERY == 0:
+                yield peer.host
+
+    def _meet(self, host: str, now: float) -> Peer:
+        if host == self._own_host:
+            return Peer(host, now)
+        return self._peers.setdefault(host, Peer(host, now))
--- /dev/null
+++ b/src/piershore/core/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of requests to services, by host and path."""
--- /dev/null
+++ b/src/piershore/core/routes/current_configuration.py
@@ -0,0 +1,35 @@
+"""The configuration in force in this process; it never goes back."""
+
+from __future__ import annotations
+
+from piershore.core.routes.client_limits import ClientLimits
+from piershore.core.routes.serving_configuration import ServingConfiguration
+
+
+class CurrentConfiguration:
+    """Holds the newest version seen in this life of the process."""
+
+    def __init__(self) -> None:
+        self._configuration: ServingConfiguration | None = None
+
+    @property
+    def value(self) -> ServingConfiguration | None:
+        """The configuration in force; None until one is known."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 until one is known."""
+        return self._configuration.version if self._configuration else 0
+
+    @property
+    def limits(self) -> ClientLimits:
+        """The limits in force."""
+        return self._configuration.limits if self._configuration else ClientLimits()
+
+    def offer(self, configuration: ServingConfiguration) -> bool:
+        """Put a version in force if it is newer; tell whether it is."""
+        if configuration.version <= self.version:
+            return False
+        self._configuration = configuration
+        return True
--- /dev/null
+++ b/src/piershore/http1/client_connection.py
@@ -0,0 +1,167 @@
+"""One connection to an endpoint or to another process."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+
+import h11
+import trio
+
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.http1.message import RequestHead, ResponseHead
+
+RECEIVE_BYTES = 65_536
+LARGEST_HEAD_BYTES = 65_536
+MOST_FOREIGN_ANSWERS = 4
+"""Answers of earlier requests that are passed over before an answer."""
+
+IsOwnAnswer = Callable[[ResponseHead], bool]
+
+
+def any_answer(head: ResponseHead) -> bool:
+    """Take the first answer that comes."""
+    return True
+
+
+class ClientConnection:
+    """Sends a request at a time and reads its answer.
+
+    `last_used` is the time of the last exchange's end, by trio's clock.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._connection = self._codec()
+        self._head: RequestHead | None = None
+        self._has_trailing = False
+        self.last_used = trio.current_time()
+        self.keep_alive: float | None = None
+
+    @classmethod
+    async def open(cls, host: str, port: int, timeout: float) -> ClientConnection:
+        """Connect; raise `NotConnectedError` if that fails or takes too long."""
+        try:
+            with trio.fail_after(timeout):
+                connection = trio.socket.socket()
+                try:
+                    await connection.connect((host, port))
+                except BaseException:
+                    connection.close()
+                    raise
+        except (OSError, trio.TooSlowError) as error:
+            raise NotConnectedError(f"no connection to {host}:{port}") from error
+        return cls(trio.SocketStream(connection))
+
+    def is_clean(self) -> bool:
+        """Whether nothing came since the last answer, the peer's close included."""
+        return not self._has_trailing and not self._stream.socket.is_readable()
+
+    async def send(self, head: RequestHead, body: bytes) -> None:
+        """Send a whole request; raise `ExchangeBrokenError` if that fails."""
+        self._head = head
+        data = self._encode_head(head)
+        if body:
+            data += self._connection.send(h11.Data(body))
+        data += self._connection.send(h11.EndOfMessage())
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, OSError) as error:
+            raise ExchangeBrokenError("the connection broke while sending") from error
+
+    async def read_head(self, is_own: IsOwnAnswer = any_answer) -> ResponseHead:
+        """Read the head of the answer, passing over those of earlier requests."""
+        for _ in range(MOST_FOREIGN_ANSWERS):
+            head = await self._read_any_head()
+            if is_own(head):
+                return head
+            await self._skip_answer()
+        raise ExchangeBrokenError("only answers to other requests came")
+
+    async def read_parts(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; end only if it is whole."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                raise ExchangeBrokenError("the answer was cut short")
+            yield bytes(event.data)
+
+    async def read_body(self) -> bytes:
+        """Read the whole body."""
+        return b"".join([part async for part in self.read_parts()])
+
+    def end_exchange(self) -> bool:
+        """Get ready for another request; False if the connection must close."""
+        trailing, closed = self._connection.trailing_data
+        self._has_trailing = bool(trailing) or closed
+        if self._has_trailing or self._connection.states != {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            return False
+        self._connection.start_next_cycle()
+        self.last_used = trio.current_time()
+        return True
+
+    async def close(self) -> None:
+        """Close at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    @staticmethod
+    def _codec() -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_HEAD_BYTES)
+
+    def _encode_head(self, head: RequestHead) -> bytes:
+        return self._connection.send(
+            h11.Request(method=head.method, target=head.target, headers=head.headers)
+        )
+
+    async def _read_any_head(self) -> ResponseHead:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise ExchangeBrokenError("the connection was closed unanswered")
+            if isinstance(event, h11.Response):
+                break
+        headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
+        head = ResponseHead(event.status_code, headers)
+        self._note_keep_alive(head)
+        return head
+
+    def _note_keep_alive(self, head: ResponseHead) -> None:
+        value = head.header(b"keep-alive")
+        if value is None:
+            return
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.keep_alive = float(seconds)
+
+    async def _skip_answer(self) -> None:
+        """Read an answer to an earlier request; ours is still to come."""
+        await self.read_body()
+        trailing, closed = self._connection.trailing_data
+        self._connection = self._codec()
+        self._encode_head(self._head)
+        self._connection.send(h11.EndOfMessage())
+        if trailing:
+            self._connection.receive_data(trailing)
+        if closed:
+            self._connection.receive_data(b"")
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ExchangeBrokenError(f"no proper answer: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._connection.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, OSError) as error:
+            raise ExchangeBrokenError("the connection was reset") from error
--- /dev/null
+++ b/src/piershore/http1/connection_pool.py
@@ -0,0 +1,76 @@
+"""Kept connections to endpoints, by address."""
+
+from __future__ import annotations
+
+import trio
+
+from piershore.core.fleet.endpoint import Address
+from piershore.http1.client_connection import ClientConnection
+
+CONNECT_SECONDS = 0.35
+"""A connection in one region comes up in a few ms; a lost first packet is sent
+again only after a second, and by then another endpoint is the better choice."""
+LONGEST_IDLE_SECONDS = 4.0
+"""Longest rest of a kept connection; endpoints may forget one sooner."""
+KEEP_ALIVE_MARGIN_SECONDS = 1.0
+"""Closed this long before the endpoint would: its times are whole seconds."""
+MOST_KEPT = 8
+"""Kept connections to one endpoint; more would be idle at the usual load."""
+
+
+class ConnectionPool:
+    """Hands out one connection at a time and takes back those that are sound."""
+
+    def __init__(self) -> None:
+        self._kept: dict[Address, list[ClientConnection]] = {}
+
+    async def take(self, address: Address, longest_idle: float) -> ClientConnection:
+        """Return a kept connection that rested at most so long, or a new one."""
+        now = trio.current_time()
+        kept = self._kept.get(address, [])
+        while kept:
+            connection = kept.pop()
+            if now - connection.last_used <= longest_idle and self._is_usable(
+                connection, now
+            ):
+                return connection
+            await connection.close()
+        return await ClientConnection.open(address.host, address.port, CONNECT_SECONDS)
+
+    async def give_back(
+        self, address: Address, connection: ClientConnection, *, reusable: bool
+    ) -> None:
+        """Keep a connection for later if it may be used again."""
+        kept = self._kept.setdefault(address, [])
+        if reusable and len(kept) < MOST_KEPT and connection.end_exchange():
+            kept.append(connection)
+            return
+        await connection.close()
+
+    async def drop(self, address: Address) -> None:
+        """Close the kept connections to an endpoint that leaves."""
+        for connection in self._kept.pop(address, []):
+            await connection.close()
+
+    async def close_idle(self) -> None:
+        """Close the connections that rested too long."""
+        now = trio.current_time()
+        for address, kept in list(self._kept.items()):
+            usable = [c for c in kept if self._is_usable(c, now)]
+            for connection in [c for c in kept if c not in usable]:
+                kept.remove(connection)
+                await connection.close()
+            if not kept:
+                self._kept.pop(address, None)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._kept):
+            await self.drop(address)
+
+    @staticmethod
+    def _is_usable(connection: ClientConnection, now: float) -> bool:
+        longest = LONGEST_IDLE_SECONDS
+        if connection.keep_alive is not None:
+            longest = min(longest, connection.keep_alive - KEEP_ALIVE_MARGIN_SECONDS)
+        return now - connection.last_used < longest and connection.is_clean()
--- /dev/null
+++ b/src/piershore/http1/message.py
@@ -0,0 +1,81 @@
+"""Heads of requests and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""Names in lower case and values, in their order."""
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
+
+
+@dataclass(frozen=True)
+class RequestHead:
+    """Method, target and headers of a request."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+    @property
+    def host(self) -> str:
+        """The host that is asked for, without a port, in lower case."""
+        value = (self.header(b"host") or b"").decode("latin-1").strip().lower()
+        return value if value.endswith("]") else value.partition(":")[0]
+
+    @property
+    def path(self) -> str:
+        """The path of the target, without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None."""
+    return next((value for key, value in headers if key == name), None)
+
+
+def end_to_end(headers: Headers, kept: frozenset[bytes]) -> Iterator[tuple]:
+    """Yield the headers that travel on.
+
+    A sender may name more headers of the connection in `Connection`, but none
+    of `kept`.
+    """
+    named = set(CONNECTION_HEADERS)
+    for key, value in headers:
+        if key == b"connection":
+            words = (word.strip().lower() for word in value.split(b","))
+            named.update(word for word in words if word not in kept)
+    for key, value in headers:
+        if key not in named:
+            yield key, value
--- /dev/null
+++ b/src/piershore/http1/server_connection.py
@@ -0,0 +1,233 @@
+"""One caller's connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import h11
+import trio
+
+from piershore.core.routes.client_limits import ClientLimits
+from piershore.http1.exceptions import BadRequestError
+from piershore.http1.message import Headers, RequestHead
+
+RECEIVE_BYTES = 16_384
+MOST_PIPELINED_BYTES = 65_536
+"""Bytes of later requests that are read while one is served."""
+HEADER_SLACK_BYTES = 1_024
+"""Room above the limit, so that a head of just the limit is still taken."""
+
+FramedHeaders = list[tuple[bytes, bytes]]
+
+
+class ServerConnection:
+    """Reads requests and writes answers; one request at a time.
+
+    `limits` is asked for at each request, since they may change.
+    """
+
+    def __init__(
+        self, stream: trio.SocketStream, limits: Callable[[], ClientLimits]
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._connection = self._codec()
+        self._received_any = False
+        self._ahead_bytes = 0
+        self._response_started = False
+        self.must_close = False
+
+    @property
+    def response_started(self) -> bool:
+        """Whether any byte of the present answer was sent."""
+        return self._response_started
+
+    async def next_request(self) -> RequestHead | None:
+        """Wait for the next request's head; None when the caller is done.
+
+        Raise `BadRequestError` when it can't be taken.
+        """
+        limits = self._limits()
+        with trio.move_on_after(limits.idle_timeout):
+            if not await self._wait_for_bytes():
+                return None
+            with trio.move_on_after(self._limits().header_timeout):
+                return await self._read_head()
+            raise BadRequestError(
+                HTTPStatus.REQUEST_TIMEOUT, "header_timeout", "the head came too slowly"
+            )
+        return None
+
+    async def read_body(self) -> bytes:
+        """Read the whole body; raise `BadRequestError` if it is too large."""
+        limits = self._limits()
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_after(limits.idle_timeout):
+            while True:
+                if self._connection.they_are_waiting_for_100_continue:
+                    await self._send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                event = await self._next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return b"".join(parts)
+                if isinstance(event, h11.ConnectionClosed):
+                    raise trio.BrokenResourceError("the caller left midway")
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise self._body_too_large()
+                parts.append(bytes(event.data))
+        raise BadRequestError(
+            HTTPStatus.REQUEST_TIMEOUT, "body_timeout", "the body came too slowly"
+        )
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        framed = [*headers, (b"content-length", str(len(body)).encode())]
+        data = self._start(status, framed)
+        if body and self._connection.our_state is h11.SEND_BODY:
+            data += self._connection.send(h11.Data(body))
+        data += self._connection.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+    async def start_stream(self, status: int, headers: Headers, data: bytes) -> None:
+        """Send the head of an answer without a known length, and its first part."""
+        framed = [*headers, (b"transfer-encoding", b"chunked")]
+        sent = self._start(status, framed)
+        if data:
+            sent += self._connection.send(h11.Data(data))
+        await self._stream.send_all(sent)
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of an answer."""
+        await self._send(h11.Data(data))
+
+    async def finish(self) -> None:
+        """Mark the answer as whole."""
+        await self._send(h11.EndOfMessage())
+
+    async def wait_closed(self) -> None:
+        """Return when the caller closes; bytes of later requests are kept."""
+        while self._ahead_bytes < MOST_PIPELINED_BYTES:
+            data = await self._receive()
+            if not data:
+                return
+            self._ahead_bytes += len(data)
+            self._connection.receive_data(data)
+        await trio.sleep_forever()
+
+    def start_next(self) -> bool:
+        """Get ready for the next request; False if the connection must close."""
+        done = self._connection.our_state is h11.DONE
+        if self.must_close or not done or self._connection.their_state is not h11.DONE:
+            return False
+        self._connection.start_next_cycle()
+        self._ahead_bytes = 0
+        self._response_started = False
+        return True
+
+    async def close(self) -> None:
+        """Close at once; what was sent is still delivered."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def finish_close(self) -> None:
+        """Close for writing and read what still comes, so that nothing is reset."""
+        with trio.move_on_after(0.5):
+            try:
+                await self._stream.send_eof()
+                while await self._stream.receive_some(RECEIVE_BYTES):
+                    continue
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                pass  # The caller closed first, which is what was waited for.
+        await self.close()
+
+    def _codec(self) -> h11.Connection:
+        size = self._limits().header_bytes + HEADER_SLACK_BYTES
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+
+    async def _wait_for_bytes(self) -> bool:
+        data, closed = self._connection.trailing_data
+        if data:
+            return True
+        if closed:
+            return False
+        received = await self._receive()
+        self._connection.receive_data(received)
+        return bool(received)
+
+    async def _read_head(self) -> RequestHead | None:
+        event = await self._next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        head = RequestHead(
+            bytes(event.method),
+            bytes(event.target),
+            tuple((bytes(k), bytes(v)) for k, v in event.headers),
+        )
+        self._check(head)
+        return head
+
+    def _check(self, head: RequestHead) -> None:
+        limits = self._limits()
+        size = len(head.target) + sum(len(k) + len(v) + 4 for k, v in head.headers)
+        if size > limits.header_bytes:
+            raise BadRequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "header_too_large",
+                f"the head may have {limits.header_bytes} bytes",
+            )
+        length = head.header(b"content-length")
+        if length is not None and head.header(b"transfer-encoding") is not None:
+            raise BadRequestError(
+                HTTPStatus.BAD_REQUEST,
+                "ambiguous_length",
+                "a body has either a length or chunks",
+            )
+        if length is not None and int(length) > limits.body_bytes:
+            raise self._body_too_large()
+
+    def _body_too_large(self) -> BadRequestError:
+        return BadRequestError(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            "body_too_large",
+            f"the body may have {self._limits().body_bytes} bytes",
+        )
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                status = HTTPStatus(error.error_status_hint)
+                raise BadRequestError(
+                    status, "malformed_request", str(error)
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._connection.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except trio.BrokenResourceError:
+            return b""
+
+    def _start(self, status: int, headers: FramedHeaders) -> bytes:
+        if self.must_close:
+            headers.append((b"connection", b"close"))
+        self._response_started = True
+        return self._connection.send(
+            h11.Response(status_code=status, headers=headers, reason=_reason(status))
+        )
+
+    async def _send(self, event: h11.Event) -> None:
+        await self._stream.send_all(self._connection.send(event))
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- /dev/null
+++ b/src/piershore/ingress/call_forwarder.py
@@ -0,0 +1,243 @@
+"""Plain requests: one whole answer, perhaps after several attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import trio
+
+from piershore.core.attempts.attempt_outcome import (
+    AttemptOutcome,
+    final_status,
+    may_try_again,
+)
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.fleet_load import PlainWork
+from piershore.core.fleet.placement import Candidate
+from piershore.core.routes.route import RequestKind
+from piershore.http1.message import Headers
+from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import (
+    AttemptEnded,
+    AttemptStarted,
+    EndpointEjected,
+    RequestAnswered,
+)
+
+MOST_PROVEN_UNRUN = 3
+"""Attempts that endpoints refused unrun before the caller is told to come back."""
+IDLE_OF_ONCE_SECONDS = 1.0
+"""Longest rest of a connection for what may run only once: a connection that the
+endpoint has closed leaves it open whether the request ran."""
+IDLE_OF_REPEATABLE_SECONDS = 4.0
+PATIENCE_OF_AIM = 1.6
+"""A repeatable request waits this many latency aims before another endpoint."""
+COME_BACK_SECONDS = 0.25
+"""When a refused caller may find a place: calls take some tens of ms."""
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An endpoint's answer, read to its end."""
+
+    endpoint: Endpoint
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class CallForwarder:
+    """Serves requests whose answer is passed on as a whole."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one request, or raise `RequestRefusedError`."""
+        call = _Call(self._state, exchange)
+        answer = None
+        with trio.move_on_at(exchange.deadline) as scope:
+            answer = await call.find_answer()
+        if answer is None:
+            raise call.refusal(timed_out=scope.cancelled_caught)
+        await exchange.connection.respond(answer.status, answer.headers, answer.body)
+        self._state.log.write(
+            RequestAnswered(
+                exchange.identity,
+                answer.endpoint.identity,
+                answer.status,
+                len(call.outcomes) + 1,
+                exchange.age,
+                exchange.age,
+            )
+        )
+        ingress_metrics.WHOLE_SECONDS.labels(exchange.route.kind).observe(exchange.age)
+
+
+class _Call:
+    """The attempts of one request."""
+
+    def __init__(self, state: GatewayState, exchange: Exchange) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._tried: list[str] = []
+        self._runs = 0
+        self._failed_answer: WholeAnswer | None = None
+        self.outcomes: list[AttemptOutcome] = []
+
+    async def find_answer(self) -> WholeAnswer | None:
+        """Try endpoints until one answers or none may be tried."""
+        exchange = self._exchange
+        service = exchange.route.service_for(exchange.identity)
+        if service is None:
+            return None
+        self._state.allowance(service).note_request(trio.current_time())
+        while True:
+            now = trio.current_time()
+            candidate = self._state.placement.for_call(service, now, self._tried)
+            if candidate is None and self._tried and self._runs == 0:
+                candidate = self._state.placement.for_call(service, now)
+            if candidate is None:
+                return self._failed_answer
+            answer = await self._attempt(candidate)
+            if answer is not None:
+                return answer
+            if not self._may_go_on(service):
+                return self._failed_answer
+
+    def refusal(self, *, timed_out: bool) -> RequestRefusedError:
+        """Return the final answer when no endpoint gave one."""
+        outcomes = list(self.outcomes)
+        if self._runs > sum(not outcome.proves_not_run for outcome in outcomes):
+            outcomes.append(AttemptOutcome.TIMED_OUT)
+        status = final_status(tuple(outcomes))
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            code = "no_endpoint" if not outcomes else "endpoints_refused"
+            return RequestRefusedError(
+                status, code, "no endpoint took the request", COME_BACK_SECONDS
+            )
+        code = "timed_out" if timed_out else "endpoint_failed"
+        return RequestRefusedError(status, code, "the request may have run")
+
+    def _may_go_on(self, service: str) -> bool:
+        outcome = self.outcomes[-1]
+        kind = self._exchange.route.kind
+        if not may_try_again(kind, outcome):
+            return False
+        if self._runs >= self._exchange.route.max_attempts:
+            return False
+        unrun = sum(outcome.proves_not_run for outcome in self.outcomes)
+        if unrun >= MOST_PROVEN_UNRUN or not self._state.may_retry(service):
+            return False
+        ingress_metrics.RETRIES.labels(outcome).inc()
+        return True
+
+    async def _attempt(self, candidate: Candidate) -> WholeAnswer | None:
+        exchange = self._exchange
+        endpoint = candidate.endpoint
+        self._tried.append(endpoint.identity)
+        is_repeatable = exchange.route.kind is RequestKind.REPEATABLE
+        idle = IDLE_OF_REPEATABLE_SECONDS if is_repeatable else IDLE_OF_ONCE_SECONDS
+        attempt = EndpointAttempt(self._state, exchange, endpoint, idle)
+        work = PlainWork()
+        self._state.fleet_load.add(endpoint.identity, work)
+        self._log_start(candidate)
+        started = trio.current_time()
+        try:
+            with trio.move_on_after(self._patience()):
+                return await self._exchange_with(attempt)
+            raise AttemptFailedError(AttemptOutcome.TIMED_OUT, "no answer in time")
+        except AttemptFailedError as error:
+            self._note_failure(endpoint, error, trio.current_time() - started)
+            return None
+        finally:
+            self._runs += attempt.may_have_run
+            self._state.fleet_load.remove(endpoint.identity, work)
+            await attempt.close()
+
+    async def _exchange_with(self, attempt: EndpointAttempt) -> WholeAnswer | None:
+        answer = await attempt.start(self._exchange.order())
+        body = await attempt.read_body()
+        identity = attempt.endpoint.identity
+        if not answer.is_sound or answer.status in REFUSING_STATUSES:
+            raise AttemptFailedError(
+                AttemptOutcome.MAYBE_RUN, f"unusable answer, status {answer.status}"
+            )
+        headers = self._state.dialect.answer_headers(attempt.head)
+        whole = WholeAnswer(attempt.endpoint, answer.status, headers, body)
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._state.health.note_success(identity)
+            return whole
+        self._failed_answer = whole
+        raise AttemptFailedError(
+            AttemptOutcome.FAILED_ANSWER, f"the endpoint answered {answer.status}"
+        )
+
+    def _patience(self) -> float:
+        """Return how long to wait for this attempt, in seconds."""
+        exchange = self._exchange
+        is_repeatable = exchange.route.kind is RequestKind.REPEATABLE
+        if not is_repeatable or self._runs + 1 >= exchange.route.max_attempts:
+            return float("inf")
+        return min(
+            PATIENCE_OF_AIM * exchange.route.target_latency, exchange.time_left / 2
+        )
+
+    def _log_start(self, candidate: Candidate) -> None:
+        self._state.log.write(
+            AttemptStarted(
+                request=self._exchange.identity,
+                endpoint=candidate.endpoint.identity,
+                route=self._exchange.route.name,
+                attempt=len(self._tried),
+                cost=candidate.cost,
+                known_requests=candidate.load.requests,
+                known_tokens=candidate.load.projected_tokens,
+                config_version=self._exchange.configuration.version,
+            )
+        )
+
+    def _note_failure(
+        self, endpoint: Endpoint, error: AttemptFailedError, seconds: float
+    ) -> None:
+        self.outcomes.append(error.outcome)
+        note_failure(self._state, self._exchange, endpoint, error, seconds)
+
+
+REFUSING_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses that tell a caller that nothing ran; an endpoint that gives one without
+saying so itself proves nothing."""
+
+
+def note_failure(
+    state: GatewayState,
+    exchange: Exchange,
+    endpoint: Endpoint,
+    error: AttemptFailedError,
+    seconds: float,
+) -> None:
+    """Count and log a failed attempt, and judge the endpoint by it."""
+    ingress_metrics.ATTEMPTS.labels(error.outcome).inc()
+    state.log.write(
+        AttemptEnded(
+            exchange.identity, endpoint.identity, error.outcome, error.message, seconds
+        ),
+        is_failure=True,
+    )
+    if error.outcome is AttemptOutcome.REJECTED:
+        return
+    if state.health.note_failure(endpoint.identity, trio.current_time()):
+        rate = state.health.failure_rate(endpoint.identity)
+        state.log.write(EndpointEjected(endpoint.identity, rate), is_failure=True)
--- /dev/null
+++ b/src/piershore/ingress/caller_service.py
@@ -0,0 +1,174 @@
+"""Callers' connections: routing, keys, and the choice of how to forward."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import trio
+
+from piershore.core.routes.route import RequestKind, Route
+from piershore.core.routes.serving_configuration import (
+    AccountRef,
+    ServingConfiguration,
+)
+from piershore.http1.exceptions import BadRequestError
+from piershore.http1.message import RequestHead
+from piershore.http1.server_connection import ServerConnection
+from piershore.ingress.answers import as_refusal, refuse
+from piershore.ingress.call_forwarder import CallForwarder
+from piershore.ingress.exceptions import RequestRefusedError
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.ports import CallerRequest
+from piershore.ingress.stream_forwarder import StreamForwarder
+from piershore.telemetry.events import CallerGone
+
+UNKNOWN_CONFIGURATION_SECONDS = 0.5
+"""When to come back to a gateway that has just started: a read takes some ms."""
+
+
+class CallerService:
+    """Serves callers' connections."""
+
+    def __init__(
+        self, state: GatewayState, calls: CallForwarder, streams: StreamForwarder
+    ) -> None:
+        self._state = state
+        self._calls = calls
+        self._streams = streams
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it closes."""
+        connection = ServerConnection(stream, lambda: self._state.configuration.limits)
+        try:
+            await self._serve_requests(connection)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass  # The caller has gone; there is nobody to tell.
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+
+    async def _serve_requests(self, connection: ServerConnection) -> None:
+        arrived = trio.current_time()
+        try:
+            while True:
+                head = await connection.next_request()
+                if head is None:
+                    return
+                arrived = trio.current_time()
+                await self._serve_one(connection, head, arrived)
+                if not connection.start_next():
+                    break
+        except BadRequestError as error:
+            connection.must_close = True
+            if connection.response_started:
+                return
+            await refuse(self._state, connection, None, as_refusal(error), arrived)
+        if connection.response_started and connection.must_close:
+            await connection.finish_close()
+
+    async def _serve_one(
+        self, connection: ServerConnection, head: RequestHead, arrived: float
+    ) -> None:
+        request = self._state.dialect.read_request(head)
+        body = await connection.read_body()
+        if self._state.is_leaving:
+            connection.must_close = True
+        self._state.in_flight += 1
+        try:
+            await self._answer(connection, request, body, arrived)
+        except RequestRefusedError as error:
+            await refuse(self._state, connection, request, error, arrived)
+        finally:
+            self._state.in_flight -= 1
+
+    async def _answer(
+        self,
+        connection: ServerConnection,
+        request: CallerRequest,
+        body: bytes,
+        arrived: float,
+    ) -> None:
+        configuration = self._state.configuration.value
+        if configuration is None:
+            raise RequestRefusedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "no_configuration",
+                "no configuration is known yet",
+                UNKNOWN_CONFIGURATION_SECONDS,
+            )
+        route = self._find_route(configuration, request)
+        account = self._find_account(configuration, route, request)
+        time_left = route.timeout
+        if request.time_left is not None:
+            time_left = min(time_left, request.time_left)
+        if time_left <= 0:
+            raise RequestRefusedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "deadline_passed",
+                "no time is left",
+                0.0,
+            )
+        refusal: RequestRefusedError | None = None
+        is_done = False
+        async with trio.open_nursery() as nursery:
+            exchange = Exchange(
+                connection,
+                request,
+                body,
+                route,
+                account,
+                configuration,
+                arrived,
+                arrived + time_left,
+                nursery,
+            )
+            nursery.start_soon(self._cancel_when_gone, exchange)
+            try:
+                await self._forward(exchange)
+                is_done = True
+            except RequestRefusedError as error:
+                refusal = error
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._log_gone(exchange)
+            nursery.cancel_scope.cancel()
+        if refusal is not None:
+            raise refusal
+        if not is_done:
+            raise trio.BrokenResourceError("the caller has gone")
+
+    async def _forward(self, exchange: Exchange) -> None:
+        if exchange.route.kind is RequestKind.STREAM:
+            await self._streams.serve(exchange)
+            return
+        await self._calls.serve(exchange)
+
+    async def _cancel_when_gone(self, exchange: Exchange) -> None:
+        await exchange.connection.wait_closed()
+        self._log_gone(exchange)
+        exchange.nursery.cancel_scope.cancel()
+
+    def _log_gone(self, exchange: Exchange) -> None:
+        self._state.log.write(CallerGone(exchange.identity, exchange.age))
+
+    @staticmethod
+    def _find_route(
+        configuration: ServingConfiguration, request: CallerRequest
+    ) -> Route:
+        route = configuration.find_route(request.head.host, request.head.path)
+        if route is None:
+            raise RequestRefusedError(
+                HTTPStatus.NOT_FOUND, "unknown_route", "no route for host and path"
+            )
+        return route
+
+    @staticmethod
+    def _find_account(
+        configuration: ServingConfiguration, route: Route, request: CallerRequest
+    ) -> AccountRef | None:
+        account = configuration.accounts_by_key.get(request.key or "")
+        if account is None and configuration.requires_keys and not route.is_public:
+            raise RequestRefusedError(
+                HTTPStatus.UNAUTHORIZED, "unknown_key", "the key is not known"
+            )
+        return account
--- /dev/null
+++ b/src/piershore/ingress/daemon.py
@@ -0,0 +1,267 @@
+"""The gateway process before routes of the platform."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import traceback
+from collections.abc import Awaitable, Callable
+from functools import partial
+from http import HTTPStatus
+from random import Random
+
+import trio
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from piershore.core.fleet.endpoint_directory import Departure
+from piershore.core.routes.client_limits import ClientLimits
+from piershore.http1.exceptions import BadRequestError
+from piershore.http1.server_connection import ServerConnection
+from piershore.ingress.call_forwarder import CallForwarder
+from piershore.ingress.caller_service import CallerService
+from piershore.ingress.configuration_follower import ConfigurationFollower
+from piershore.ingress.endpoint_follower import EndpointFollower
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.live_stream import LiveStreams
+from piershore.ingress.move_coordinator import MoveCoordinator
+from piershore.ingress.peer_documents import PeerDocuments
+from piershore.ingress.peer_link import PeerLink
+from piershore.ingress.ports import (
+    ConfigurationFeed,
+    EndpointFeed,
+    GenerationMover,
+    RequestDialect,
+)
+from piershore.ingress.stream_forwarder import StreamForwarder
+from piershore.settings.box_settings import BoxSettings
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.event_log import EventLog
+from piershore.telemetry.events import (
+    EndpointLeft,
+    InternalError,
+    ProcessStarted,
+    ProcessStopped,
+    ProcessStopping,
+    SettingsChanged,
+)
+
+WATCH_SECONDS = 4.0
+"""How long a watch waits: a silent cut shows after this; each call has a price."""
+BACKLOG = 512
+"""New connections that wait to be taken; a full queue delays callers by seconds."""
+LEAVE_SECONDS = 2.6
+"""The platform takes a box out after two missed checks, one a second."""
+STOP_MARGIN_SECONDS = 0.4
+"""Time kept to end before the platform kills the process."""
+SWEEP_SECONDS = 1.0
+RESTART_SECONDS = 0.2
+"""Pause before a task that failed by a fault of the program is run again."""
+
+
+class IngressDaemon:
+    """Serves callers until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: BoxSettings,
+        dialect: RequestDialect,
+        mover: GenerationMover,
+        configuration_feed: ConfigurationFeed,
+        endpoint_feed: EndpointFeed,
+        metrics_port: int | None = None,
+    ) -> None:
+        self._settings = settings
+        self._log = EventLog(settings.name)
+        self._state = GatewayState(
+            settings.data_hall, dialect, settings.retry_limits, self._log, Random()
+        )
+        self._live = LiveStreams()
+        self._moves = MoveCoordinator(self._state, self._live, mover)
+        self._callers = CallerService(
+            self._state,
+            CallForwarder(self._state),
+            StreamForwarder(self._state, self._live, self._moves),
+        )
+        self._configuration = ConfigurationFollower(
+            self._state, configuration_feed, WATCH_SECONDS
+        )
+        self._endpoints = EndpointFollower(
+            self._state, endpoint_feed, WATCH_SECONDS, self._on_departure
+        )
+        self._metrics_port = metrics_port
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        self._log.start()
+        link = PeerLink(self._state, self._settings, self._reads_store)
+        documents = PeerDocuments(
+            self._state, self._settings, link, self._configuration, self._endpoints
+        )
+        await link.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._moves.start(nursery)
+                await self._start(nursery, link, documents)
+                self._log.write(
+                    ProcessStarted(link.incarnation, self._settings.data_hall)
+                )
+                gc.collect()
+                gc.freeze()
+                await self._wait_for_stop()
+                await self._leave()
+                nursery.cancel_scope.cancel()
+        finally:
+            link.close()
+            self._log.write(ProcessStopped(self._state.in_flight), is_failure=True)
+            self._log.flush()
+
+    async def _start(
+        self, nursery: trio.Nursery, link: PeerLink, documents: PeerDocuments
+    ) -> None:
+        settings = self._settings
+        await self._listen(
+            nursery,
+            settings.callers_address.host,
+            settings.callers_address.port,
+            self._callers.serve,
+        )
+        await self._listen(
+            nursery,
+            settings.ready_address.host,
+            settings.ready_address.port,
+            self._serve_readiness,
+        )
+        await self._listen(
+            nursery, settings.host, settings.peer_ports[0], documents.serve
+        )
+        if self._metrics_port is not None:
+            await self._listen(
+                nursery, settings.host, self._metrics_port, self._serve_metrics
+            )
+        for task in (
+            self._configuration.run,
+            self._endpoints.run,
+            self._endpoints.sweep,
+            link.receive,
+            link.send,
+            documents.follow,
+            self._sweep_connections,
+            self._log.run,
+        ):
+            nursery.start_soon(self._supervise, task)
+
+    async def _listen(
+        self,
+        nursery: trio.Nursery,
+        host: str,
+        port: int,
+        handler: Callable[[trio.SocketStream], Awaitable[None]],
+    ) -> None:
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        guarded = partial(self._guard, handler)
+        nursery.start_soon(partial(trio.serve_listeners, guarded, listeners))
+
+    async def _guard(self, handler, stream: trio.SocketStream) -> None:
+        """Keep a fault in one connection from ending the process."""
+        try:
+            await handler(stream)
+        except Exception as error:
+            self._log_fault(handler.__qualname__, error)
+
+    async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task for ever, again after a fault of the program."""
+        while True:
+            try:
+                await task()
+            except Exception as error:
+                self._log_fault(task.__qualname__, error)
+            await trio.sleep(RESTART_SECONDS)
+
+    def _log_fault(self, task: str, error: Exception) -> None:
+        place = "".join(traceback.format_exception(error)[-6:])
+        self._log.write(InternalError(task, repr(error), place), is_failure=True)
+
+    def _reads_store(self) -> bool:
+        return not self._endpoints.link.is_out
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._state.is_leaving
+            and self._state.configuration.value is not None
+            and self._endpoints.is_known
+        )
+
+    def _on_departure(self, departure: Departure) -> None:
+        endpoint = departure.endpoint
+        streams = self._live.at(endpoint.identity)
+        self._log.write(
+            EndpointLeft(
+                endpoint.identity,
+                endpoint.service,
+                departure.is_gone,
+                len(streams),
+                self._state.directory.revision,
+            ),
+            is_failure=True,
+        )
+        self._moves.evacuate(endpoint)
+        if departure.is_gone:
+            self._state.health.forget(endpoint.identity)
+
+    async def _sweep_connections(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_SECONDS)
+            await self._state.pool.close_idle()
+            ingress_metrics.IN_FLIGHT.set(self._state.in_flight)
+
+    async def _serve_readiness(self, stream: trio.SocketStream) -> None:
+        status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        await _serve_text(stream, lambda: (status, b"", b"text/plain"))
+
+    async def _serve_metrics(self, stream: trio.SocketStream) -> None:
+        await _serve_text(
+            stream,
+            lambda: (
+                HTTPStatus.OK,
+                generate_latest(ingress_metrics.REGISTRY),
+                CONTENT_TYPE_LATEST.encode(),
+            ),
+        )
+
+    async def _wait_for_stop(self) -> None:
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    return
+                self._log.write(
+                    SettingsChanged(False, "settings are read at the next start"),
+                    is_failure=True,
+                )
+
+    async def _leave(self) -> None:
+        """Serve on until nothing is in flight, or the platform would kill us."""
+        self._state.is_leaving = True
+        self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
+        now = trio.current_time()
+        with trio.move_on_after(self._settings.stop_grace - STOP_MARGIN_SECONDS):
+            await trio.sleep_until(now + LEAVE_SECONDS)
+            while self._state.in_flight:
+                await trio.sleep(0.02)
+
+
+async def _serve_text(stream, answer) -> None:
+    """Answer GET requests on one connection."""
+    connection = ServerConnection(stream, ClientLimits)
+    try:
+        while await connection.next_request() is not None:
+            await connection.read_body()
+            status, body, content_type = answer()
+            await connection.respond(status, ((b"content-type", content_type),), body)
+            if not connection.start_next():
+                return
+    except (BadRequestError, trio.BrokenResourceError):
+        return  # Whoever asks will ask again.
+    finally:
+        with trio.CancelScope(shield=True):
+            await connection.close()
--- /dev/null
+++ b/src/piershore/ingress/endpoint_attempt.py
@@ -0,0 +1,124 @@
+"""One attempt at an endpoint: a request sent and the head of its answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import trio
+
+from piershore.core.attempts.attempt_outcome import AttemptOutcome
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.http1.message import RequestHead, ResponseHead
+from piershore.ingress.exceptions import AttemptFailedError
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.ports import EndpointAnswer, ForwardOrder
+
+SENT_AT_ONCE_BYTES = 8_192
+"""Larger bodies are sent while the answer is awaited, which may come early."""
+
+
+class EndpointAttempt:
+    """Sends the request; its `answer` is known after `start`."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        longest_idle: float,
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self.endpoint = endpoint
+        self._longest_idle = longest_idle
+        self._connection: ClientConnection | None = None
+        self._is_sent = False
+        self._is_whole = False
+        self.head: ResponseHead | None = None
+        self.answer: EndpointAnswer | None = None
+        self.may_have_run = False
+
+    async def start(self, order: ForwardOrder) -> EndpointAnswer:
+        """Send the request and read the answer's head.
+
+        Raise `AttemptFailedError` if that fails or the endpoint did not run it.
+        """
+        exchange = self._exchange
+        try:
+            self._connection = await self._state.pool.take(
+                self.endpoint.address, self._longest_idle
+            )
+        except NotConnectedError as error:
+            raise AttemptFailedError(AttemptOutcome.NOT_SENT, error.message) from error
+        head = self._state.dialect.for_endpoint(
+            exchange.request, len(exchange.body), self.endpoint, order
+        )
+        self.may_have_run = True
+        try:
+            await self._send(head)
+            self.head = await self._connection.read_head(self._is_own)
+        except ExchangeBrokenError as error:
+            raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
+        self.answer = self._state.dialect.read_answer(self.head)
+        if self.answer.was_not_run:
+            self.may_have_run = False
+            raise AttemptFailedError(
+                AttemptOutcome.REJECTED, f"not run, status {self.answer.status}"
+            )
+        return self.answer
+
+    async def read_body(self) -> bytes:
+        """Read the whole body."""
+        try:
+            body = await self._connection.read_body()
+        except ExchangeBrokenError as error:
+            raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
+        self._is_whole = True
+        return body
+
+    async def read_parts(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raise `ExchangeBrokenError` if it breaks."""
+        async for part in self._connection.read_parts():
+            yield part
+        self._is_whole = True
+
+    async def close(self) -> None:
+        """Give the connection back, or close it if the exchange isn't over."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        with trio.CancelScope(shield=True):
+            await self._state.pool.give_back(
+                self.endpoint.address,
+                connection,
+                reusable=self._is_whole and self._is_sent and not self._ends_here(),
+            )
+
+    def _ends_here(self) -> bool:
+        value = self.head.header(b"connection") if self.head else None
+        return value is not None and b"close" in value.lower()
+
+    def _is_own(self, head: ResponseHead) -> bool:
+        return self._state.dialect.is_own_answer(self._exchange.request, head)
+
+    async def _send(self, head: RequestHead) -> None:
+        if len(self._exchange.body) <= SENT_AT_ONCE_BYTES:
+            await self._connection.send(head, self._exchange.body)
+            self._is_sent = True
+            return
+        self._exchange.nursery.start_soon(self._send_beside, self._connection, head)
+        # The head must be encoded before the answer to it is read.
+        await trio.lowlevel.checkpoint()
+
+    async def _send_beside(
+        self, connection: ClientConnection, head: RequestHead
+    ) -> None:
+        try:
+            await connection.send(head, self._exchange.body)
+            self._is_sent = True
+        except (ExchangeBrokenError, trio.ClosedResourceError):
+            # The reader of the answer sees the break and decides.
+            return
--- /dev/null
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -0,0 +1,151 @@
+"""Follows the platform's list of endpoints in the store, or at peers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import trio
+
+from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+from piershore.core.fleet.endpoint_directory import Departure
+from piershore.errors import PiershoreError
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.ports import EndpointChange, EndpointFeed
+from piershore.ingress.store_link import StoreLink
+from piershore.platform.exceptions import WatchGapError
+from piershore.telemetry import ingress_metrics
+
+DOUBT_SECONDS = 3.0
+"""An entry that goes this soon after an outage may only have lapsed in it."""
+FEW_ENDPOINTS = 2
+"""Endpoints of a service that go at once without notice, and half of them all,
+are taken to have lapsed: endpoints are replaced a few at a time."""
+SWEEP_SECONDS = 0.25
+
+OnDeparture = Callable[[Departure], None]
+
+
+class EndpointFollower:
+    """Keeps the directory of endpoints up to date."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        feed: EndpointFeed,
+        watch_seconds: float,
+        on_departure: OnDeparture,
+    ) -> None:
+        self._state = state
+        self._feed = feed
+        self._watch_seconds = watch_seconds
+        self._on_departure = on_departure
+        self._revision: int | None = None
+        self._scope: trio.CancelScope | None = None
+        self.is_known = False
+        self.link = StoreLink("store: endpoints", state.random, state.log)
+
+    async def run(self) -> None:
+        """Follow the store for ever."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._follow()
+
+    async def sweep(self) -> None:
+        """Drop entries that did not come back after an outage, for ever."""
+        while True:
+            await trio.sleep(SWEEP_SECONDS)
+            if not self.link.is_out:
+                now = trio.current_time()
+                self._depart(self._state.directory.drop_lapsed(now))
+
+    def restart(self) -> None:
+        """Read the whole list again now: a peer's differs."""
+        self._revision = None
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def take_from_peer(self, endpoints: Iterable[Endpoint], revision: int) -> None:
+        """Take a peer's list while the store can't be read."""
+        if revision > self._state.directory.revision:
+            self._take_all(tuple(endpoints), revision, after_outage=False)
+
+    def note_leaving(self, identity: str) -> None:
+        """Note what traffic shows of an endpoint."""
+        self._depart(self._state.directory.mark_leaving(identity))
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._step()
+                self.link.note_success()
+            except WatchGapError:
+                self._revision = None
+            except PiershoreError as error:
+                await self.link.note_failure(f"{error.code}: {error.message}")
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            endpoints, revision = await self._feed.read()
+            self._take_all(endpoints, revision, after_outage=self._is_after_outage())
+        else:
+            changes, revision = await self._feed.changes(
+                self._revision, self._watch_seconds
+            )
+            self._take_changes(changes)
+            self._state.directory.advance(revision)
+        self._revision = revision
+
+    def _is_after_outage(self) -> bool:
+        return self.link.seconds_since_outage() < DOUBT_SECONDS
+
+    def _take_all(
+        self, endpoints: tuple[Endpoint, ...], revision: int, *, after_outage: bool
+    ) -> None:
+        departures = self._state.directory.replace_all(
+            endpoints, revision, trio.current_time(), after_outage=after_outage
+        )
+        self.is_known = True
+        self._depart(departures)
+
+    def _take_changes(self, changes: tuple[EndpointChange, ...]) -> None:
+        now = trio.current_time()
+        doubtful = self._lapsed_services(changes)
+        directory = self._state.directory
+        for change in changes:
+            if change.endpoint is not None:
+                self._depart(directory.put(change.endpoint))
+                continue
+            known = directory.get(change.identity)
+            in_doubt = known is not None and known.service in doubtful
+            self._depart(
+                directory.remove(
+                    change.identity,
+                    now,
+                    after_outage=in_doubt or self._is_after_outage(),
+                )
+            )
+
+    def _lapsed_services(self, changes: tuple[EndpointChange, ...]) -> set[str]:
+        """Return the services of which too many endpoints go at once."""
+        directory = self._state.directory
+        going = Counter(
+            known.service
+            for change in changes
+            if change.endpoint is None
+            and (known := directory.get(change.identity)) is not None
+            and known.stage is EndpointStage.READY
+        )
+        return {
+            service
+            for service, count in going.items()
+            if count >= FEW_ENDPOINTS
+            and 2 * count >= sum(1 for _ in directory.of_service(service))
+        }
+
+    def _depart(self, departures: Iterable[Departure]) -> None:
+        for departure in departures:
+            self._on_departure(departure)
+        stages = Counter(endpoint.stage for endpoint in self._state.directory)
+        for stage in EndpointStage:
+            ingress_metrics.ENDPOINTS.labels(stage).set(stages[stage])
--- /dev/null
+++ b/src/piershore/ingress/exchange.py
@@ -0,0 +1,60 @@
+"""One caller's request under way."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from piershore.core.routes.route import Route
+from piershore.core.routes.serving_configuration import (
+    AccountRef,
+    ServingConfiguration,
+)
+from piershore.http1.server_connection import ServerConnection
+from piershore.ingress.ports import CallerRequest, ForwardOrder
+
+
+@dataclass(frozen=True)
+class Exchange:
+    """A request with its route, decided on the configuration at its arrival.
+
+    `arrived` and `deadline` are times of trio's clock. `nursery` lives as long as
+    the exchange; it ends at once when the caller closes.
+    """
+
+    connection: ServerConnection
+    request: CallerRequest
+    body: bytes
+    route: Route
+    account: AccountRef | None
+    configuration: ServingConfiguration
+    arrived: float
+    deadline: float
+    nursery: trio.Nursery
+
+    @property
+    def identity(self) -> str:
+        """The caller's id of the request."""
+        return self.request.identity
+
+    @property
+    def age(self) -> float:
+        """Seconds since the arrival."""
+        return trio.current_time() - self.arrived
+
+    @property
+    def time_left(self) -> float:
+        """Seconds until the final answer is due."""
+        return self.deadline - trio.current_time()
+
+    @property
+    def priority(self) -> int:
+        """The account's rank or else the route's; 0 is the highest."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    def order(self, **added) -> ForwardOrder:
+        """Return what goes with the request to an endpoint now."""
+        return ForwardOrder(time_left=self.time_left, account=self.account, **added)
--- /dev/null
+++ b/src/piershore/ingress/gateway_state.py
@@ -0,0 +1,56 @@
+"""What the parts of one gateway share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.fleet_load import FleetLoad
+from piershore.core.fleet.placement import Placement
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.http1.connection_pool import ConnectionPool
+from piershore.ingress.ports import RequestDialect
+from piershore.telemetry.event_log import EventLog
+
+
+@dataclass
+class GatewayState:
+    """Beliefs, decisions and connections of one gateway.
+
+    `gateways` is how many gateways are thought to live, this one included.
+    """
+
+    data_hall: str
+    dialect: RequestDialect
+    retry_limits: RetryLimits
+    log: EventLog
+    random: Random
+    configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
+    directory: EndpointDirectory = field(default_factory=EndpointDirectory)
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+    fleet_load: FleetLoad = field(default_factory=FleetLoad)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    is_leaving: bool = False
+    gateways: int = 1
+    in_flight: int = 0
+    _allowances: dict[str, RetryAllowance] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.placement = Placement(
+            self.data_hall, self.directory, self.fleet_load, self.health, self.random
+        )
+
+    def allowance(self, service: str) -> RetryAllowance:
+        """Return the retries of a service."""
+        if service not in self._allowances:
+            self._allowances[service] = RetryAllowance(self.retry_limits)
+        return self._allowances[service]
+
+    def may_retry(self, service: str) -> bool:
+        """Take a retry from the budget, if there is one."""
+        return self.allowance(service).spend(trio.current_time(), self.gateways)
--- /dev/null
+++ b/src/piershore/ingress/live_stream.py
@@ -0,0 +1,79 @@
+"""A stream under way, and where it may go on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.generation_work import GenerationWork
+from piershore.core.streams.delivered_events import DeliveredEvents
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.ports import MemoryCopy
+
+
+@dataclass
+class Handover:
+    """A move to another endpoint.
+
+    `copy` is set once the run has stopped at the source; `is_settled` is set when
+    it's known whether the stream goes on at `target`.
+    """
+
+    source: Endpoint
+    target: Endpoint
+    copy: MemoryCopy | None = None
+    run_stopped: bool = False
+    is_settled: trio.Event = field(default_factory=trio.Event)
+
+
+@dataclass
+class LiveStream:
+    """One stream of a caller; `endpoint` runs it now."""
+
+    exchange: Exchange
+    endpoint: Endpoint
+    work: GenerationWork
+    delivered: DeliveredEvents = field(default_factory=DeliveredEvents)
+    handover: Handover | None = None
+    moves: int = 0
+    last_event_at: float = 0.0
+    longest_pause: float = 0.0
+    first_seconds: float = 0.0
+
+    def note_events(self, count: int, now: float, tokens_an_event: int) -> None:
+        """Count events that were passed on."""
+        if not self.work.has_begun:
+            self.work.has_begun = True
+            self.first_seconds = self.exchange.age
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        self.last_event_at = now
+        self.work.made_tokens += count * tokens_an_event
+
+
+class LiveStreams:
+    """All streams of this gateway, by the endpoint that runs them."""
+
+    def __init__(self) -> None:
+        self._streams: dict[int, LiveStream] = {}
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def add(self, stream: LiveStream) -> None:
+        """Take up a stream."""
+        self._streams[id(stream)] = stream
+
+    def remove(self, stream: LiveStream) -> None:
+        """Drop a stream that ended."""
+        self._streams.pop(id(stream), None)
+
+    def is_live(self, stream: LiveStream) -> bool:
+        """Tell whether the stream has not ended."""
+        return id(stream) in self._streams
+
+    def at(self, identity: str) -> list[LiveStream]:
+        """Return the streams that an endpoint runs."""
+        return [s for s in self._streams.values() if s.endpoint.identity == identity]
--- /dev/null
+++ b/src/piershore/ingress/peer_link.py
@@ -0,0 +1,131 @@
+"""Reports between gateways: a datagram some times a second to each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from uuid import uuid4
+
+import trio
+
+from piershore.core.fleet.peer_report import InvalidReportError, PeerReport
+from piershore.core.fleet.peer_table import PeerTable
+from piershore.core.hashing import stable_hash
+from piershore.ingress.gateway_state import GatewayState
+from piershore.settings.box_settings import BoxSettings
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import DependencyLost, DependencyRegained
+
+REPORT_SECONDS = 0.1
+"""A report is this old at most: a generation takes seconds, a choice one ms."""
+REPORTS_A_SECOND = 60.0
+"""Reports that one gateway sends in all; with more peers each gets fewer."""
+LARGEST_DATAGRAM = 60_000
+PEER_LOAD_SECONDS = 3.0
+"""A peer's work counts for so long after its last report."""
+
+
+class PeerLink:
+    """Sends this gateway's reports and takes those of its peers."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        settings: BoxSettings,
+        reads_store: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._host = settings.host
+        self._port = settings.peer_ports[0]
+        self._reads_store = reads_store
+        seeds = [seed.host for seed in settings.seeds]
+        self.table = PeerTable(settings.host, seeds, trio.current_time())
+        self.incarnation = uuid4().hex[:12]
+        self._number = 0
+        self._socket: trio.socket.SocketType | None = None
+        self._living: set[str] = set()
+        self.heard = trio.Event()
+
+    async def start(self) -> None:
+        """Take the port."""
+        self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+        await self._socket.bind((self._host, self._port))
+
+    def close(self) -> None:
+        """Give the port back."""
+        if self._socket is not None:
+            self._socket.close()
+
+    async def receive(self) -> None:
+        """Take reports for ever."""
+        while True:
+            try:
+                data, _ = await self._socket.recvfrom(LARGEST_DATAGRAM)
+                report = PeerReport.decode(data)
+            except InvalidReportError as error:
+                self._state.log.write(DependencyLost("peers", error.message))
+                continue
+            except OSError as error:
+                # A peer's closed port can be reported on our socket.
+                self._state.log.write(DependencyLost("peers", str(error)))
+                continue
+            self._take(report)
+
+    async def send(self) -> None:
+        """Send reports for ever."""
+        while True:
+            await self.send_now()
+            peers = max(1, len(self._living))
+            await trio.sleep(max(REPORT_SECONDS, peers / REPORTS_A_SECOND))
+
+    async def send_now(self) -> None:
+        """Send one report to each peer."""
+        now = trio.current_time()
+        self._note_living(now)
+        self._number += 1
+        data = self._report(now).encode()
+        for host in self.table.to_call(self._number, now):
+            try:
+                await self._socket.sendto(data, (host, self._port))
+            except OSError:
+                # A report is one of many; a peer that stays silent is logged.
+                continue
+
+    def _report(self, now: float) -> PeerReport:
+        state = self._state
+        return PeerReport(
+            host=self._host,
+            incarnation=self.incarnation,
+            number=self._number,
+            config_version=state.configuration.version,
+            endpoint_revision=state.directory.revision,
+            fingerprint=directory_fingerprint(state),
+            reads_store=self._reads_store(),
+            is_leaving=state.is_leaving,
+            members=self.table.members(now),
+            loads=state.fleet_load.own_loads(),
+        )
+
+    def _take(self, report: PeerReport) -> None:
+        now = trio.current_time()
+        if not self.table.take(report, now):
+            return
+        self._state.fleet_load.take_report(report.host, report.loads, now)
+        heard, self.heard = self.heard, trio.Event()
+        heard.set()
+
+    def _note_living(self, now: float) -> None:
+        living = {peer.host for peer in self.table.living(now)}
+        for host in living - self._living:
+            self._state.log.write(DependencyRegained(f"peer {host}", 0.0))
+        for host in self._living - living:
+            self._state.log.write(DependencyLost(f"peer {host}", "silent"))
+        self._living = living
+        self._state.gateways = len(living) + 1
+        ingress_metrics.PEERS.set(len(living))
+        self._state.fleet_load.forget_peers(now - PEER_LOAD_SECONDS)
+
+
+def directory_fingerprint(state: GatewayState) -> int:
+    """Return a number that is the same where the same endpoints are known."""
+    parts = sorted(f"{e.identity}={e.stage}" for e in state.directory)
+    return stable_hash(*parts) >> 16
--- /dev/null
+++ b/src/piershore/platform/box_settings_file.py
@@ -0,0 +1,124 @@
+"""The platform's settings file of a process.
+
+Each line is `a.b=value`; lists are joined by commas. Unknown fields are passed over.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+from piershore.core.attempts.retry_allowance import RetryLimits
+from piershore.core.fleet.endpoint import Address
+from piershore.settings.box_settings import BoxSettings
+from piershore.settings.exceptions import InvalidSettingsError
+from piershore.settings.finding import Finding
+
+PATH_VARIABLE = "PIERSHORE_BOOT"
+
+
+def load_box_settings() -> BoxSettings:
+    """Read the file that the platform names in the environment."""
+    path = os.environ.get(PATH_VARIABLE)
+    if path is None:
+        message = f"{PATH_VARIABLE} is not set"
+        raise InvalidSettingsError((_finding("environment", PATH_VARIABLE, message),))
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise InvalidSettingsError((_finding(path, "", str(error)),)) from error
+    return read_box_settings(path, text)
+
+
+def read_box_settings(file: str, text: str) -> BoxSettings:
+    """Read the lines; raise `InvalidSettingsError` with every fault found."""
+    reader = _Reader(file, dict(_fields(text)))
+    settings = BoxSettings(
+        name=reader.text("node_name"),
+        data_hall=reader.text("zone"),
+        host=reader.text("ip"),
+        callers_address=reader.address("listen.front"),
+        ready_address=reader.address("listen.ready"),
+        peer_ports=reader.ports("internal_port_range"),
+        seeds=reader.addresses("seed_nodes"),
+        store_address=reader.address("platform.address"),
+        stop_grace=reader.number("bounds.grace_s", 8.0),
+        contact_seconds=reader.milliseconds("bounds.contact_ms", 3_000.0),
+        retry_limits=RetryLimits(
+            ratio=reader.number("bounds.retry_budget_ratio", 0.2),
+            slack=reader.number("bounds.retry_budget_slack", 20.0),
+            window=reader.number("bounds.retry_window_s", 10.0),
+        ),
+    )
+    if reader.findings:
+        raise InvalidSettingsError(tuple(reader.findings))
+    return settings
+
+
+def _finding(file: str, name: str, message: str) -> Finding:
+    """Return a finding; the platform writes the file, so its lines say little."""
+    return Finding(file, 0, name, "invalid_value", message)
+
+
+def _fields(text: str) -> Iterator[tuple[str, str]]:
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            yield name.strip(), value.strip()
+
+
+class _Reader:
+    """Typed reading that collects findings."""
+
+    def __init__(self, file: str, fields: Mapping[str, str]) -> None:
+        self._file = file
+        self._fields = fields
+        self.findings: list[Finding] = []
+
+    def text(self, name: str) -> str:
+        value = self._fields.get(name, "")
+        if not value:
+            self._found(name, "is missing")
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self._fields.get(name, "")
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            self._found(name, f"{value!r} is not a number")
+            return default
+
+    def milliseconds(self, name: str, default: float) -> float:
+        return self.number(name, default) / 1_000
+
+    def address(self, name: str) -> Address:
+        value = self.text(name)
+        try:
+            return Address.parse(value)
+        except ValueError as error:
+            if value:
+                self._found(name, str(error))
+            return Address("", 0)
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        found = []
+        for word in filter(None, self._fields.get(name, "").split(",")):
+            try:
+                found.append(Address.parse(word))
+            except ValueError as error:
+                self._found(name, str(error))
+        return tuple(found)
+
+    def ports(self, name: str) -> tuple[int, int]:
+        first, _, last = self.text(name).partition(",")
+        if first.isdigit() and last.isdigit():
+            return int(first), int(last)
+        self._found(name, "is not FIRST,LAST")
+        return 0, 0
+
+    def _found(self, name: str, message: str) -> None:
+        self.findings.append(_finding(self._file, name, message))
--- a/src/piershore/platform/exceptions.py
+++ b/src/piershore/platform/exceptions.py
@@ -36,3 +36,9 @@
     def __init__(self, message: str, current: StoredObject | None) -> None:
         super().__init__(message)
         self.current = current
+
+
+class InvalidObjectError(PiershoreError):
+    """An object of the platform doesn't hold what it should."""
+
+    code = "invalid_object"
--- /dev/null
+++ b/src/piershore/platform/feeds.py
@@ -0,0 +1,79 @@
+"""Configuration and endpoints as they are followed in the platform's store."""
+
+from __future__ import annotations
+
+import orjson
+
+from piershore.core.fleet.endpoint import Address, Endpoint
+from piershore.core.routes.serving_configuration import ServingConfiguration
+from piershore.ingress.ports import ConfigurationFeed, EndpointChange, EndpointFeed
+from piershore.platform.endpoint_codec import decode_endpoint
+from piershore.platform.object_client import ObjectChange, ObjectClient
+from piershore.platform.routing_codec import decode_configuration
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+ENDPOINT_KIND = "servers"
+
+
+class StoredConfigurationFeed(ConfigurationFeed):
+    """The one object that holds the newest configuration in whole."""
+
+    def __init__(self, store: Address) -> None:
+        self._client = ObjectClient(store)
+
+    async def read(self) -> tuple[bytes | None, int]:
+        """Return the newest document, if there is one, and the revision."""
+        listed = await self._client.list(CONFIGURATION_KIND)
+        for item in listed.objects:
+            if item.name == CONFIGURATION_NAME:
+                return orjson.dumps(item.spec), listed.revision
+        return None, listed.revision
+
+    async def changes(self, revision: int, wait: float) -> tuple[bytes | None, int]:
+        """Wait for a newer document."""
+        batch = await self._client.watch(CONFIGURATION_KIND, revision, wait)
+        newest = None
+        for change in batch.changes:
+            if change.object.name == CONFIGURATION_NAME and not change.is_gone:
+                newest = orjson.dumps(change.object.spec)
+        return newest, batch.revision
+
+    def decode(self, document: bytes) -> ServingConfiguration:
+        """Decode a document."""
+        return decode_configuration(orjson.loads(document))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
+
+
+class StoredEndpointFeed(EndpointFeed):
+    """The entries that endpoints keep of themselves."""
+
+    def __init__(self, store: Address) -> None:
+        self._client = ObjectClient(store)
+
+    async def read(self) -> tuple[tuple[Endpoint, ...], int]:
+        """Return all endpoints and the revision."""
+        listed = await self._client.list(ENDPOINT_KIND)
+        endpoints = tuple(decode_endpoint(o.name, o.spec) for o in listed.objects)
+        return endpoints, listed.revision
+
+    async def changes(
+        self, revision: int, wait: float
+    ) -> tuple[tuple[EndpointChange, ...], int]:
+        """Wait for changes."""
+        batch = await self._client.watch(ENDPOINT_KIND, revision, wait)
+        return tuple(map(_change, batch.changes)), batch.revision
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
+
+
+def _change(change: ObjectChange) -> EndpointChange:
+    name = change.object.name
+    if change.is_gone:
+        return EndpointChange(name, None)
+    return EndpointChange(name, decode_endpoint(name, change.object.spec))
--- /dev/null
+++ b/src/piershore/platform/gateway.py
@@ -0,0 +1,25 @@
+"""The gateway with the platform's adapters."""
+
+from __future__ import annotations
+
+import trio
+
+from piershore.ingress.daemon import IngressDaemon
+from piershore.platform.box_settings_file import load_box_settings
+from piershore.platform.engine_mover import EngineMover
+from piershore.platform.feeds import StoredConfigurationFeed, StoredEndpointFeed
+from piershore.platform.headers import PlatformDialect
+
+
+def run_gateway(metrics_port: int | None) -> None:
+    """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings."""
+    settings = load_box_settings()
+    daemon = IngressDaemon(
+        settings,
+        PlatformDialect(),
+        EngineMover(),
+        StoredConfigurationFeed(settings.store_address),
+        StoredEndpointFeed(settings.store_address),
+        metrics_port,
+    )
+    trio.run(daemon.run)
--- /dev/null
+++ b/src/piershore/platform/headers.py
@@ -0,0 +1,186 @@
+"""Heads of requests and answers as callers and endpoints of the platform use them."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.generation_work import GenerationSize
+from piershore.http1.exceptions import BadRequestError
+from piershore.http1.message import end_to_end, Headers, RequestHead, ResponseHead
+from piershore.ingress.ports import (
+    CallerRequest,
+    EndpointAnswer,
+    ForwardOrder,
+    RequestDialect,
+)
+
+REQUEST_ID = b"attempt-id"
+TIME_LEFT = b"deadline-ms"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = "token"
+ACCOUNT = b"tenant"
+EXPECTED_ENDPOINT = b"expected-instance"
+NOT_RUN = b"not-executed"
+# A signature of the endpoint under its answer; only sound answers carry it.
+SIGNATURE = b"response-seal"
+MODEL = b"model"
+# Tokens of the prompt and the most that may be generated.
+TOKEN_COUNTS = b"token-usage"
+PROMPT_PARTS = b"prompt-prefix"
+OUTPUT_GUESS = b"length-hint"
+LAST_EVENT_ID = b"last-event-id"
+PRIORITY = b"priority"
+CONTINUE_FROM = b"kv-from"
+BACK_UP_AT = b"kv-backup"
+RETRY_AFTER = b"retry-after"
+
+OF_THE_SYSTEM = frozenset(
+    {
+        ACCOUNT,
+        EXPECTED_ENDPOINT,
+        PRIORITY,
+        CONTINUE_FROM,
+        BACK_UP_AT,
+        AUTHORIZATION,
+        TIME_LEFT,
+        b"kv-fetch",
+        b"hold",
+        b"pin-ms",
+        b"expect-version",
+        b"expect",
+        b"content-length",
+    }
+)
+"""What a caller sends of these doesn't reach the endpoint."""
+
+KEPT_IN_ANY_CASE = frozenset(
+    {REQUEST_ID, MODEL, TOKEN_COUNTS, PROMPT_PARTS, b"host", b"content-type"}
+)
+"""Headers that a caller can't declare to be of its connection only."""
+
+MISDIRECTED = 421
+MOST_MILLISECONDS = 10**9
+
+
+class PlatformDialect(RequestDialect):
+    """Headers of the platform."""
+
+    def read_request(self, head: RequestHead) -> CallerRequest:
+        """Decode a caller's request."""
+        return CallerRequest(
+            head=head,
+            identity=(head.header(REQUEST_ID) or b"").decode("latin-1"),
+            time_left=_time_left(head.header(TIME_LEFT)),
+            key=_key(head.header(AUTHORIZATION)),
+            size=_size(head),
+        )
+
+    def for_endpoint(
+        self,
+        request: CallerRequest,
+        body_length: int,
+        endpoint: Endpoint,
+        order: ForwardOrder,
+    ) -> RequestHead:
+        """Return the head that the endpoint gets."""
+        headers = [
+            (name, value)
+            for name, value in end_to_end(request.head.headers, KEPT_IN_ANY_CASE)
+            if name not in OF_THE_SYSTEM
+            and not (order.last_event_id is not None and name == LAST_EVENT_ID)
+        ]
+        if body_length or request.head.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", _encode(body_length)))
+        milliseconds = max(1, int(order.time_left * 1_000))
+        headers.append((TIME_LEFT, _encode(milliseconds)))
+        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.identity)))
+        if order.account is not None:
+            headers.append((ACCOUNT, _encode(order.account.name)))
+        if order.priority is not None:
+            headers.append((PRIORITY, _encode(order.priority)))
+        if order.continue_from is not None:
+            copy = order.continue_from
+            headers.append((CONTINUE_FROM, _encode(f"{copy.holder}/{copy.name}")))
+        if order.last_event_id is not None:
+            headers.append((LAST_EVENT_ID, _encode(order.last_event_id)))
+        if order.back_up_at is not None:
+            headers.append((BACK_UP_AT, _encode(order.back_up_at)))
+        return RequestHead(request.head.method, request.head.target, tuple(headers))
+
+    def is_own_answer(self, request: CallerRequest, head: ResponseHead) -> bool:
+        """Tell whether the answer names this request."""
+        value = head.header(REQUEST_ID)
+        return value is not None and value.decode("latin-1") == request.identity
+
+    def read_answer(self, head: ResponseHead) -> EndpointAnswer:
+        """Decode the head of an endpoint's answer."""
+        is_sealed = head.header(SIGNATURE) is not None
+        is_success = 200 <= head.status < 300
+        is_plain = head.header(b"content-encoding") is None
+        return EndpointAnswer(
+            status=head.status,
+            was_not_run=head.header(NOT_RUN) is not None or head.status == MISDIRECTED,
+            is_wrong_instance=head.status == MISDIRECTED,
+            is_sound=is_plain and (is_sealed or not is_success),
+        )
+
+    def answer_headers(self, head: ResponseHead) -> Headers:
+        """Return the endpoint's headers that the caller gets."""
+        kept = end_to_end(head.headers, frozenset())
+        return tuple(item for item in kept if item[0] != b"content-length")
+
+    def own_headers(
+        self, request: CallerRequest | None, retry_after: float | None
+    ) -> Headers:
+        """Return the headers of an answer that the gateway gives itself."""
+        headers = [(b"content-type", b"application/json")]
+        if request is not None and request.identity:
+            headers.append((REQUEST_ID, request.identity.encode("latin-1")))
+        if retry_after is not None:
+            headers.append((RETRY_AFTER, _encode(f"{retry_after:.3f}")))
+        return tuple(headers)
+
+
+def _encode(value: object) -> bytes:
+    return str(value).encode("latin-1")
+
+
+def _time_left(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    text = value.decode("latin-1").strip()
+    if not text.isdigit() or int(text) > MOST_MILLISECONDS:
+        raise BadRequestError(
+            HTTPStatus.BAD_REQUEST, "invalid_deadline", "the deadline is no number"
+        )
+    return int(text) / 1_000
+
+
+def _key(value: bytes | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.decode("latin-1").strip().partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else None
+
+
+def _size(head: RequestHead) -> GenerationSize | None:
+    counts = head.header(TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        prompt, most = (int(word) for word in counts.split(b","))
+        guess = head.header(OUTPUT_GUESS)
+        hinted = None if guess is None else int(float(guess))
+        parts = tuple(_parts(head.header(PROMPT_PARTS) or b""))
+    except ValueError as error:
+        raise BadRequestError(
+            HTTPStatus.BAD_REQUEST, "invalid_token_counts", "token counts are faulty"
+        ) from error
+    return GenerationSize(prompt, most, hinted, parts)
+
+
+def _parts(value: bytes):
+    for word in filter(None, value.decode("latin-1").split(",")):
+        name, _, tokens = word.strip().partition(":")
+        yield name, int(tokens)
--- /dev/null
+++ b/src/piershore/platform/routing_codec.py
@@ -0,0 +1,116 @@
+"""The operator's configuration object, decoded into the product's types."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from piershore.core.routes.client_limits import ClientLimits
+from piershore.core.routes.route import RequestKind, Route, ServiceShare
+from piershore.core.routes.service_spec import EngineSpec, ServiceSpec
+from piershore.core.routes.serving_configuration import (
+    AccountRef,
+    group_routes,
+    ServingConfiguration,
+)
+from piershore.platform.exceptions import InvalidObjectError
+
+KINDS = {
+    "safe": RequestKind.REPEATABLE,
+    "unsafe": RequestKind.ONCE,
+    "streaming": RequestKind.STREAM,
+}
+BITS_OF_MEGABIT = 1_000_000
+BITS_OF_BYTE = 8
+DEFAULT_PRIORITY = 5
+DEFAULT_HANDLE_SECONDS = 5.0
+
+
+def decode_configuration(spec: Mapping) -> ServingConfiguration:
+    """Decode one version; raise `InvalidObjectError` if a field can't be read."""
+    try:
+        return ServingConfiguration(
+            version=int(spec["version"]),
+            routes_by_host=group_routes(map(_route, spec["routes"])),
+            services={s["name"]: _service(s) for s in spec["services"]},
+            accounts_by_key=dict(_accounts(spec.get("tenants") or ())),
+            limits=_limits(spec.get("limits") or {}),
+            requires_keys=bool(spec.get("tenants")),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise InvalidObjectError(f"the configuration can't be read: {error!r}") from (
+            error
+        )
+
+
+def _route(item: Mapping) -> Route:
+    pause = item.get("gap_aim_ms")
+    return Route(
+        name=item["name"],
+        host=item["host"].lower(),
+        path_start=item["path_prefix"],
+        kind=KINDS.get(item.get("kind"), RequestKind.ONCE),
+        shares=tuple(_shares(item)),
+        timeout=float(item["timeout_ms"]) / 1_000,
+        target_latency=float(item.get("target_latency_ms") or 1_000) / 1_000,
+        priority=int(item.get("priority", DEFAULT_PRIORITY)),
+        max_attempts=max(1, int(item.get("max_attempts") or 1)),
+        is_public=bool(item.get("public")),
+        is_resumable=bool(item.get("stream_resume")),
+        max_pause=None if pause is None else float(pause) / 1_000,
+    )
+
+
+def _shares(item: Mapping) -> Iterator[ServiceShare]:
+    weighted = item.get("weighted_services")
+    if not weighted:
+        yield ServiceShare(item["service"], 1.0)
+        return
+    for share in weighted:
+        yield ServiceShare(share["service"], float(share["weight"]))
+
+
+def _service(item: Mapping) -> ServiceSpec:
+    engine = item.get("engine")
+    return ServiceSpec(
+        name=item["name"],
+        max_connections=int(item.get("max_connections") or 0),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: Mapping) -> EngineSpec:
+    bits = float(item.get("link_mbps") or 1_000.0) * BITS_OF_MEGABIT
+    return EngineSpec(
+        slots=int(item["slots"]),
+        memory_tokens=int(item["kv_capacity_tokens"]),
+        token_bytes=float(item.get("kv_token_bytes") or 0),
+        link_bytes_per_second=bits / BITS_OF_BYTE,
+        can_move=bool(item.get("moves")),
+        can_back_up=bool(item.get("backups")),
+        # A copy at another engine is kept for at least this long.
+        copy_lifetime=float(item.get("handle_ttl_s") or DEFAULT_HANDLE_SECONDS),
+    )
+
+
+def _accounts(tenants) -> Iterator[tuple[str, AccountRef]]:
+    for tenant in tenants:
+        priority = tenant.get("priority")
+        account = AccountRef(
+            tenant["name"], None if priority is None else int(priority)
+        )
+        for key in tenant.get("api_keys") or ():
+            yield key, account
+
+
+def _limits(item: Mapping) -> ClientLimits:
+    default = ClientLimits()
+    return ClientLimits(
+        header_bytes=int(item.get("max_header_bytes") or default.header_bytes),
+        body_bytes=int(item.get("max_body_bytes") or default.body_bytes),
+        header_timeout=_seconds(item.get("header_timeout_ms"), default.header_timeout),
+        idle_timeout=_seconds(item.get("idle_timeout_ms"), default.idle_timeout),
+    )
+
+
+def _seconds(milliseconds: float | None, default: float) -> float:
+    return float(milliseconds) / 1_000 if milliseconds else default
--- /dev/null
+++ b/src/piershore/telemetry/event_log.py
@@ -0,0 +1,134 @@
+"""The gateway's log: one JSON object a line on standard output.
+
+Writing never waits: lines go to a bounded buffer, and what the reader of the output
+doesn't take in time is left out and counted.
+"""
+
+from __future__ import annotations
+
+import logging as standard_logging
+import os
+import re
+from collections import deque
+from dataclasses import fields
+from datetime import datetime, UTC
+
+import orjson
+import trio
+from absl import logging
+
+from piershore.telemetry.events import EventsOmitted, LogEvent
+
+LINES_A_SECOND = 300
+"""Lines of successful requests; a gateway at its usual load writes some 30."""
+MOST_BUFFERED_BYTES = 1_000_000
+"""Buffer for a reader that is slow, some seconds at the budget."""
+FLUSH_SECONDS = 0.25
+"""Lines are written in batches: each write costs a system call."""
+OUTPUT = 1
+
+_WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
+
+
+class _BufferHandler(standard_logging.Handler):
+    """Puts formatted records into a bounded buffer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: deque[bytes] = deque()
+        self.size = 0
+        self.omitted = 0
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        line = record.getMessage().encode() + b"\n"
+        if self.size + len(line) > MOST_BUFFERED_BYTES:
+            self.omitted += 1
+            return
+        self.lines.append(line)
+        self.size += len(line)
+
+
+class EventLog:
+    """Writes typed events; those of failures go before the budget."""
+
+    def __init__(self, box: str, output: int = OUTPUT) -> None:
+        self._box = box
+        self._output = output
+        self._handler = _BufferHandler()
+        self._budget = float(LINES_A_SECOND)
+        self._budget_at = 0.0
+        self._names: dict[type[LogEvent], tuple[str, tuple[str, ...]]] = {}
+
+    @property
+    def omitted(self) -> int:
+        """Lines left out since the last line that said so."""
+        return self._handler.omitted
+
+    def start(self) -> None:
+        """Take over the process's log."""
+        os.set_blocking(self._output, False)
+        logger = logging.get_absl_logger()
+        logger.handlers = [self._handler]
+        logger.propagate = False
+        logging.set_verbosity(logging.INFO)
+
+    def write(self, event: LogEvent, *, is_failure: bool = False) -> None:
+        """Write one event; one that isn't a failure may be left out."""
+        if not is_failure and not self._take_from_budget():
+            self._handler.omitted += 1
+            return
+        name, names = self._describe(type(event))
+        record = {"time": datetime.now(UTC).isoformat(), "box": self._box}
+        record["event"] = name
+        for field_name in names:
+            value = getattr(event, field_name)
+            record[field_name] = round(value, 4) if type(value) is float else value
+        logging.info("%s", orjson.dumps(record).decode())
+
+    async def run(self) -> None:
+        """Write the buffer out from time to time."""
+        while True:
+            await trio.sleep(FLUSH_SECONDS)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes without waiting."""
+        handler = self._handler
+        if handler.omitted and not handler.size:
+            count, handler.omitted = handler.omitted, 0
+            self.write(EventsOmitted(count), is_failure=True)
+        while handler.lines:
+            batch = b"".join(handler.lines)
+            try:
+                written = os.write(self._output, batch)
+            except (BlockingIOError, BrokenPipeError):
+                return
+            self._drop_written(written)
+            if written < len(batch):
+                return
+
+    def _drop_written(self, written: int) -> None:
+        handler = self._handler
+        handler.size -= written
+        while written:
+            line = handler.lines.popleft()
+            if len(line) > written:
+                handler.lines.appendleft(line[written:])
+                return
+            written -= len(line)
+
+    def _take_from_budget(self) -> bool:
+        now = trio.current_time()
+        earned = (now - self._budget_at) * LINES_A_SECOND
+        self._budget = min(float(LINES_A_SECOND), self._budget + earned)
+        self._budget_at = now
+        if self._budget < 1:
+            return False
+        self._budget -= 1
+        return True
+
+    def _describe(self, kind: type[LogEvent]) -> tuple[str, tuple[str, ...]]:
+        if kind not in self._names:
+            name = _WORD_START.sub("_", kind.__name__).lower()
+            self._names[kind] = (name, tuple(field.name for field in fields(kind)))
+        return self._names[kind]
--- /dev/null
+++ b/src/piershore/telemetry/events.py
@@ -0,0 +1,205 @@
+"""Typed events of the gateway's log; a field has the same name in all of them.
+
+Times are seconds, `request` is the caller's id, `endpoint` an endpoint's identity.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class LogEvent:
+    """Base of all events; the class's name is the event's name."""
+
+
+@dataclass(frozen=True)
+class ProcessStarted(LogEvent):
+    """The process runs and listens."""
+
+    incarnation: str
+    data_hall: str
+
+
+@dataclass(frozen=True)
+class ProcessStopping(LogEvent):
+    """The process was told to stop."""
+
+    in_flight: int
+
+
+@dataclass(frozen=True)
+class ProcessStopped(LogEvent):
+    """The process ends; `cut_off` requests were still under way."""
+
+    cut_off: int
+
+
+@dataclass(frozen=True)
+class SettingsChanged(LogEvent):
+    """The platform said that the settings file changed."""
+
+    applied: bool
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConfigurationInForce(LogEvent):
+    """A newer configuration is in force; `source` is the store or a peer."""
+
+    version: int
+    routes: int
+    source: str
+
+
+@dataclass(frozen=True)
+class DependencyLost(LogEvent):
+    """A part of the platform or a peer no longer answers."""
+
+    dependency: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class DependencyRegained(LogEvent):
+    """It answers again."""
+
+    dependency: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class EndpointLeft(LogEvent):
+    """An endpoint gets no new work; `streams` of this gateway are there."""
+
+    endpoint: str
+    service: str
+    is_gone: bool
+    streams: int
+    revision: int
+
+
+@dataclass(frozen=True)
+class EndpointEjected(LogEvent):
+    """An endpoint failed several times in a row and is left out for a while."""
+
+    endpoint: str
+    failure_rate: float
+
+
+@dataclass(frozen=True)
+class AttemptStarted(LogEvent):
+    """An endpoint was chosen; costs compare it with what else there was."""
+
+    request: str
+    endpoint: str
+    route: str
+    attempt: int
+    cost: float
+    known_requests: int
+    known_tokens: int
+    config_version: int
+
+
+@dataclass(frozen=True)
+class AttemptEnded(LogEvent):
+    """An attempt did not lead to an answer for the caller."""
+
+    request: str
+    endpoint: str
+    outcome: str
+    reason: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class RequestRefused(LogEvent):
+    """The gateway answered by itself."""
+
+    request: str
+    status: int
+    code: str
+    retry_after: float | None
+    config_version: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class RequestAnswered(LogEvent):
+    """The caller got an endpoint's whole answer."""
+
+    request: str
+    endpoint: str
+    status: int
+    attempts: int
+    seconds: float
+    first_seconds: float
+    longest_pause: float = 0.0
+    moves: int = 0
+
+
+@dataclass(frozen=True)
+class CallerGone(LogEvent):
+    """The caller closed before its answer was whole."""
+
+    request: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class InternalError(LogEvent):
+    """A fault of the program, with the place where it was raised."""
+
+    task: str
+    error: str
+    place: str
+
+
+@dataclass(frozen=True)
+class StreamBrokenOff(LogEvent):
+    """A stream can't go on; the caller sees that it isn't whole."""
+
+    request: str
+    endpoint: str
+    reason: str
+    last_event: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class MoveStarted(LogEvent):
+    """A generation's memory is being copied to another endpoint."""
+
+    request: str
+    endpoint: str
+    target: str
+    held_tokens: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class MoveEnded(LogEvent):
+    """A move ended; without success the generation stays where it was."""
+
+    request: str
+    endpoint: str
+    target: str
+    result: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class StreamContinued(LogEvent):
+    """A stream goes on at another endpoint after its last event."""
+
+    request: str
+    endpoint: str
+    last_event: int
+    pause: float
+
+
+@dataclass(frozen=True)
+class EventsOmitted(LogEvent):
+    """Lines left out, since the budget or the reader's pace didn't allow more."""
+
+    count: int
--- /dev/null
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -0,0 +1,73 @@
+"""Counters, histograms and gauges of the gateway."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+SECONDS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 24, 40)
+PAUSES = (0.02, 0.04, 0.06, 0.09, 0.12, 0.18, 0.25, 0.5, 1, 2, 5)
+
+REGISTRY = CollectorRegistry()
+
+REFUSALS = Counter(
+    "piershore_ingress_refusals_total",
+    "Answers that the gateway gave by itself.",
+    ["code", "status"],
+    registry=REGISTRY,
+)
+ATTEMPTS = Counter(
+    "piershore_ingress_failed_attempts_total",
+    "Attempts at endpoints without an answer to pass on, by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+RETRIES = Counter(
+    "piershore_ingress_retries_total",
+    "Requests sent again, by the outcome of the attempt before.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+MOVES = Counter(
+    "piershore_ingress_moves_total",
+    "Generations moved to another endpoint, by result.",
+    ["result"],
+    registry=REGISTRY,
+)
+BROKEN_STREAMS = Counter(
+    "piershore_ingress_broken_streams_total",
+    "Streams ended before they were whole, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+WHOLE_SECONDS = Histogram(
+    "piershore_ingress_whole_seconds",
+    "From arrival to the whole answer.",
+    ["kind"],
+    buckets=SECONDS,
+    registry=REGISTRY,
+)
+FIRST_SECONDS = Histogram(
+    "piershore_ingress_first_seconds",
+    "From arrival to the first event of a stream.",
+    buckets=SECONDS,
+    registry=REGISTRY,
+)
+PAUSE_SECONDS = Histogram(
+    "piershore_ingress_longest_pause_seconds",
+    "Longest pause between the events of a stream.",
+    buckets=PAUSES,
+    registry=REGISTRY,
+)
+CONFIG_VERSION = Gauge(
+    "piershore_ingress_config_version", "Version in force.", registry=REGISTRY
+)
+ENDPOINTS = Gauge(
+    "piershore_ingress_endpoints",
+    "Endpoints known, by stage.",
+    ["stage"],
+    registry=REGISTRY,
+)
+PEERS = Gauge("piershore_ingress_peers", "Peers heard of late.", registry=REGISTRY)
+IN_FLIGHT = Gauge(
+    "piershore_ingress_in_flight", "Requests under way.", registry=REGISTRY
+)
