Move the streams of a leaving endpoint by one plan of all gateways

Ruled out: late notices (all watches hear within 3 ms). Change: gateways tell each other of their streams at the leaving endpoint and make the same plan; streams stop only when all first copies are done.

--- a/src/piershore/core/fleet/generation_work.py
+++ b/src/piershore/core/fleet/generation_work.py
@@ -19,19 +19,13 @@
     hinted_tokens: int | None = None
     prompt_parts: tuple[tuple[str, int], ...] = ()
 
-    @property
-    def expected_output(self) -> int:
-        """The output to reckon with; half of the most when nothing was guessed."""
-        if self.hinted_tokens is None:
-            return self.max_output_tokens // 2
-        return min(self.hinted_tokens, self.max_output_tokens)
-
 
 @dataclass
 class GenerationWork:
-    """Progress of one generation at its present endpoint."""
+    """Progress of one generation; `expected_output` is learned, in tokens."""
 
     size: GenerationSize
+    expected_output: int
     made_tokens: int = 0
     has_begun: bool = False
 
@@ -43,10 +37,14 @@
     @property
     def remaining_tokens(self) -> int:
         """Output still to come, as far as can be told."""
-        size = self.size
-        if self.made_tokens < size.expected_output:
-            return size.expected_output - self.made_tokens
-        return max(0, size.max_output_tokens - self.made_tokens) // 2
+        if self.made_tokens < self.expected_output:
+            return self.expected_output - self.made_tokens
+        return self.most_remaining_tokens // 2
+
+    @property
+    def most_remaining_tokens(self) -> int:
+        """Output that can still come at the most."""
+        return max(0, self.size.max_output_tokens - self.made_tokens)
 
     def load(self) -> EndpointLoad:
         """Return its part of an endpoint's load."""
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -8,6 +8,7 @@
 import orjson
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.errors import PiershoreError
 
 
@@ -22,7 +23,8 @@
     """A gateway's beliefs and work; a new life has another `incarnation`.
 
     `fingerprint` stands for the list of endpoints that it knows, `members` are
-    hosts of gateways that it heard of lately.
+    hosts of gateways that it heard of lately, `leaving` are its generations at
+    endpoints that leave.
     """
 
     host: str
@@ -35,6 +37,7 @@
     is_leaving: bool
     members: tuple[str, ...]
     loads: Mapping[str, EndpointLoad]
+    leaving: Mapping[str, tuple[StreamNote, ...]]
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -58,6 +61,13 @@
                     ]
                     for identity, load in self.loads.items()
                 },
+                {
+                    identity: [
+                        [note.request, note.held_tokens, note.has_begun, note.is_copied]
+                        for note in notes
+                    ]
+                    for identity, notes in self.leaving.items()
+                },
             ]
         )
 
@@ -65,7 +75,7 @@
     def decode(cls, data: bytes) -> PeerReport:
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
         try:
-            *plain, members, loads = orjson.loads(data)
+            *plain, members, loads, leaving = orjson.loads(data)
             host, incarnation, *numbers = plain
             version, revision, fingerprint = (int(n) for n in numbers[1:4])
             return cls(
@@ -79,6 +89,12 @@
                 bool(numbers[5]),
                 tuple(str(member) for member in members),
                 {k: EndpointLoad(*(int(n) for n in v)) for k, v in loads.items()},
+                {k: tuple(map(_note, notes)) for k, notes in leaving.items()},
             )
         except (ValueError, TypeError, AttributeError, IndexError) as error:
             raise InvalidReportError(f"not a report: {error!r}") from error
+
+
+def _note(fields: list) -> StreamNote:
+    request, held_tokens, has_begun, is_copied = fields
+    return StreamNote(str(request), int(held_tokens), bool(has_begun), bool(is_copied))
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -11,7 +11,7 @@
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import FleetLoad
-from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.routes.service_spec import EngineSpec
 
 REMOTE_HALL_COST = 0.02
@@ -62,7 +62,7 @@
     def for_generation(
         self,
         service: str,
-        size: GenerationSize,
+        work: GenerationWork,
         engine: EngineSpec,
         now: float,
         excluded: Collection[str] = (),
@@ -70,7 +70,7 @@
         """Return the endpoint for a generation, or None if there is none."""
 
         def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
-            return generation_cost(load, size, engine)
+            return generation_cost(load, work, engine)
 
         return self._cheapest(service, now, excluded, cost)
 
@@ -104,10 +104,10 @@
 
 
 def generation_cost(
-    load: EndpointLoad, size: GenerationSize, engine: EngineSpec
+    load: EndpointLoad, work: GenerationWork, engine: EngineSpec
 ) -> float:
     """Return how full an engine would be, by memory, batch and unread prompts."""
-    wanted = size.prompt_tokens + size.expected_output
+    wanted = work.held_tokens + work.remaining_tokens
     memory = (load.projected_tokens + wanted) / engine.memory_tokens
     batch = (load.requests + 1) / engine.slots
     unread = load.unread_tokens / UNREAD_COST_TOKENS
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -93,14 +93,14 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         self._log.start()
-        link = PeerLink(self._state, self._settings, self._reads_store)
+        link = PeerLink(self._state, self._settings, self._live, self._reads_store)
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
         )
         await link.start()
         try:
             async with trio.open_nursery() as nursery:
-                self._moves.start(nursery)
+                self._moves.start(nursery, link)
                 await self._start(nursery, link, documents)
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
--- a/src/piershore/ingress/endpoint_attempt.py
+++ b/src/piershore/ingress/endpoint_attempt.py
@@ -65,6 +65,8 @@
         self.answer = self._state.dialect.read_answer(self.head)
         if self.answer.was_not_run:
             self.may_have_run = False
+            if self.answer.is_wrong_instance:
+                self._state.directory.mark_leaving(self.endpoint.identity)
             raise AttemptFailedError(
                 AttemptOutcome.REJECTED, f"not run, status {self.answer.status}"
             )
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -11,6 +11,7 @@
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.fleet_load import FleetLoad
+from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
@@ -34,6 +35,7 @@
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
+    lengths: OutputLengths = field(default_factory=OutputLengths)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     is_leaving: bool = False
     gateways: int = 1
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -7,6 +7,7 @@
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.streams.delivered_events import DeliveredEvents
 from piershore.ingress.exchange import Exchange
@@ -37,11 +38,21 @@
     work: GenerationWork
     delivered: DeliveredEvents = field(default_factory=DeliveredEvents)
     handover: Handover | None = None
+    is_copied: bool = False
     moves: int = 0
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     first_seconds: float = 0.0
 
+    def note(self) -> StreamNote:
+        """Return what peers are told when the endpoint leaves."""
+        return StreamNote(
+            self.exchange.identity,
+            self.work.held_tokens,
+            self.work.has_begun,
+            self.is_copied,
+        )
+
     def note_events(self, count: int, now: float, tokens_an_event: int) -> None:
         """Count events that were passed on."""
         if not self.work.has_begun:
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -1,36 +1,46 @@
 """Moves generations away from endpoints that leave.
 
 All copies from one endpoint share its link, one after the other. So the memory of
-all streams is copied first while they go on; only then are they stopped one by one,
-and the little that is new is copied with no other copy before it.
+all streams is copied first while they go on; only when all gateways are done with
+that are the streams stopped, and the little that is new is copied with no large
+copy before it.
 """
 
 from __future__ import annotations
 
 import trio
 
-from piershore.core.fleet.endpoint import Address, Endpoint
+from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.evacuation_plan import plan_evacuation, PlannedMove
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import Handover, LiveStream, LiveStreams
+from piershore.ingress.peer_link import PeerLink
 from piershore.ingress.ports import GenerationMover, MoveResult
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import MoveEnded, MoveStarted
 
+NOTES_SECONDS = 0.02
+"""Time for all gateways to tell each other of their streams: a datagram takes
+about 1 ms, a notice reaches all watches within some ms."""
 MOVE_SECONDS = 2.5
 """Longest wait for one copy; a notice is seldom longer."""
-LATEST_STOP_SECONDS = 1.2
+LATEST_STOP_SECONDS = 1.3
 """Streams are stopped this long after the notice at the latest: the shortest
 notices seen are 1.5 s."""
-QUEUE_MARGIN = 1.15
-"""Part added to the estimated time of all copies on the endpoint's link."""
-RETRY_SECONDS = 0.05
+RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
-FEW_TOKENS = 24
-"""A generation that makes at most this many more tokens ends before it is moved."""
+BARRIER_SECONDS = 0.01
+"""How often it is seen whether all copies are done."""
+ENDS_SOON_TOKENS = 100
+"""A generation that can make at most this many more tokens ends within the
+notice by itself, at some 10 ms a token."""
+COPY_ATTEMPTS = 3
+"""Targets that are tried for one stream; each refusal takes a few ms."""
 IDLE_SECONDS = 1.0
+"""Longest rest of a connection that a move takes over."""
 
 
 class _CopyReservation:
@@ -45,7 +55,7 @@
 
 
 class MoveCoordinator:
-    """Starts the moves of this gateway's streams."""
+    """Moves this gateway's streams by the plan that all gateways make."""
 
     def __init__(
         self, state: GatewayState, live: LiveStreams, mover: GenerationMover
@@ -54,27 +64,29 @@
         self._live = live
         self._mover = mover
         self._nursery: trio.Nursery | None = None
+        self._peers: PeerLink | None = None
 
-    def start(self, nursery: trio.Nursery) -> None:
+    def start(self, nursery: trio.Nursery, peers: PeerLink) -> None:
         """Run moves in a nursery of the process."""
         self._nursery = nursery
+        self._peers = peers
 
-    def evacuate(self, endpoint: Endpoint) -> None:
+    def evacuate(self, source: Endpoint) -> None:
         """Move all streams away from an endpoint that leaves."""
-        streams = [s for s in self._live.at(endpoint.identity) if s.handover is None]
+        streams = [s for s in self._live.at(source.identity) if s.handover is None]
         if streams:
-            self._start(endpoint, streams)
+            self._start(source, streams)
 
     def evacuate_one(self, stream: LiveStream) -> None:
         """Move a stream that began at, or came to, an endpoint that leaves."""
         if stream.handover is None:
             self._start(stream.endpoint, [stream])
 
-    def _start(self, endpoint: Endpoint, streams: list[LiveStream]) -> None:
-        engine = self._engine(endpoint.service)
+    def _start(self, source: Endpoint, streams: list[LiveStream]) -> None:
+        engine = self._engine(source.service)
         if engine is None or not engine.can_move or self._nursery is None:
             return
-        self._nursery.start_soon(self._evacuate, endpoint, streams, engine)
+        self._nursery.start_soon(self._evacuate, source, streams, engine)
 
     def _engine(self, service: str) -> EngineSpec | None:
         configuration = self._state.configuration.value
@@ -85,71 +97,101 @@
         self, source: Endpoint, streams: list[LiveStream], engine: EngineSpec
     ) -> None:
         noticed = trio.current_time()
-        latest = noticed + LATEST_STOP_SECONDS
-        all_tokens = self._state.fleet_load.at(source.identity).held_tokens
-        copies = engine.copy_seconds(all_tokens, within_hall=False)
-        ready = min(noticed + copies * QUEUE_MARGIN, latest)
-        pre_copied: list[LiveStream] = []
-        with trio.move_on_at(latest):
-            async with trio.open_nursery() as nursery:
-                for stream in sorted(streams, key=_by_size):
-                    nursery.start_soon(
-                        self._pre_copy, stream, source, engine, pre_copied
-                    )
-            await trio.sleep_until(ready)
+        await self._peers.send_now()
+        await trio.sleep(NOTES_SECONDS)
+        plan = {move.request: move for move in self._plan(source, engine)}
         async with trio.open_nursery() as nursery:
             for stream in streams:
-                if stream.handover is not None:
-                    nursery.start_soon(self._stop_and_move, stream, noticed)
+                planned = plan.get(stream.exchange.identity)
+                nursery.start_soon(self._move, stream, source, engine, planned, noticed)
 
-    async def _pre_copy(
+    def _plan(self, source: Endpoint, engine: EngineSpec) -> tuple[PlannedMove, ...]:
+        own = [stream.note() for stream in self._live.at(source.identity)]
+        notes = {note.request: note for note in own}
+        notes.update((n.request, n) for n in self._peers.notes_at(source.identity))
+        targets = tuple(self._state.directory.of_service(source.service))
+        loads = {t.identity: self._state.fleet_load.at(t.identity) for t in targets}
+        return plan_evacuation(source, notes.values(), targets, loads, engine)
+
+    async def _move(
         self,
         stream: LiveStream,
         source: Endpoint,
         engine: EngineSpec,
-        pre_copied: list[LiveStream],
+        planned: PlannedMove | None,
+        noticed: float,
     ) -> None:
-        """Copy what there is while the run goes on."""
-        while self._live.is_live(stream) and stream.endpoint is source:
-            if stream.work.has_begun:
-                if stream.work.remaining_tokens <= FEW_TOKENS:
-                    return
-                if await self._copy_once(stream, source, engine):
-                    pre_copied.append(stream)
+        """Copy the stream's memory, wait for all copies, then move it."""
+        if planned is not None:
+            await trio.sleep_until(noticed + planned.start)
+        if not await self._wait_for_begin(stream, source):
+            return
+        target = planned.target if planned else self._choose(stream, source, engine, ())
+        tried: list[str] = []
+        while target is not None and self._is_at(stream, source):
+            tried.append(target.identity)
+            stream.handover = Handover(source, target)
+            self._log_start(stream, source, target)
+            reservation = _CopyReservation(stream)
+            self._state.fleet_load.add(target.identity, reservation)
+            try:
+                if await self._call(stream, is_last=False) is not None:
+                    await self._finish(stream, source, noticed)
                     return
-            await trio.sleep(RETRY_SECONDS)
+            finally:
+                self._state.fleet_load.remove(target.identity, reservation)
+            stream.handover = None
+            if len(tried) >= COPY_ATTEMPTS:
+                return
+            target = self._choose(stream, source, engine, tried)
 
-    async def _copy_once(
-        self, stream: LiveStream, source: Endpoint, engine: EngineSpec
-    ) -> bool:
-        if stream.handover is None:
-            candidate = self._state.placement.for_generation(
-                source.service,
-                stream.work.size,
-                engine,
-                trio.current_time(),
-                (source.identity,),
-            )
-            if candidate is None:
+    async def _wait_for_begin(self, stream: LiveStream, source: Endpoint) -> bool:
+        """Wait for the first event; False if the stream needn't move."""
+        while self._is_at(stream, source):
+            if stream.work.most_remaining_tokens <= ENDS_SOON_TOKENS:
                 return False
-            stream.handover = Handover(source, candidate.endpoint)
-            self._log_start(stream, candidate.endpoint)
-        handover = stream.handover
-        reservation = _CopyReservation(stream)
-        target = handover.target.identity
-        self._state.fleet_load.add(target, reservation)
-        try:
-            return await self._call(stream, handover, is_last=False) is not None
-        finally:
-            self._state.fleet_load.remove(target, reservation)
+            if stream.work.has_begun:
+                return True
+            await trio.sleep(RETRY_SECONDS)
+        return False
+
+    def _is_at(self, stream: LiveStream, source: Endpoint) -> bool:
+        is_there = stream.endpoint.identity == source.identity
+        return is_there and self._live.is_live(stream)
+
+    def _choose(
+        self, stream: LiveStream, source: Endpoint, engine: EngineSpec, tried
+    ) -> Endpoint | None:
+        candidate = self._state.placement.for_generation(
+            source.service,
+            stream.work,
+            engine,
+            trio.current_time(),
+            (source.identity, *tried),
+        )
+        return candidate.endpoint if candidate else None
+
+    async def _finish(
+        self, stream: LiveStream, source: Endpoint, noticed: float
+    ) -> None:
+        stream.is_copied = True
+        await self._peers.send_now()
+        with trio.move_on_at(noticed + LATEST_STOP_SECONDS):
+            while self._has_uncopied(source):
+                await trio.sleep(BARRIER_SECONDS)
+        if self._is_at(stream, source):
+            await self._stop_and_move(stream, noticed)
+
+    def _has_uncopied(self, source: Endpoint) -> bool:
+        own = (stream.note() for stream in self._live.at(source.identity))
+        notes = [*own, *self._peers.notes_at(source.identity)]
+        return any(n.has_begun and not n.is_copied and n.held_tokens for n in notes)
 
     async def _stop_and_move(self, stream: LiveStream, noticed: float) -> None:
         """Stop the run, copy the rest, and let the stream go on at the target."""
         handover = stream.handover
-        if not self._live.is_live(stream) or handover is None:
-            return
         handover.run_stopped = True
-        result = await self._call(stream, handover, is_last=True)
+        result = await self._call(stream, is_last=True)
         if result is None:
             handover.run_stopped = False
             if stream.handover is handover:
@@ -159,31 +201,21 @@
         handover.is_settled.set()
         ended = "moved" if result else "refused"
         ingress_metrics.MOVES.labels(ended).inc()
-        self._state.log.write(
-            MoveEnded(
-                stream.exchange.identity,
-                handover.source.identity,
-                handover.target.identity,
-                ended,
-                trio.current_time() - noticed,
-            ),
-            is_failure=result is None,
-        )
+        self._log_end(stream, handover, ended, trio.current_time() - noticed)
 
-    async def _call(
-        self, stream: LiveStream, handover: Handover, *, is_last: bool
-    ) -> MoveResult | None:
-        address = handover.source.address
+    async def _call(self, stream: LiveStream, *, is_last: bool) -> MoveResult | None:
+        handover = stream.handover
         with trio.move_on_after(MOVE_SECONDS):
             try:
-                return await self._exchange(stream, address, handover, is_last)
+                return await self._exchange(stream, handover, is_last)
             except (ExchangeBrokenError, NotConnectedError) as error:
-                self._log_failed_call(stream, handover, error.message)
+                self._log_end(stream, handover, error.message, 0.0)
         return None
 
     async def _exchange(
-        self, stream: LiveStream, address: Address, handover: Handover, is_last: bool
+        self, stream: LiveStream, handover: Handover, is_last: bool
     ) -> MoveResult | None:
+        address = handover.source.address
         connection = await self._state.pool.take(address, IDLE_SECONDS)
         is_done = False
         try:
@@ -200,31 +232,29 @@
             with trio.CancelScope(shield=True):
                 await self._state.pool.give_back(address, connection, reusable=is_done)
 
-    def _log_start(self, stream: LiveStream, target: Endpoint) -> None:
+    def _log_start(
+        self, stream: LiveStream, source: Endpoint, target: Endpoint
+    ) -> None:
         self._state.log.write(
             MoveStarted(
                 stream.exchange.identity,
-                stream.endpoint.identity,
+                source.identity,
                 target.identity,
                 stream.work.held_tokens,
                 "endpoint_leaves",
             )
         )
 
-    def _log_failed_call(
-        self, stream: LiveStream, handover: Handover, reason: str
+    def _log_end(
+        self, stream: LiveStream, handover: Handover, result: str, seconds: float
     ) -> None:
         self._state.log.write(
             MoveEnded(
                 stream.exchange.identity,
                 handover.source.identity,
                 handover.target.identity,
-                reason,
-                0.0,
+                result,
+                seconds,
             ),
-            is_failure=True,
+            is_failure=result != "moved",
         )
-
-
-def _by_size(stream: LiveStream) -> int:
-    return -stream.work.remaining_tokens
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from uuid import uuid4
 
 import trio
 
+from piershore.core.fleet.endpoint import EndpointStage
+from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.peer_report import InvalidReportError, PeerReport
 from piershore.core.fleet.peer_table import PeerTable
 from piershore.core.hashing import stable_hash
 from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import DependencyLost, DependencyRegained
@@ -31,11 +34,13 @@
         self,
         state: GatewayState,
         settings: BoxSettings,
+        live: LiveStreams,
         reads_store: Callable[[], bool],
     ) -> None:
         self._state = state
         self._host = settings.host
         self._port = settings.peer_ports[0]
+        self._live = live
         self._reads_store = reads_store
         seeds = [seed.host for seed in settings.seeds]
         self.table = PeerTable(settings.host, seeds, trio.current_time())
@@ -43,7 +48,6 @@
         self._number = 0
         self._socket: trio.socket.SocketType | None = None
         self._living: set[str] = set()
-        self.heard = trio.Event()
 
     async def start(self) -> None:
         """Take the port."""
@@ -103,15 +107,26 @@
             is_leaving=state.is_leaving,
             members=self.table.members(now),
             loads=state.fleet_load.own_loads(),
+            leaving=dict(self._leaving_notes()),
         )
 
+    def notes_at(self, identity: str) -> Iterator[StreamNote]:
+        """Yield what living peers tell of their generations at an endpoint."""
+        for peer in self.table.living(trio.current_time()):
+            yield from peer.report.leaving.get(identity, ())
+
+    def _leaving_notes(self) -> Iterator[tuple[str, tuple[StreamNote, ...]]]:
+        directory = self._state.directory
+        for identity in self._state.fleet_load.own_loads():
+            endpoint = directory.get(identity)
+            if endpoint is None or endpoint.stage is EndpointStage.LEAVING:
+                yield identity, tuple(s.note() for s in self._live.at(identity))
+
     def _take(self, report: PeerReport) -> None:
         now = trio.current_time()
         if not self.table.take(report, now):
             return
         self._state.fleet_load.take_report(report.host, report.loads, now)
-        heard, self.heard = self.heard, trio.Event()
-        heard.set()
 
     def _note_living(self, now: float) -> None:
         living = {peer.host for peer in self.table.living(now)}
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -79,7 +79,9 @@
         self._live = live
         self._mover = mover
         self._exchange = exchange
-        self._work = GenerationWork(exchange.request.size or UNKNOWN_SIZE)
+        size = exchange.request.size or UNKNOWN_SIZE
+        expected = state.lengths.expected(exchange.route.name, size)
+        self._work = GenerationWork(size, expected)
         self._outcomes: list[AttemptOutcome] = []
 
     async def run(self) -> None:
@@ -129,7 +131,7 @@
         placement = self._state.placement
         if engine is None:
             return placement.for_call(service, now, tried)
-        return placement.for_generation(service, self._work.size, engine, now, tried)
+        return placement.for_generation(service, self._work, engine, now, tried)
 
     async def _attempt(
         self, candidate: Candidate, number: int
@@ -178,6 +180,9 @@
                 known_requests=candidate.load.requests,
                 known_tokens=candidate.load.projected_tokens,
                 config_version=self._exchange.configuration.version,
+                prompt_tokens=self._work.size.prompt_tokens,
+                hinted_tokens=self._work.size.hinted_tokens,
+                most_tokens=self._work.size.max_output_tokens,
             )
         )
 
@@ -247,6 +252,7 @@
             )
         await connection.finish()
         self._state.health.note_success(stream.endpoint.identity)
+        self._state.lengths.record(self._exchange.route.name, self._work.made_tokens)
         ingress_metrics.FIRST_SECONDS.observe(stream.first_seconds)
         ingress_metrics.PAUSE_SECONDS.observe(stream.longest_pause)
         self._state.log.write(
@@ -267,7 +273,10 @@
     ) -> EndpointAttempt | None:
         """Return where the stream goes on, or break it off."""
         handover = stream.handover
-        if handover is not None and handover.source is stream.endpoint:
+        if (
+            handover is not None
+            and handover.source.identity == stream.endpoint.identity
+        ):
             with trio.move_on_after(HANDOVER_SECONDS):
                 await handover.is_settled.wait()
             if handover.copy is not None:
@@ -282,7 +291,7 @@
         self, stream: LiveStream, handover: Handover
     ) -> EndpointAttempt | None:
         """Continue at the target, or else at the source that stopped."""
-        for endpoint in dict.fromkeys((handover.target, handover.source)):
+        for endpoint in (handover.target, handover.source):
             attempt = await self._resume_at(stream, endpoint, handover)
             if attempt is not None:
                 return attempt
@@ -319,11 +328,12 @@
     def _settle_at(self, stream: LiveStream, endpoint: Endpoint) -> None:
         """Note that the stream runs at another endpoint now."""
         load = self._state.fleet_load
-        if stream.endpoint is not endpoint:
+        if stream.endpoint.identity != endpoint.identity:
             load.remove(stream.endpoint.identity, self._work)
             load.add(endpoint.identity, self._work)
         stream.endpoint = endpoint
         stream.handover = None
+        stream.is_copied = False
         stream.moves += 1
         pause = trio.current_time() - stream.last_event_at
         self._state.log.write(
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -99,6 +99,9 @@
     known_requests: int
     known_tokens: int
     config_version: int
+    prompt_tokens: int = 0
+    hinted_tokens: int | None = None
+    most_tokens: int = 0
 
 
 @dataclass(frozen=True)
