Count a copy as on the link until it is done

Cause: a stream that ended while its memory was copied vanished from the notes, so others stopped and waited 0.4 s behind its copy; streams that got their first event after the notice were not moved, since the old entry of the endpoint was asked. Change: notes last as long as the copy; the directory is asked for the stage.

--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -50,6 +50,11 @@
         """Return an endpoint that is listed, or None."""
         return self._endpoints.get(identity)
 
+    def is_leaving(self, identity: str) -> bool:
+        """Tell whether an endpoint leaves or has gone."""
+        endpoint = self._endpoints.get(identity)
+        return endpoint is None or endpoint.stage is EndpointStage.LEAVING
+
     def of_service(self, service: str) -> Iterator[Endpoint]:
         """Yield the endpoints of a service that take new work."""
         for endpoint in self._endpoints.values():
--- a/src/piershore/core/fleet/evacuation_plan.py
+++ b/src/piershore/core/fleet/evacuation_plan.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
@@ -16,6 +17,12 @@
 
 FULL_SHARE = 0.9
 """Part of a target's memory that plans fill: projections are often too low."""
+COPY_BUDGET_SECONDS = 1.0
+"""Time for the first copies of all streams: the shortest notices seen are 1.5 s, and
+stopping and going on elsewhere takes some 0.1 s."""
+REMOTE_TOKENS = (0, 4_000, 8_000, 16_000, 64_000)
+"""By how many tokens a target in another data hall must be emptier to be taken, from
+an even spread to the shortest copies."""
 ROUNDING_TOKENS = 1_000
 """Loads are compared in such steps, since gateways' views differ a little."""
 
@@ -48,37 +55,58 @@
 ) -> tuple[PlannedMove, ...]:
     """Return the moves in the order of their copies on the source's link.
 
-    The smallest go first, so that the most get away. A target in the source's
-    data hall is taken while it has room: a copy to another takes twice as long.
+    The smallest go first, so that the most get away. Targets are filled evenly as
+    far as the time allows: a copy to another data hall takes twice as long.
     """
-    added = dict.fromkeys((target.identity for target in targets), 0)
-    moves = []
-    start = 0.0
-    for note in sorted(notes, key=lambda n: (n.held_tokens, n.request)):
-        target = _choose(source, note, targets, loads, added, engine)
-        if target is None:
+    ordered = sorted(notes, key=lambda n: (n.held_tokens, n.request))
+    moves: tuple[PlannedMove, ...] = ()
+    for remote_tokens in REMOTE_TOKENS:
+        planner = _Planner(source, targets, loads, engine, remote_tokens)
+        moves = tuple(planner.plan(ordered))
+        if planner.seconds <= COPY_BUDGET_SECONDS:
             break
-        moves.append(PlannedMove(note.request, target, start))
-        added[target.identity] += note.held_tokens
-        within_hall = target.data_hall == source.data_hall
-        start += engine.copy_seconds(note.held_tokens, within_hall=within_hall)
-    return tuple(moves)
-
-
-def _choose(
-    source: Endpoint,
-    note: StreamNote,
-    targets: Sequence[Endpoint],
-    loads: Mapping[str, EndpointLoad],
-    added: Mapping[str, int],
-    engine: EngineSpec,
-) -> Endpoint | None:
-    def rank(target: Endpoint) -> tuple:
-        load = loads.get(target.identity, NO_LOAD)
-        tokens = load.projected_tokens + added[target.identity] + note.held_tokens
-        is_full = tokens > FULL_SHARE * engine.memory_tokens
-        is_remote = target.data_hall != source.data_hall
-        tie = stable_hash(source.identity, target.identity)
-        return is_full, is_remote, tokens // ROUNDING_TOKENS, tie
-
-    return min(targets, key=rank, default=None)
+    return moves
+
+
+class _Planner:
+    """One pass over the streams with a given price of other data halls."""
+
+    def __init__(
+        self,
+        source: Endpoint,
+        targets: Sequence[Endpoint],
+        loads: Mapping[str, EndpointLoad],
+        engine: EngineSpec,
+        remote_tokens: int,
+    ) -> None:
+        self._source = source
+        self._targets = targets
+        self._loads = loads
+        self._engine = engine
+        self._remote_tokens = remote_tokens
+        self._added = dict.fromkeys((target.identity for target in targets), 0)
+        self.seconds = 0.0
+
+    def plan(self, notes: Iterable[StreamNote]) -> Iterator[PlannedMove]:
+        """Yield a move for each stream; `seconds` is their copies' time after it."""
+        for note in notes:
+            target = min(self._targets, key=partial(self._rank, note), default=None)
+            if target is None:
+                return
+            yield PlannedMove(note.request, target, self.seconds)
+            self._added[target.identity] += note.held_tokens
+            self.seconds += self._engine.copy_seconds(
+                note.held_tokens, within_hall=not self._is_remote(target)
+            )
+
+    def _rank(self, note: StreamNote, target: Endpoint) -> tuple:
+        load = self._loads.get(target.identity, NO_LOAD)
+        tokens = load.projected_tokens + self._added[target.identity]
+        is_full = tokens + note.held_tokens > FULL_SHARE * self._engine.memory_tokens
+        if self._is_remote(target):
+            tokens += self._remote_tokens
+        tie = stable_hash(self._source.identity, target.identity)
+        return is_full, tokens // ROUNDING_TOKENS, tie
+
+    def _is_remote(self, target: Endpoint) -> bool:
+        return target.data_hall != self._source.data_hall
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import trio
@@ -69,6 +70,7 @@
 
     def __init__(self) -> None:
         self._streams: dict[int, LiveStream] = {}
+        self._copied_from: dict[int, tuple[str, LiveStream]] = {}
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -85,6 +87,30 @@
         """Tell whether the stream has not ended."""
         return id(stream) in self._streams
 
+    def endpoints(self) -> set[str]:
+        """Return the endpoints that run or copy streams."""
+        running = {s.endpoint.identity for s in self._streams.values()}
+        return running | {source for source, _ in self._copied_from.values()}
+
+    def begin_copy(self, stream: LiveStream, source: str) -> None:
+        """Note that the endpoint `source` copies the stream's memory."""
+        self._copied_from[id(stream)] = (source, stream)
+
+    def end_copy(self, stream: LiveStream) -> None:
+        """Note that the copy is done."""
+        self._copied_from.pop(id(stream), None)
+
+    def notes(self, identity: str) -> Iterator[StreamNote]:
+        """Yield a note for each stream that an endpoint runs or copies.
+
+        A copy keeps the endpoint's link busy even if its stream has ended.
+        """
+        for stream in self.at(identity):
+            yield stream.note()
+        for source, stream in self._copied_from.values():
+            if source == identity and not self.is_live(stream):
+                yield stream.note()
+
     def at(self, identity: str) -> list[LiveStream]:
         """Return the streams that an endpoint runs."""
         return [s for s in self._streams.values() if s.endpoint.identity == identity]
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -106,8 +106,7 @@
                 nursery.start_soon(self._move, stream, source, engine, planned, noticed)
 
     def _plan(self, source: Endpoint, engine: EngineSpec) -> tuple[PlannedMove, ...]:
-        own = [stream.note() for stream in self._live.at(source.identity)]
-        notes = {note.request: note for note in own}
+        notes = {note.request: note for note in self._live.notes(source.identity)}
         notes.update((n.request, n) for n in self._peers.notes_at(source.identity))
         targets = tuple(self._state.directory.of_service(source.service))
         loads = {t.identity: self._state.fleet_load.at(t.identity) for t in targets}
@@ -135,8 +134,12 @@
             reservation = _CopyReservation(stream)
             self._state.fleet_load.add(target.identity, reservation)
             try:
-                if await self._call(stream, is_last=False) is not None:
+                copied = await self._copy(stream, source)
+                if copied is not None and self._is_at(stream, source):
                     await self._finish(stream, source, noticed)
+                elif copied is not None:
+                    await self._release(stream, copied)
+                if copied is not None:
                     return
             finally:
                 self._state.fleet_load.remove(target.identity, reservation)
@@ -145,6 +148,25 @@
                 return
             target = self._choose(stream, source, engine, tried)
 
+    async def _copy(self, stream: LiveStream, source: Endpoint) -> MoveResult | None:
+        """Copy what there is while the stream goes on."""
+        self._live.begin_copy(stream, source.identity)
+        try:
+            return await self._call(stream, is_last=False)
+        finally:
+            self._live.end_copy(stream)
+            await self._peers.send_now()
+
+    async def _release(self, stream: LiveStream, copied: MoveResult) -> None:
+        """Free the copy of a stream that ended meanwhile."""
+        address = copied.copy.holder
+        try:
+            connection = await self._state.pool.take(address, IDLE_SECONDS)
+            await self._mover.release(connection, copied.copy)
+            await self._state.pool.give_back(address, connection, reusable=True)
+        except (ExchangeBrokenError, NotConnectedError) as error:
+            self._log_end(stream, stream.handover, error.message, 0.0)
+
     async def _wait_for_begin(self, stream: LiveStream, source: Endpoint) -> bool:
         """Wait for the first event; False if the stream needn't move."""
         while self._is_at(stream, source):
@@ -183,9 +205,9 @@
             await self._stop_and_move(stream, noticed)
 
     def _has_uncopied(self, source: Endpoint) -> bool:
-        own = (stream.note() for stream in self._live.at(source.identity))
-        notes = [*own, *self._peers.notes_at(source.identity)]
-        return any(n.has_begun and not n.is_copied and n.held_tokens for n in notes)
+        own = self._live.notes(source.identity)
+        others = self._peers.notes_at(source.identity)
+        return any(n.has_begun and not n.is_copied for n in (*own, *others))
 
     async def _stop_and_move(self, stream: LiveStream, noticed: float) -> None:
         """Stop the run, copy the rest, and let the stream go on at the target."""
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from piershore.core.fleet.endpoint import EndpointStage
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.peer_report import InvalidReportError, PeerReport
 from piershore.core.fleet.peer_table import PeerTable
@@ -116,11 +115,9 @@
             yield from peer.report.leaving.get(identity, ())
 
     def _leaving_notes(self) -> Iterator[tuple[str, tuple[StreamNote, ...]]]:
-        directory = self._state.directory
-        for identity in self._state.fleet_load.own_loads():
-            endpoint = directory.get(identity)
-            if endpoint is None or endpoint.stage is EndpointStage.LEAVING:
-                yield identity, tuple(s.note() for s in self._live.at(identity))
+        for identity in self._live.endpoints():
+            if self._state.directory.is_leaving(identity):
+                yield identity, tuple(self._live.notes(identity))
 
     def _take(self, report: PeerReport) -> None:
         now = trio.current_time()
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -7,7 +7,7 @@
 import trio
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome, final_status
-from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.placement import Candidate
 from piershore.core.routes.service_spec import EngineSpec
@@ -90,7 +90,7 @@
         stream = LiveStream(self._exchange, attempt.endpoint, self._work)
         self._live.add(stream)
         try:
-            if attempt.endpoint.stage is EndpointStage.LEAVING:
+            if self._state.directory.is_leaving(attempt.endpoint.identity):
                 self._mover.evacuate_one(stream)
             await self._relay_all(stream, attempt)
         finally:
@@ -344,8 +344,7 @@
                 pause,
             )
         )
-        known = self._state.directory.get(endpoint.identity)
-        if known is None or known.stage is EndpointStage.LEAVING:
+        if self._state.directory.is_leaving(endpoint.identity):
             self._mover.evacuate_one(stream)
 
     def _break_off(self, stream: LiveStream, reason: str) -> None:
