--- a/src/piershore/core/fleet/evacuation_plan.py
+++ b/src/piershore/core/fleet/evacuation_plan.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from functools import partial
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -17,9 +18,9 @@
 
 FULL_SHARE = 0.9
 """Part of a target's memory that plans fill: projections are often too low."""
-COPY_BUDGET_SECONDS = 1.0
+COPY_BUDGET_SECONDS = 1.15
 """Time for the first copies of all streams: the shortest notices seen are 1.5 s, and
-stopping and going on elsewhere takes some 0.1 s."""
+stopping and going on elsewhere takes 0.1 to 0.2 s."""
 REMOTE_TOKENS = (0, 4_000, 8_000, 16_000, 64_000)
 """By how many tokens a target in another data hall must be emptier to be taken, from
 an even spread to the shortest copies."""
@@ -35,15 +36,29 @@
     held_tokens: int
     has_begun: bool
     is_copied: bool = False
+    has_backup: bool = False
+    is_last_out: bool = False
+
+
+class MoveWay(StrEnum):
+    """How a generation gets away."""
+
+    COPY = "copy"
+    BACKUP = "backup"
+    OVERTIME = "overtime"
 
 
 @dataclass(frozen=True)
 class PlannedMove:
-    """A generation's target; `start` is when its copy begins, in seconds."""
+    """A generation's target; `start` is when its copy begins, in seconds.
+
+    What doesn't fit into the time goes on at its backup, or is tried last.
+    """
 
     request: str
     target: Endpoint
     start: float
+    way: MoveWay = MoveWay.COPY
 
 
 def plan_evacuation(
@@ -58,7 +73,7 @@
     The smallest go first, so that the most get away. Targets are filled evenly as
     far as the time allows: a copy to another data hall takes twice as long.
     """
-    ordered = sorted(notes, key=lambda n: (n.held_tokens, n.request))
+    ordered = sorted(notes, key=_copy_order)
     moves: tuple[PlannedMove, ...] = ()
     for remote_tokens in REMOTE_TOKENS:
         planner = _Planner(source, targets, loads, engine, remote_tokens)
@@ -93,11 +108,15 @@
             target = min(self._targets, key=partial(self._rank, note), default=None)
             if target is None:
                 return
-            yield PlannedMove(note.request, target, self.seconds)
-            self._added[target.identity] += note.held_tokens
+            start = self.seconds
             self.seconds += self._engine.copy_seconds(
                 note.held_tokens, within_hall=not self._is_remote(target)
             )
+            way = MoveWay.COPY
+            if self.seconds > COPY_BUDGET_SECONDS:
+                way = MoveWay.BACKUP if note.has_backup else MoveWay.OVERTIME
+            yield PlannedMove(note.request, target, start, way)
+            self._added[target.identity] += note.held_tokens
 
     def _rank(self, note: StreamNote, target: Endpoint) -> tuple:
         load = self._loads.get(target.identity, NO_LOAD)
@@ -110,3 +129,8 @@
 
     def _is_remote(self, target: Endpoint) -> bool:
         return target.data_hall != self._source.data_hall
+
+
+def _copy_order(note: StreamNote) -> tuple:
+    """Return what sorts streams: those first that have no other way out."""
+    return note.has_backup, not note.has_begun, note.held_tokens, note.request
--- a/src/piershore/core/fleet/fleet_load.py
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -25,6 +25,20 @@
         return self._LOAD
 
 
+class BackupWork:
+    """The copy of a generation's memory that a backup holds."""
+
+    def __init__(self, work: Work) -> None:
+        self._work = work
+
+    def load(self) -> EndpointLoad:
+        """Return the memory that the copy takes, now and at the expected end."""
+        load = self._work.load()
+        return EndpointLoad(
+            held_tokens=load.held_tokens, projected_tokens=load.projected_tokens
+        )
+
+
 class FleetLoad:
     """Own work by endpoint and the loads that peers report."""
 
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -12,6 +12,9 @@
 from piershore.errors import PiershoreError
 
 
+NOTE_FLAGS = 4
+
+
 class InvalidReportError(PiershoreError):
     """A datagram is not a report."""
 
@@ -63,7 +66,14 @@
                 },
                 {
                     identity: [
-                        [note.request, note.held_tokens, note.has_begun, note.is_copied]
+                        [
+                            note.request,
+                            note.held_tokens,
+                            note.has_begun,
+                            note.is_copied,
+                            note.has_backup,
+                            note.is_last_out,
+                        ]
                         for note in notes
                     ]
                     for identity, notes in self.leaving.items()
@@ -96,5 +106,7 @@
 
 
 def _note(fields: list) -> StreamNote:
-    request, held_tokens, has_begun, is_copied = fields
-    return StreamNote(str(request), int(held_tokens), bool(has_begun), bool(is_copied))
+    request, held_tokens, *flags = fields
+    if len(flags) != NOTE_FLAGS:
+        raise ValueError("a note has another form")
+    return StreamNote(str(request), int(held_tokens), *map(bool, flags))
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -204,6 +204,7 @@
             ),
             is_failure=True,
         )
+        self._live.drop_backups(endpoint.identity)
         self._moves.evacuate(endpoint)
         if departure.is_gone:
             self._state.health.forget(endpoint.identity)
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -15,6 +15,11 @@
 from piershore.ingress.ports import MemoryCopy
 
 
+BACKUP_SECONDS = 0.8
+"""A backup is complete so long after the first event: the copy of a long prompt
+takes up to 0.4 s, and what is new is sent some times a second."""
+
+
 @dataclass
 class Handover:
     """A move to another endpoint.
@@ -32,19 +37,33 @@
 
 @dataclass
 class LiveStream:
-    """One stream of a caller; `endpoint` runs it now."""
+    """One stream of a caller; `endpoint` runs it now.
+
+    `backup` gets its memory as it grows; cancelling `leg_scope` ends the reading
+    from the present endpoint.
+    """
 
     exchange: Exchange
     endpoint: Endpoint
     work: GenerationWork
     delivered: DeliveredEvents = field(default_factory=DeliveredEvents)
     handover: Handover | None = None
+    backup: Endpoint | None = None
+    leg_scope: trio.CancelScope | None = None
     is_copied: bool = False
+    is_last_out: bool = False
     moves: int = 0
+    leg_began_at: float = float("inf")
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     first_seconds: float = 0.0
 
+    @property
+    def has_backup(self) -> bool:
+        """Whether its memory is at another endpoint by now."""
+        begun_for = trio.current_time() - self.leg_began_at
+        return self.backup is not None and begun_for > BACKUP_SECONDS
+
     def note(self) -> StreamNote:
         """Return what peers are told when the endpoint leaves."""
         return StreamNote(
@@ -52,6 +71,8 @@
             self.work.held_tokens,
             self.work.has_begun,
             self.is_copied,
+            self.has_backup,
+            self.is_last_out,
         )
 
     def note_events(self, count: int, now: float, tokens_an_event: int) -> None:
@@ -61,10 +82,20 @@
             self.first_seconds = self.exchange.age
         else:
             self.longest_pause = max(self.longest_pause, now - self.last_event_at)
+        if self.leg_began_at == float("inf"):
+            self.leg_began_at = now
         self.last_event_at = now
         self.work.made_tokens += count * tokens_an_event
 
 
+def backup_handover(stream: LiveStream) -> Handover:
+    """Return the move of a stream to its backup; its run is not stopped before."""
+    copy = MemoryCopy(stream.backup.address, stream.exchange.identity)
+    handover = Handover(stream.endpoint, stream.backup, copy)
+    handover.is_settled.set()
+    return handover
+
+
 class LiveStreams:
     """All streams of this gateway, by the endpoint that runs them."""
 
@@ -87,6 +118,17 @@
         """Tell whether the stream has not ended."""
         return id(stream) in self._streams
 
+    def drop_backups(self, identity: str) -> list[LiveStream]:
+        """Forget the backups at an endpoint that leaves; return their streams."""
+        streams = [
+            stream
+            for stream in self._streams.values()
+            if stream.backup is not None and stream.backup.identity == identity
+        ]
+        for stream in streams:
+            stream.backup = None
+        return streams
+
     def endpoints(self) -> set[str]:
         """Return the endpoints that run or copy streams."""
         running = {s.endpoint.identity for s in self._streams.values()}
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -12,11 +12,20 @@
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
-from piershore.core.fleet.evacuation_plan import plan_evacuation, PlannedMove
+from piershore.core.fleet.evacuation_plan import (
+    MoveWay,
+    plan_evacuation,
+    PlannedMove,
+)
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import Handover, LiveStream, LiveStreams
+from piershore.ingress.live_stream import (
+    backup_handover,
+    Handover,
+    LiveStream,
+    LiveStreams,
+)
 from piershore.ingress.peer_link import PeerLink
 from piershore.ingress.ports import GenerationMover, MoveResult
 from piershore.telemetry import ingress_metrics
@@ -32,6 +41,8 @@
 notices seen are 1.5 s."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
+STOP_SECONDS = 0.06
+"""Time that the other streams take to stop and copy what is new."""
 BARRIER_SECONDS = 0.01
 """How often it is seen whether all copies are done."""
 ENDS_SOON_TOKENS = 100
@@ -121,8 +132,14 @@
         noticed: float,
     ) -> None:
         """Copy the stream's memory, wait for all copies, then move it."""
-        if planned is not None:
+        way = planned.way if planned else MoveWay.OVERTIME
+        if way is MoveWay.BACKUP and stream.has_backup:
+            self._switch_to_backup(stream, source)
+            return
+        if way is MoveWay.COPY:
             await trio.sleep_until(noticed + planned.start)
+        else:
+            await self._wait_for_others(stream, source, noticed)
         if not await self._wait_for_begin(stream, source):
             return
         target = planned.target if planned else self._choose(stream, source, engine, ())
@@ -148,6 +165,24 @@
                 return
             target = self._choose(stream, source, engine, tried)
 
+    def _switch_to_backup(self, stream: LiveStream, source: Endpoint) -> None:
+        """Let the stream go on where its memory already is."""
+        stream.handover = backup_handover(stream)
+        self._log_start(stream, source, stream.backup)
+        ingress_metrics.MOVES.labels("backup").inc()
+        if stream.leg_scope is not None:
+            stream.leg_scope.cancel()
+
+    async def _wait_for_others(
+        self, stream: LiveStream, source: Endpoint, noticed: float
+    ) -> None:
+        """Wait until the link is free of the copies that were planned."""
+        stream.is_last_out = True
+        with trio.move_on_at(noticed + LATEST_STOP_SECONDS):
+            while self._has_uncopied(source):
+                await trio.sleep(BARRIER_SECONDS)
+        await trio.sleep(STOP_SECONDS)
+
     async def _copy(self, stream: LiveStream, source: Endpoint) -> MoveResult | None:
         """Copy what there is while the stream goes on."""
         self._live.begin_copy(stream, source.identity)
@@ -207,7 +242,8 @@
     def _has_uncopied(self, source: Endpoint) -> bool:
         own = self._live.notes(source.identity)
         others = self._peers.notes_at(source.identity)
-        return any(n.has_begun and not n.is_copied for n in (*own, *others))
+        notes = (*own, *others)
+        return any(n.has_begun and not n.is_copied and not n.is_last_out for n in notes)
 
     async def _stop_and_move(self, stream: LiveStream, noticed: float) -> None:
         """Stop the run, copy the rest, and let the stream go on at the target."""
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -7,7 +7,10 @@
 import trio
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome, final_status
+from piershore.core.fleet.backup_choice import has_room, wants_backup
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.placement import Candidate
 from piershore.core.routes.service_spec import EngineSpec
@@ -19,7 +22,12 @@
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import Handover, LiveStream, LiveStreams
+from piershore.ingress.live_stream import (
+    backup_handover,
+    Handover,
+    LiveStream,
+    LiveStreams,
+)
 from piershore.ingress.move_coordinator import MoveCoordinator
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import (
@@ -66,7 +74,10 @@
 
 
 class _Serving:
-    """One stream from its first attempt to its end."""
+    """One stream from its first attempt to its end.
+
+    The memory that its work and its backup take is counted at their endpoints.
+    """
 
     def __init__(
         self,
@@ -83,11 +94,14 @@
         expected = state.lengths.expected(exchange.route.name, size)
         self._work = GenerationWork(size, expected)
         self._outcomes: list[AttemptOutcome] = []
+        self._backup_work = BackupWork(self._work)
+        self._backup: Endpoint | None = None
 
     async def run(self) -> None:
         """Serve the stream to its end."""
         attempt = await self._begin()
         stream = LiveStream(self._exchange, attempt.endpoint, self._work)
+        stream.backup = self._backup
         self._live.add(stream)
         try:
             if self._state.directory.is_leaving(attempt.endpoint.identity):
@@ -96,6 +110,25 @@
         finally:
             self._live.remove(stream)
             self._state.fleet_load.remove(stream.endpoint.identity, self._work)
+            self._set_backup(None)
+
+    def _set_backup(self, backup: Endpoint | None) -> None:
+        load = self._state.fleet_load
+        if self._backup is not None:
+            load.remove(self._backup.identity, self._backup_work)
+        if backup is not None:
+            load.add(backup.identity, self._backup_work)
+        self._backup = backup
+
+    def _choose_backup(self, endpoint: Endpoint, load: EndpointLoad) -> Endpoint | None:
+        """Return where the memory is copied as it grows, if it should be."""
+        engine = self._engine(endpoint.service)
+        if engine is None or not wants_backup(load, self._work, engine):
+            return None
+        candidate = self._choose(endpoint.service, [endpoint.identity])
+        if candidate is None or not has_room(candidate.load, self._work, engine):
+            return None
+        return candidate.endpoint
 
     async def _begin(self) -> EndpointAttempt:
         """Return an attempt whose answer has begun."""
@@ -145,6 +178,7 @@
         started = trio.current_time()
         is_begun = False
         try:
+            self._set_backup(self._choose_backup(endpoint, candidate.load))
             await self._start(attempt)
             is_begun = True
             return attempt
@@ -156,11 +190,15 @@
         finally:
             if not is_begun:
                 self._state.fleet_load.remove(endpoint.identity, self._work)
+                self._set_backup(None)
                 await attempt.close()
 
     async def _start(self, attempt: EndpointAttempt) -> None:
         answer = await attempt.start(
-            self._exchange.order(priority=self._exchange.priority)
+            self._exchange.order(
+                priority=self._exchange.priority,
+                back_up_at=self._backup.address if self._backup else None,
+            )
         )
         if answer.is_success:
             return
@@ -211,9 +249,12 @@
         """Pass events on; return None when whole, or why the stream broke."""
         splitter = EventSplitter()
         try:
-            async for part in attempt.read_parts():
-                events = stream.delivered.take(splitter.feed(part))
-                await self._pass_on(stream, attempt, list(events))
+            with trio.CancelScope() as stream.leg_scope:
+                async for part in attempt.read_parts():
+                    events = stream.delivered.take(splitter.feed(part))
+                    await self._pass_on(stream, attempt, list(events))
+            if stream.leg_scope.cancelled_caught:
+                return "the endpoint was given up"
         except ExchangeBrokenError as error:
             return error.message
         except MissingEventError as error:
@@ -284,6 +325,11 @@
                 if attempt is not None:
                     return attempt
                 reason = "the move failed"
+        elif stream.has_backup:
+            attempt = await self._go_on(stream, backup_handover(stream))
+            if attempt is not None:
+                return attempt
+            reason = f"{reason}; the backup failed"
         self._break_off(stream, reason)
         return None
 
@@ -291,7 +337,10 @@
         self, stream: LiveStream, handover: Handover
     ) -> EndpointAttempt | None:
         """Continue at the target, or else at the source that stopped."""
-        for endpoint in (handover.target, handover.source):
+        places = [handover.target]
+        if handover.run_stopped:
+            places.append(handover.source)
+        for endpoint in places:
             attempt = await self._resume_at(stream, endpoint, handover)
             if attempt is not None:
                 return attempt
@@ -301,9 +350,13 @@
         self, stream: LiveStream, endpoint: Endpoint, handover: Handover
     ) -> EndpointAttempt | None:
         last = stream.delivered.last_number
+        backup = self._choose_backup(
+            endpoint, self._state.fleet_load.at(endpoint.identity)
+        )
         order = self._exchange.order(
             priority=self._exchange.priority,
             continue_from=handover.copy,
+            back_up_at=backup.address if backup else None,
             last_event_id=None if last is None else str(last),
         )
         attempt = EndpointAttempt(
@@ -322,10 +375,12 @@
         except BaseException:
             await attempt.close()
             raise
-        self._settle_at(stream, endpoint)
+        self._settle_at(stream, endpoint, backup)
         return attempt
 
-    def _settle_at(self, stream: LiveStream, endpoint: Endpoint) -> None:
+    def _settle_at(
+        self, stream: LiveStream, endpoint: Endpoint, backup: Endpoint | None
+    ) -> None:
         """Note that the stream runs at another endpoint now."""
         load = self._state.fleet_load
         if stream.endpoint.identity != endpoint.identity:
@@ -334,6 +389,10 @@
         stream.endpoint = endpoint
         stream.handover = None
         stream.is_copied = False
+        stream.is_last_out = False
+        stream.leg_began_at = float("inf")
+        self._set_backup(backup)
+        stream.backup = backup
         stream.moves += 1
         pause = trio.current_time() - stream.last_event_at
         self._state.log.write(
