Let a stream go on at its target as soon as its first copy is there

Cause: streams waited for all first copies and then for the last ones, 0.2 to 0.6 s behind other copies on the leaving endpoint's link; when that was too much for the notice, all of them were lost. Change: a stream is told to stop when its own copy is done and goes on at once at the target, which reads the few tokens that the copy lacks; a finished copy also serves after a crash. The barrier between gateways goes.

--- a/src/piershore/core/fleet/evacuation_plan.py
+++ b/src/piershore/core/fleet/evacuation_plan.py
@@ -35,9 +35,7 @@
     request: str
     held_tokens: int
     has_begun: bool
-    is_copied: bool = False
     has_backup: bool = False
-    is_last_out: bool = False
 
 
 class MoveWay(StrEnum):
@@ -45,14 +43,13 @@
 
     COPY = "copy"
     BACKUP = "backup"
-    OVERTIME = "overtime"
 
 
 @dataclass(frozen=True)
 class PlannedMove:
     """A generation's target; `start` is when its copy begins, in seconds.
 
-    What doesn't fit into the time goes on at its backup, or is tried last.
+    What doesn't fit into the time goes on at its backup, if it has one.
     """
 
     request: str
@@ -113,8 +110,8 @@
                 note.held_tokens, within_hall=not self._is_remote(target)
             )
             way = MoveWay.COPY
-            if self.seconds > COPY_BUDGET_SECONDS:
-                way = MoveWay.BACKUP if note.has_backup else MoveWay.OVERTIME
+            if self.seconds > COPY_BUDGET_SECONDS and note.has_backup:
+                way = MoveWay.BACKUP
             yield PlannedMove(note.request, target, start, way)
             self._added[target.identity] += note.held_tokens
 
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -11,8 +11,7 @@
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.errors import PiershoreError
 
-
-NOTE_FLAGS = 4
+NOTE_FLAGS = 2
 
 
 class InvalidReportError(PiershoreError):
@@ -70,9 +69,7 @@
                             note.request,
                             note.held_tokens,
                             note.has_begun,
-                            note.is_copied,
                             note.has_backup,
-                            note.is_last_out,
                         ]
                         for note in notes
                     ]
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -14,7 +14,6 @@
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.ports import MemoryCopy
 
-
 BACKUP_SECONDS = 0.8
 """A backup is complete so long after the first event: the copy of a long prompt
 takes up to 0.4 s, and what is new is sent some times a second."""
@@ -24,8 +23,8 @@
 class Handover:
     """A move to another endpoint.
 
-    `copy` is set once the run has stopped at the source; `is_settled` is set when
-    it's known whether the stream goes on at `target`.
+    `copy` is set once there is one at `target`; `run_stopped` when the source was
+    told to stop the run, and `is_settled` when nothing more will be done for it.
     """
 
     source: Endpoint
@@ -50,8 +49,6 @@
     handover: Handover | None = None
     backup: Endpoint | None = None
     leg_scope: trio.CancelScope | None = None
-    is_copied: bool = False
-    is_last_out: bool = False
     moves: int = 0
     leg_began_at: float = float("inf")
     last_event_at: float = 0.0
@@ -70,9 +67,7 @@
             self.exchange.identity,
             self.work.held_tokens,
             self.work.has_begun,
-            self.is_copied,
             self.has_backup,
-            self.is_last_out,
         )
 
     def note_events(self, count: int, now: float, tokens_an_event: int) -> None:
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -1,9 +1,8 @@
 """Moves generations away from endpoints that leave.
 
-All copies from one endpoint share its link, one after the other. So the memory of
-all streams is copied first while they go on; only when all gateways are done with
-that are the streams stopped, and the little that is new is copied with no large
-copy before it.
+All copies from one endpoint share its link, one after the other, and take most of
+the notice. A stream goes on while its memory is copied; then it is stopped and goes
+on at the target, which reads the few tokens that the copy lacks.
 """
 
 from __future__ import annotations
@@ -36,15 +35,8 @@
 about 1 ms, a notice reaches all watches within some ms."""
 MOVE_SECONDS = 2.5
 """Longest wait for one copy; a notice is seldom longer."""
-LATEST_STOP_SECONDS = 1.3
-"""Streams are stopped this long after the notice at the latest: the shortest
-notices seen are 1.5 s."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
-STOP_SECONDS = 0.06
-"""Time that the other streams take to stop and copy what is new."""
-BARRIER_SECONDS = 0.01
-"""How often it is seen whether all copies are done."""
 ENDS_SOON_TOKENS = 100
 """A generation that can make at most this many more tokens ends within the
 notice by itself, at some 10 ms a token."""
@@ -131,40 +123,48 @@
         planned: PlannedMove | None,
         noticed: float,
     ) -> None:
-        """Copy the stream's memory, wait for all copies, then move it."""
-        way = planned.way if planned else MoveWay.OVERTIME
-        if way is MoveWay.BACKUP and stream.has_backup:
+        """Copy the stream's memory, then let it go on at the target."""
+        if planned is not None and planned.way is MoveWay.BACKUP and stream.has_backup:
             self._switch_to_backup(stream, source)
             return
-        if way is MoveWay.COPY:
+        if planned is not None:
             await trio.sleep_until(noticed + planned.start)
-        else:
-            await self._wait_for_others(stream, source, noticed)
         if not await self._wait_for_begin(stream, source):
             return
         target = planned.target if planned else self._choose(stream, source, engine, ())
         tried: list[str] = []
         while target is not None and self._is_at(stream, source):
             tried.append(target.identity)
-            stream.handover = Handover(source, target)
-            self._log_start(stream, source, target)
-            reservation = _CopyReservation(stream)
-            self._state.fleet_load.add(target.identity, reservation)
-            try:
-                copied = await self._copy(stream, source)
-                if copied is not None and self._is_at(stream, source):
-                    await self._finish(stream, source, noticed)
-                elif copied is not None:
-                    await self._release(stream, copied)
-                if copied is not None:
-                    return
-            finally:
-                self._state.fleet_load.remove(target.identity, reservation)
-            stream.handover = None
+            if await self._move_to(stream, source, target, noticed):
+                return
             if len(tried) >= COPY_ATTEMPTS:
                 return
             target = self._choose(stream, source, engine, tried)
 
+    async def _move_to(
+        self, stream: LiveStream, source: Endpoint, target: Endpoint, noticed: float
+    ) -> bool:
+        """Move to one target; False if another may be tried."""
+        handover = stream.handover = Handover(source, target)
+        self._log_start(stream, source, target)
+        reservation = _CopyReservation(stream)
+        self._state.fleet_load.add(target.identity, reservation)
+        try:
+            copied = await self._copy(stream, source)
+            if copied is None:
+                return False
+            handover.copy = copied.copy
+            if self._is_at(stream, source):
+                await self._stop_and_move(stream, handover, noticed)
+            elif not self._live.is_live(stream):
+                await self._release(stream, copied)
+            return True
+        finally:
+            self._state.fleet_load.remove(target.identity, reservation)
+            handover.is_settled.set()
+            if handover.copy is None and stream.handover is handover:
+                stream.handover = None
+
     def _switch_to_backup(self, stream: LiveStream, source: Endpoint) -> None:
         """Let the stream go on where its memory already is."""
         stream.handover = backup_handover(stream)
@@ -173,21 +173,11 @@
         if stream.leg_scope is not None:
             stream.leg_scope.cancel()
 
-    async def _wait_for_others(
-        self, stream: LiveStream, source: Endpoint, noticed: float
-    ) -> None:
-        """Wait until the link is free of the copies that were planned."""
-        stream.is_last_out = True
-        with trio.move_on_at(noticed + LATEST_STOP_SECONDS):
-            while self._has_uncopied(source):
-                await trio.sleep(BARRIER_SECONDS)
-        await trio.sleep(STOP_SECONDS)
-
     async def _copy(self, stream: LiveStream, source: Endpoint) -> MoveResult | None:
         """Copy what there is while the stream goes on."""
         self._live.begin_copy(stream, source.identity)
         try:
-            return await self._call(stream, is_last=False)
+            return await self._call(stream, stream.handover, is_last=False)
         finally:
             self._live.end_copy(stream)
             await self._peers.send_now()
@@ -228,41 +218,23 @@
         )
         return candidate.endpoint if candidate else None
 
-    async def _finish(
-        self, stream: LiveStream, source: Endpoint, noticed: float
+    async def _stop_and_move(
+        self, stream: LiveStream, handover: Handover, noticed: float
     ) -> None:
-        stream.is_copied = True
-        await self._peers.send_now()
-        with trio.move_on_at(noticed + LATEST_STOP_SECONDS):
-            while self._has_uncopied(source):
-                await trio.sleep(BARRIER_SECONDS)
-        if self._is_at(stream, source):
-            await self._stop_and_move(stream, noticed)
-
-    def _has_uncopied(self, source: Endpoint) -> bool:
-        own = self._live.notes(source.identity)
-        others = self._peers.notes_at(source.identity)
-        notes = (*own, *others)
-        return any(n.has_begun and not n.is_copied and not n.is_last_out for n in notes)
-
-    async def _stop_and_move(self, stream: LiveStream, noticed: float) -> None:
-        """Stop the run, copy the rest, and let the stream go on at the target."""
-        handover = stream.handover
+        """Stop the run, so that its stream ends and goes on at the target.
+
+        The target reads again what the copy lacks, some tens of tokens: that is
+        faster than waiting until the endpoint's link has copied them as well.
+        """
         handover.run_stopped = True
-        result = await self._call(stream, is_last=True)
-        if result is None:
-            handover.run_stopped = False
-            if stream.handover is handover:
-                stream.handover = None
-        else:
-            handover.copy = result.copy
-        handover.is_settled.set()
+        result = await self._call(stream, handover, is_last=True)
         ended = "moved" if result else "refused"
         ingress_metrics.MOVES.labels(ended).inc()
         self._log_end(stream, handover, ended, trio.current_time() - noticed)
 
-    async def _call(self, stream: LiveStream, *, is_last: bool) -> MoveResult | None:
-        handover = stream.handover
+    async def _call(
+        self, stream: LiveStream, handover: Handover, *, is_last: bool
+    ) -> MoveResult | None:
         with trio.move_on_after(MOVE_SECONDS):
             try:
                 return await self._exchange(stream, handover, is_last)
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -314,18 +314,12 @@
     ) -> EndpointAttempt | None:
         """Return where the stream goes on, or break it off."""
         handover = stream.handover
-        if (
-            handover is not None
-            and handover.source.identity == stream.endpoint.identity
-        ):
-            with trio.move_on_after(HANDOVER_SECONDS):
-                await handover.is_settled.wait()
-            if handover.copy is not None:
-                attempt = await self._go_on(stream, handover)
-                if attempt is not None:
-                    return attempt
-                reason = "the move failed"
-        elif stream.has_backup:
+        if handover is not None:
+            attempt = await self._go_on(stream, handover)
+            if attempt is not None:
+                return attempt
+            reason = f"{reason}; the move failed"
+        if stream.has_backup:
             attempt = await self._go_on(stream, backup_handover(stream))
             if attempt is not None:
                 return attempt
@@ -337,10 +331,15 @@
         self, stream: LiveStream, handover: Handover
     ) -> EndpointAttempt | None:
         """Continue at the target, or else at the source that stopped."""
-        places = [handover.target]
-        if handover.run_stopped:
-            places.append(handover.source)
-        for endpoint in places:
+        if handover.copy is not None:
+            attempt = await self._resume_at(stream, handover.target, handover)
+            if attempt is not None:
+                return attempt
+        if not handover.run_stopped:
+            return None
+        with trio.move_on_after(HANDOVER_SECONDS):
+            await handover.is_settled.wait()
+        for endpoint in (handover.target, handover.source):
             attempt = await self._resume_at(stream, endpoint, handover)
             if attempt is not None:
                 return attempt
@@ -388,8 +387,6 @@
             load.add(endpoint.identity, self._work)
         stream.endpoint = endpoint
         stream.handover = None
-        stream.is_copied = False
-        stream.is_last_out = False
         stream.leg_began_at = float("inf")
         self._set_backup(backup)
         stream.backup = backup
