--- a/src/piershore/ingress/configuration_follower.py
+++ b/src/piershore/ingress/configuration_follower.py
@@ -10,7 +10,6 @@
 from piershore.ingress.store_link import StoreLink
 from piershore.platform.exceptions import (
     InvalidObjectError,
-    PlatformUnavailableError,
     WatchGapError,
 )
 from piershore.telemetry import ingress_metrics
@@ -74,9 +73,9 @@
                 self.link.note_success()
             except WatchGapError:
                 self._revision = None
-            except PlatformUnavailableError as error:
-                await self.link.note_failure(error.message)
             except PiershoreError as error:
+                # A watch that was cut may have missed changes: read all again.
+                self._revision = None
                 await self.link.note_failure(f"{error.code}: {error.message}")
 
     async def _step(self) -> None:
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -82,6 +82,8 @@
             except WatchGapError:
                 self._revision = None
             except PiershoreError as error:
+                # A watch that was cut may have missed changes: read all again.
+                self._revision = None
                 await self.link.note_failure(f"{error.code}: {error.message}")
 
     async def _step(self) -> None:
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -8,7 +8,11 @@
 from piershore.core.routes.serving_configuration import ServingConfiguration
 from piershore.ingress.ports import ConfigurationFeed, EndpointChange, EndpointFeed
 from piershore.platform.endpoint_codec import decode_endpoint
-from piershore.platform.object_client import ObjectChange, ObjectClient
+from piershore.platform.object_client import (
+    ObjectChange,
+    ObjectChanges,
+    ObjectClient,
+)
 from piershore.platform.routing_codec import decode_configuration
 
 CONFIGURATION_KIND = "config"
@@ -37,7 +41,7 @@
         for change in batch.changes:
             if change.object.name == CONFIGURATION_NAME and not change.is_gone:
                 newest = orjson.dumps(change.object.spec)
-        return newest, batch.revision
+        return newest, _reached(batch, revision)
 
     def decode(self, document: bytes) -> ServingConfiguration:
         """Decode a document."""
@@ -65,13 +69,22 @@
     ) -> tuple[tuple[EndpointChange, ...], int]:
         """Wait for changes."""
         batch = await self._client.watch(ENDPOINT_KIND, revision, wait)
-        return tuple(map(_change, batch.changes)), batch.revision
+        return tuple(map(_change, batch.changes)), _reached(batch, revision)
 
     async def close(self) -> None:
         """Close the connection."""
         await self._client.close()
 
 
+def _reached(batch: ObjectChanges, revision: int) -> int:
+    """Return the revision to go on from.
+
+    A watch that ends without changes may have missed some, when the store was
+    about to drop its history: the next one starts where this one did.
+    """
+    return batch.revision if batch.changes else revision
+
+
 def _change(change: ObjectChange) -> EndpointChange:
     name = change.object.name
     if change.is_gone:
