--- /dev/null
+++ b/features/ingress_core.feature
@@ -0,0 +1,44 @@
+Feature: Decisions of a gateway of the platform, at random
+
+  @not_run_means_not_run @at_most_once
+  Scenario: what may follow an attempt
+    Then no sequence of outcomes leads to an untrue 503 or a second run of a once request
+
+  @accepted_config_in_force
+  Scenario: versions in any order
+    Then the version in force never goes back
+
+  @leaving_gets_no_new_work
+  Scenario: endpoints in any order of changes
+    Then an endpoint that left is never given again
+
+  @tokens_once_in_order
+  Scenario: a stream in any parts, over any number of endpoints
+    Then each event is let through once and in order, whatever the parts
+
+  Scenario: a plan for endpoints that leave
+    Then each generation is planned once, the same from any order of notes
+
+  Scenario: plans that the time allows
+    Then 6 generations go to an even spread of targets, and 14 by the shortest copies
+
+  Scenario: retries in any order
+    Then no window has more retries than the budget allows
+
+  Scenario Outline: bad input to <parser>
+    Then reading <parser> raises only errors with a code
+
+    Examples:
+      | parser            |
+      | a peer's report   |
+      | a settings file   |
+      | a configuration   |
+      | an endpoint entry |
+      | a request's head  |
+
+  Scenario: a log whose reader stops
+    When a log of 20000 lines is written to a pipe that nobody reads
+    Then no write waited, memory is bounded, and the count of omitted lines is told
+
+  Scenario: an endpoint that fails several times in a row
+    Then it is ejected for a while that doubles, and back after a success
--- /dev/null
+++ b/features/ingress_store.feature
@@ -0,0 +1,61 @@
+Feature: The platform's store as a gateway follows it
+
+  @accepted_config_in_force
+  Scenario: a change that a watch did not deliver before the history went
+    Given a gateway before sound endpoints
+    When a route is added while watches hear nothing and the history is dropped
+    Then the route is served
+
+  @accepted_config_in_force
+  Scenario Outline: a change while the store is <fault> for one gateway
+    Given 2 gateways before sound endpoints
+    When the store is <fault> for the second and a route is added
+    Then the route is served by the second
+
+    Examples:
+      | fault  |
+      | busy   |
+      | many   |
+      | reset  |
+      | silent |
+
+  @accepted_config_in_force
+  Scenario: an older configuration comes after a newer one
+    Given a gateway before sound endpoints
+    When the store goes back to an older configuration
+    Then the newer one stays in force
+
+  Scenario: a gateway that starts while the store is out
+    Given 2 gateways before sound endpoints
+    When the store goes out and a third gateway starts
+    Then the third gateway serves what its peers know
+
+  Scenario: a gateway that starts alone while the store is out
+    Given a gateway that starts while the store is out
+    Then it is not ready and answers 503 with a time to come back
+    And it serves when the store is back
+
+  Scenario: entries lapse in an outage
+    Given a gateway before sound endpoints
+    When all entries lapse in an outage and one is not back after it
+    Then no request is refused meanwhile
+    And 3 seconds later the missing endpoint gets no request
+
+  @leaving_gets_no_new_work
+  Scenario Outline: an endpoint that <leaves> gets no new request
+    Given a gateway before sound endpoints
+    When the first desk endpoint <leaves>
+    Then it gets none of 20 later requests
+
+    Examples:
+      | leaves                  |
+      | says that it leaves     |
+      | is gone from the list   |
+      | says it leaves, then not |
+
+  @planned_stop_cuts_nothing @leaving_gets_no_new_work
+  Scenario: a gateway that leaves
+    Given a gateway before sound endpoints
+    When the gateway is told to stop while a stream runs
+    Then it is not ready at once
+    And the stream ends whole and so does a request sent after the stop
--- /dev/null
+++ b/features/ingress_streams.feature
@@ -0,0 +1,55 @@
+Feature: Streams through a gateway of the platform
+
+  @tokens_once_in_order
+  Scenario: a stream that nothing disturbs
+    Given 3 engines
+    When a stream of 30 events is read
+    Then all events came once and in order, from 1 run
+
+  @tokens_once_in_order @planned_stop_cuts_nothing
+  Scenario Outline: the endpoint of a stream <says>
+    Given 3 engines
+    When a stream of 60 events is read and its endpoint <says> midway
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint <times> times
+
+    Examples:
+      | says                          | times |
+      | says that it leaves           | 1     |
+      | is gone from the list         | 1     |
+      | leaves, and its target leaves | 2     |
+
+  @tokens_once_in_order
+  Scenario: an endpoint crashes after the memory was copied
+    Given 3 engines that crash after the first copy
+    When a stream of 60 events is read and its endpoint says that it leaves midway
+    Then all events came once and in order, from 1 run
+
+  @tokens_once_in_order
+  Scenario: an endpoint crashes and there is a backup
+    Given 3 engines
+    When a large stream of 200 events is read and its endpoint crashes midway
+    Then all events came once and in order, from 1 run
+
+  @tokens_once_in_order
+  Scenario: an endpoint crashes without a backup
+    Given 3 engines
+    When a stream of 200 events is read and its endpoint crashes midway
+    Then what came is in order and visibly not whole, from 1 run
+
+  @tokens_once_in_order
+  Scenario: a stream breaks inside an event
+    Given 1 engine that breaks inside an event
+    When a stream of 30 events is read
+    Then only whole events came and the stream is visibly not whole
+
+  Scenario: a caller leaves its stream
+    Given 1 engine
+    When a caller leaves a stream midway
+    Then no engine works on it 0.3 seconds later
+
+  @not_run_means_not_run
+  Scenario: all engines refuse
+    Given 2 engines that refuse
+    When a stream of 30 events is read
+    Then the status is 503 with a time to come back, from 0 runs
--- /dev/null
+++ b/features/steps/ingress_core_steps.py
@@ -0,0 +1,312 @@
+"""Steps that drive the gateway's decisions alone."""
+
+from __future__ import annotations
+
+import os
+from random import Random
+
+import orjson
+import trio
+from behave import then, when
+from hypothesis import given as given_data
+from hypothesis import settings
+from hypothesis import strategies as st
+from support.ingress_world import configuration
+
+from piershore.core.attempts.attempt_outcome import (
+    AttemptOutcome,
+    final_status,
+    may_try_again,
+)
+from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_health import (
+    EndpointHealth,
+    FAILURES_BEFORE_EJECTION,
+)
+from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.evacuation_plan import (
+    COPY_BUDGET_SECONDS,
+    plan_evacuation,
+    StreamNote,
+)
+from piershore.core.fleet.peer_report import PeerReport
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.routes.route import RequestKind
+from piershore.core.routes.service_spec import EngineSpec
+from piershore.core.routes.serving_configuration import ServingConfiguration
+from piershore.core.streams.delivered_events import DeliveredEvents
+from piershore.core.streams.event_splitter import EventSplitter
+from piershore.errors import PiershoreError
+from piershore.http1.message import RequestHead
+from piershore.platform.box_settings_file import read_box_settings
+from piershore.platform.endpoint_codec import decode_endpoint
+from piershore.platform.headers import PlatformDialect
+from piershore.platform.routing_codec import decode_configuration
+from piershore.telemetry.event_log import EventLog, MOST_BUFFERED_BYTES
+from piershore.telemetry.events import AttemptEnded
+
+ENGINE = EngineSpec(
+    slots=24,
+    memory_tokens=34_000,
+    token_bytes=327_680,
+    link_bytes_per_second=5.9e9,
+    can_move=True,
+    can_back_up=True,
+    copy_lifetime=5.0,
+)
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+
+
+def checked(*strategies, examples=300):
+    """Run a check on drawn data, the same each time."""
+
+    def decorate(check):
+        drawn = given_data(*strategies)(check)
+        settings(max_examples=examples, derandomize=True, deadline=None, database=None)(
+            drawn
+        )()
+
+    return decorate
+
+
+@then(
+    "no sequence of outcomes leads to an untrue 503 or a second run of a once request"
+)
+def check_outcomes(context):
+    @checked(
+        st.lists(st.sampled_from(AttemptOutcome), min_size=1, max_size=6),
+        st.sampled_from(RequestKind),
+    )
+    def check(outcomes, kind):
+        made = []
+        for outcome in outcomes:
+            made.append(outcome)
+            if not may_try_again(kind, outcome):
+                break
+        maybe_run = [o for o in made if not o.proves_not_run]
+        if kind is not RequestKind.REPEATABLE:
+            assert len(maybe_run) <= 1
+        if AttemptOutcome.ANSWERED not in made:
+            assert (final_status(tuple(made)) == 503) == (not maybe_run)
+
+
+@then("the version in force never goes back")
+def check_versions(context):
+    @checked(st.lists(st.integers(1, 50)))
+    def check(versions):
+        current = CurrentConfiguration()
+        highest = 0
+        for version in versions:
+            taken = current.offer(ServingConfiguration(version, {}, {}, {}))
+            assert taken == (version > highest)
+            highest = max(highest, version)
+            assert current.version == highest
+
+
+def endpoint(identity, stage=EndpointStage.READY, hall="h0"):
+    return Endpoint(identity, "s", Address("h", 1), hall, 24, stage)
+
+
+@then("an endpoint that left is never given again")
+def check_directory(context):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        directory = EndpointDirectory()
+        left, now = set(), 0.0
+        for _ in range(60):
+            now += random.random()
+            identity = f"i-{random.randrange(6)}"
+            action = random.choice(["ready", "leaving", "gone", "lapse", "list"])
+            if action == "list":
+                names = {f"i-{random.randrange(6)}" for _ in range(4)}
+                departed = directory.replace_all(
+                    map(endpoint, names),
+                    directory.revision + 1,
+                    now,
+                    after_outage=False,
+                )
+            elif action in ("ready", "leaving"):
+                stage = EndpointStage(action)
+                known = directory.get(identity)
+                departed = directory.put(endpoint(identity, stage))
+                if known is not None and stage is EndpointStage.LEAVING:
+                    left.add(identity)
+            else:
+                departed = directory.remove(
+                    identity, now, after_outage=action == "lapse"
+                )
+            departed += directory.drop_lapsed(now)
+            left.update(departure.endpoint.identity for departure in departed)
+            assert not left & {e.identity for e in directory.of_service("s")}
+
+
+@then("each event is let through once and in order, whatever the parts")
+def check_delivery(context):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        delivered = DeliveredEvents()
+        seen = []
+        while len(seen) < 30:
+            again = random.randrange(0, 4)
+            first = max(1, len(seen) + 1 - again)
+            last = min(30, first + random.randrange(12))
+            data = b"".join(
+                b"id: %d\r\ndata: x\r\n\r\n" % n
+                if n % 2
+                else b"id: %d\ndata: x\n\n" % n
+                for n in range(first, last + 1)
+            )
+            # The endpoint breaks off, perhaps inside an event.
+            data = data[: random.randrange(len(data) + 1)]
+            splitter = EventSplitter()
+            while data:
+                size = random.randrange(1, 20)
+                part, data = data[:size], data[size:]
+                events = delivered.take(splitter.feed(part))
+                seen.extend(event.number for event in events)
+        assert seen == list(range(1, 31))
+
+
+def note(number, tokens, *, has_begun=True):
+    return StreamNote(f"r{number}", tokens, has_begun)
+
+
+TARGETS = tuple(endpoint(f"t{n}", hall=f"h{n % 3}") for n in range(6))
+
+
+@then("each generation is planned once, the same from any order of notes")
+def check_plan(context):
+    @checked(st.lists(st.integers(100, 9_000), max_size=12), st.integers(0, 99))
+    def check(sizes, seed):
+        notes = [note(number, size) for number, size in enumerate(sizes)]
+        loads = {t.identity: EndpointLoad(projected_tokens=9_000) for t in TARGETS[:3]}
+        source = endpoint("source")
+        plan = plan_evacuation(source, notes, TARGETS, loads, ENGINE)
+        assert sorted(m.request for m in plan) == sorted(n.request for n in notes)
+        Random(seed).shuffle(notes)
+        assert plan == plan_evacuation(source, notes, TARGETS, loads, ENGINE)
+        assert not plan_evacuation(source, notes, (), loads, ENGINE)
+
+
+@then("6 generations go to an even spread of targets, and 14 by the shortest copies")
+def check_spread(context):
+    source = endpoint("source")
+    few = [note(number, 1_500) for number in range(6)]
+    plan = plan_evacuation(source, few, TARGETS, {}, ENGINE)
+    assert len({move.target.identity for move in plan}) == 6
+    many = [note(number, 1_500) for number in range(14)]
+    plan = plan_evacuation(source, many, TARGETS, {}, ENGINE)
+    remote = [move for move in plan if move.target.data_hall != "h0"]
+    assert not remote
+    assert plan[-1].start < COPY_BUDGET_SECONDS
+
+
+@then("no window has more retries than the budget allows")
+def check_retries(context):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        limits = RetryLimits(ratio=0.2, slack=30, window=10)
+        allowance = RetryAllowance(limits)
+        requests, retries, now = [], [], 0.0
+        for _ in range(400):
+            now += random.random() / 10
+            if random.random() < 0.4:
+                allowance.note_request(now)
+                requests.append(now)
+            elif allowance.spend(now, 1):
+                retries.append(now)
+            recent = [at for at in requests if at >= now - limits.window]
+            spent = [at for at in retries if at >= now - limits.window]
+            assert len(spent) <= limits.ratio * len(recent) + limits.slack
+
+
+def parse_head(data):
+    names = [b"deadline-ms", b"token-usage", b"prompt-prefix", b"length-hint"]
+    headers = tuple((names[n % 4], value) for n, value in enumerate(data))
+    PlatformDialect().read_request(RequestHead(b"GET", b"/", headers))
+
+
+PARSERS = {
+    "a peer's report": (PeerReport.decode, st.binary() | JSON_VALUES.map(orjson.dumps)),
+    "a settings file": (lambda text: read_box_settings("f", text), st.text()),
+    "a configuration": (
+        lambda spec: decode_configuration({**configuration(1), **spec}),
+        st.dictionaries(
+            st.sampled_from(["routes", "services", "limits", "tenants"]), JSON_VALUES
+        ),
+    ),
+    "an endpoint entry": (
+        lambda spec: decode_endpoint("i", spec),
+        st.dictionaries(
+            st.sampled_from(["service", "address", "slots", "cold_remaining_ms"]),
+            JSON_VALUES,
+        ),
+    ),
+    "a request's head": (parse_head, st.lists(st.binary(max_size=20), max_size=6)),
+}
+
+
+@then("reading {parser} raises only errors with a code")
+def check_parser(context, parser):
+    parse, inputs = PARSERS[parser]
+
+    @checked(inputs)
+    def check(data):
+        try:
+            parse(data)
+        except PiershoreError as error:
+            assert error.code
+
+
+@when("a log of {count:d} lines is written to a pipe that nobody reads")
+def write_log(context, count):
+    reading, writing = os.pipe()
+    log = EventLog("box", writing)
+
+    async def write():
+        log.start()
+        started = trio.current_time()
+        for number in range(count):
+            log.write(AttemptEnded(f"r{number}", "i", "o", "r", 0.1), is_failure=True)
+            if number % 100 == 0:
+                log.flush()
+        context.seconds = trio.current_time() - started
+        context.buffered = log._handler.size
+        context.omitted = log.omitted
+
+    trio.run(write)
+    context.first = os.read(reading, 65_536).splitlines()[0]
+    os.close(reading)
+    os.close(writing)
+
+
+@then("no write waited, memory is bounded, and the count of omitted lines is told")
+def check_log(context):
+    assert context.buffered <= MOST_BUFFERED_BYTES
+    assert context.omitted > 0
+    assert orjson.loads(context.first)["request"] == "r0"
+
+
+@then("it is ejected for a while that doubles, and back after a success")
+def check_ejection(context):
+    health = EndpointHealth()
+    now, lengths = 0.0, []
+    for _ in range(3):
+        failures = range(FAILURES_BEFORE_EJECTION)
+        assert any([health.note_failure("i", now) for _ in failures])
+        start = now
+        while health.is_ejected("i", now):
+            now += 0.1
+        lengths.append(round(now - start))
+    assert lengths == [1, 2, 4]
+    health.note_success("i")
+    assert not health.note_failure("i", now)
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -33,6 +33,7 @@
         self._stream = stream
         self._connection = self._codec()
         self._head: RequestHead | None = None
+        self._body = b""
         self._has_trailing = False
         self.last_used = trio.current_time()
         self.keep_alive: float | None = None
@@ -58,13 +59,9 @@
 
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a whole request; raise `ExchangeBrokenError` if that fails."""
-        self._head = head
-        data = self._encode_head(head)
-        if body:
-            data += self._connection.send(h11.Data(body))
-        data += self._connection.send(h11.EndOfMessage())
+        self._head, self._body = head, body
         try:
-            await self._stream.send_all(data)
+            await self._stream.send_all(self._encode())
         except (trio.BrokenResourceError, OSError) as error:
             raise ExchangeBrokenError("the connection broke while sending") from error
 
@@ -112,10 +109,14 @@
     def _codec() -> h11.Connection:
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_HEAD_BYTES)
 
-    def _encode_head(self, head: RequestHead) -> bytes:
-        return self._connection.send(
+    def _encode(self) -> bytes:
+        head = self._head
+        data = self._connection.send(
             h11.Request(method=head.method, target=head.target, headers=head.headers)
         )
+        if self._body:
+            data += self._connection.send(h11.Data(self._body))
+        return data + self._connection.send(h11.EndOfMessage())
 
     async def _read_any_head(self) -> ResponseHead:
         while True:
@@ -143,8 +144,7 @@
         await self.read_body()
         trailing, closed = self._connection.trailing_data
         self._connection = self._codec()
-        self._encode_head(self._head)
-        self._connection.send(h11.EndOfMessage())
+        self._encode()
         if trailing:
             self._connection.receive_data(trailing)
         if closed:
--- a/src/piershore/ingress/configuration_follower.py
+++ b/src/piershore/ingress/configuration_follower.py
@@ -13,7 +13,7 @@
     WatchGapError,
 )
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import ConfigurationInForce, DependencyLost
+from piershore.telemetry.events import ConfigurationInForce, InvalidEntry
 
 
 class ConfigurationFollower:
@@ -53,7 +53,7 @@
             configuration = self._feed.decode(document)
         except (InvalidObjectError, ValueError) as error:
             self._state.log.write(
-                DependencyLost("configuration", str(error)), is_failure=True
+                InvalidEntry("configuration", str(error)), is_failure=True
             )
             return
         if not self._state.configuration.offer(configuration):
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -93,6 +93,22 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         self._log.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.serve)
+                gc.collect()
+                gc.freeze()
+                await self._wait_for_stop()
+                await self.leave()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._log.write(ProcessStopped(self._state.in_flight), is_failure=True)
+            self._log.flush()
+
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
         link = PeerLink(self._state, self._settings, self._live, self._reads_store)
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
@@ -105,15 +121,9 @@
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
                 )
-                gc.collect()
-                gc.freeze()
-                await self._wait_for_stop()
-                await self._leave()
-                nursery.cancel_scope.cancel()
+                task_status.started()
         finally:
             link.close()
-            self._log.write(ProcessStopped(self._state.in_flight), is_failure=True)
-            self._log.flush()
 
     async def _start(
         self, nursery: trio.Nursery, link: PeerLink, documents: PeerDocuments
@@ -240,7 +250,7 @@
                     is_failure=True,
                 )
 
-    async def _leave(self) -> None:
+    async def leave(self) -> None:
         """Serve on until nothing is in flight, or the platform would kill us."""
         self._state.is_leaving = True
         self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
--- a/src/piershore/ingress/endpoint_attempt.py
+++ b/src/piershore/ingress/endpoint_attempt.py
@@ -17,7 +17,8 @@
 from piershore.ingress.ports import EndpointAnswer, ForwardOrder
 
 SENT_AT_ONCE_BYTES = 8_192
-"""Larger bodies are sent while the answer is awaited, which may come early."""
+"""Larger bodies are sent while the answer is awaited, which may come early; whether
+the endpoint has read all of it isn't known then, so the connection isn't used again."""
 
 
 class EndpointAttempt:
@@ -35,7 +36,6 @@
         self.endpoint = endpoint
         self._longest_idle = longest_idle
         self._connection: ClientConnection | None = None
-        self._is_sent = False
         self._is_whole = False
         self.head: ResponseHead | None = None
         self.answer: EndpointAnswer | None = None
@@ -96,10 +96,12 @@
             await self._state.pool.give_back(
                 self.endpoint.address,
                 connection,
-                reusable=self._is_whole and self._is_sent and not self._ends_here(),
+                reusable=self._is_whole and not self._ends_here(),
             )
 
     def _ends_here(self) -> bool:
+        if len(self._exchange.body) > SENT_AT_ONCE_BYTES:
+            return True
         value = self.head.header(b"connection") if self.head else None
         return value is not None and b"close" in value.lower()
 
@@ -109,7 +111,6 @@
     async def _send(self, head: RequestHead) -> None:
         if len(self._exchange.body) <= SENT_AT_ONCE_BYTES:
             await self._connection.send(head, self._exchange.body)
-            self._is_sent = True
             return
         self._exchange.nursery.start_soon(self._send_beside, self._connection, head)
         # The head must be encoded before the answer to it is read.
@@ -120,7 +121,6 @@
     ) -> None:
         try:
             await connection.send(head, self._exchange.body)
-            self._is_sent = True
         except (ExchangeBrokenError, trio.ClosedResourceError):
             # The reader of the answer sees the break and decides.
             return
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -15,6 +15,7 @@
 from piershore.ingress.store_link import StoreLink
 from piershore.platform.exceptions import WatchGapError
 from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import InvalidEntry
 
 DOUBT_SECONDS = 3.0
 """An entry that goes this soon after an outage may only have lapsed in it."""
@@ -97,6 +98,8 @@
             self._take_changes(changes)
             self._state.directory.advance(revision)
         self._revision = revision
+        for finding in self._feed.take_findings():
+            self._state.log.write(InvalidEntry("endpoint", finding), is_failure=True)
 
     def _is_after_outage(self) -> bool:
         return self.link.seconds_since_outage() < DOUBT_SECONDS
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -178,6 +178,10 @@
     ) -> tuple[tuple[EndpointChange, ...], int]:
         """Wait for changes; raise `WatchGapError` after a gap."""
 
+    @abstractmethod
+    def take_findings(self) -> list[str]:
+        """Return what was wrong with entries since the last call."""
+
     @abstractmethod
     async def close(self) -> None:
         """Close connections."""
--- a/src/piershore/platform/endpoint_codec.py
+++ b/src/piershore/platform/endpoint_codec.py
@@ -21,7 +21,7 @@
             # Time that is left of the slow phase after a start, at this entry.
             warm_up=float(spec.get("cold_remaining_ms") or 0) / 1_000,
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise InvalidObjectError(f"endpoint {name} can't be read: {error!r}") from error
 
 
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -8,10 +8,12 @@
 from piershore.core.routes.serving_configuration import ServingConfiguration
 from piershore.ingress.ports import ConfigurationFeed, EndpointChange, EndpointFeed
 from piershore.platform.endpoint_codec import decode_endpoint
+from piershore.platform.exceptions import InvalidObjectError
 from piershore.platform.object_client import (
     ObjectChange,
     ObjectChanges,
     ObjectClient,
+    PlatformObject,
 )
 from piershore.platform.routing_codec import decode_configuration
 
@@ -57,24 +59,45 @@
 
     def __init__(self, store: Address) -> None:
         self._client = ObjectClient(store)
+        self._findings: list[str] = []
 
     async def read(self) -> tuple[tuple[Endpoint, ...], int]:
         """Return all endpoints and the revision."""
         listed = await self._client.list(ENDPOINT_KIND)
-        endpoints = tuple(decode_endpoint(o.name, o.spec) for o in listed.objects)
-        return endpoints, listed.revision
+        endpoints = (self._decode(item) for item in listed.objects)
+        return tuple(filter(None, endpoints)), listed.revision
 
     async def changes(
         self, revision: int, wait: float
     ) -> tuple[tuple[EndpointChange, ...], int]:
         """Wait for changes."""
         batch = await self._client.watch(ENDPOINT_KIND, revision, wait)
-        return tuple(map(_change, batch.changes)), _reached(batch, revision)
+        changes = filter(None, map(self._change, batch.changes))
+        return tuple(changes), _reached(batch, revision)
+
+    def take_findings(self) -> list[str]:
+        """Return what was wrong with entries since the last call."""
+        findings, self._findings = self._findings, []
+        return findings
 
     async def close(self) -> None:
         """Close the connection."""
         await self._client.close()
 
+    def _change(self, change: ObjectChange) -> EndpointChange | None:
+        if change.is_gone:
+            return EndpointChange(change.object.name, None)
+        endpoint = self._decode(change.object)
+        return EndpointChange(endpoint.identity, endpoint) if endpoint else None
+
+    def _decode(self, item: PlatformObject) -> Endpoint | None:
+        """Decode an entry; one that is faulty must not hide the others."""
+        try:
+            return decode_endpoint(item.name, item.spec)
+        except InvalidObjectError as error:
+            self._findings.append(error.message)
+            return None
+
 
 def _reached(batch: ObjectChanges, revision: int) -> int:
     """Return the revision to go on from.
@@ -83,10 +106,3 @@
     about to drop its history: the next one starts where this one did.
     """
     return batch.revision if batch.changes else revision
-
-
-def _change(change: ObjectChange) -> EndpointChange:
-    name = change.object.name
-    if change.is_gone:
-        return EndpointChange(name, None)
-    return EndpointChange(name, decode_endpoint(name, change.object.spec))
--- a/src/piershore/telemetry/event_log.py
+++ b/src/piershore/telemetry/event_log.py
@@ -55,6 +55,8 @@
         self._box = box
         self._output = output
         self._handler = _BufferHandler()
+        self._logger = logging.ABSLLogger(f"piershore.{box}")
+        self._logger.addHandler(self._handler)
         self._budget = float(LINES_A_SECOND)
         self._budget_at = 0.0
         self._names: dict[type[LogEvent], tuple[str, tuple[str, ...]]] = {}
@@ -65,12 +67,8 @@
         return self._handler.omitted
 
     def start(self) -> None:
-        """Take over the process's log."""
+        """Make writing to the output never wait."""
         os.set_blocking(self._output, False)
-        logger = logging.get_absl_logger()
-        logger.handlers = [self._handler]
-        logger.propagate = False
-        logging.set_verbosity(logging.INFO)
 
     def write(self, event: LogEvent, *, is_failure: bool = False) -> None:
         """Write one event; one that isn't a failure may be left out."""
@@ -83,7 +81,7 @@
         for field_name in names:
             value = getattr(event, field_name)
             record[field_name] = round(value, 4) if type(value) is float else value
-        logging.info("%s", orjson.dumps(record).decode())
+        self._logger.info("%s", orjson.dumps(record).decode())
 
     async def run(self) -> None:
         """Write the buffer out from time to time."""
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -68,6 +68,14 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class InvalidEntry(LogEvent):
+    """Something in the store can't be read and was passed over."""
+
+    kind: str
+    reason: str
+
+
 @dataclass(frozen=True)
 class EndpointLeft(LogEvent):
     """An endpoint gets no new work; `streams` of this gateway are there."""
--- /dev/null
+++ b/standins/published_endpoint.py
@@ -0,0 +1,369 @@
+"""Endpoints as the users publish them: plain services and engines, with faults."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import h11
+import orjson
+import trio
+
+TOKENS_AN_EVENT = 4
+PACE_SECONDS = 0.01
+BODY = b'{"from":"%s","request":"%s"}'
+
+Fault = Callable[["PublishedEndpoint", "Arrival"], Awaitable[bool]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register what an endpoint does instead of answering well."""
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+class Arrival:
+    """A request that reached an endpoint, and its connection."""
+
+    def __init__(self, stream, connection, request: h11.Request, body: bytes) -> None:
+        self.stream = stream
+        self.connection = connection
+        self.request = request
+        self.headers = {k.decode(): v.decode() for k, v in request.headers}
+        self.body = body
+
+    @property
+    def identity(self) -> str:
+        """The caller's id of the request."""
+        return self.headers.get("attempt-id", "")
+
+
+class EngineMemory:
+    """Copies of generations by `HOST:PORT/NAME`: where each lies."""
+
+    def __init__(self) -> None:
+        self.copies: dict[str, str] = {}
+        self.used: set[str] = set()
+
+
+class PublishedEndpoint:
+    """One endpoint; `runs` counts what it executed, by request."""
+
+    def __init__(
+        self, identity: str, service: str, memory: EngineMemory, faults=()
+    ) -> None:
+        self.identity = identity
+        self.service = service
+        self.faults = list(faults)
+        self.runs: Counter[str] = Counter()
+        self.continued: Counter[str] = Counter()
+        self.arrivals: list[Arrival] = []
+        self.connections = 0
+        self.open_streams = 0
+        self.move_seconds = 0.02
+        self._memory = memory
+        self._running: dict[str, trio.CancelScope] = {}
+        self._scope = trio.CancelScope()
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    def entry(self, state: str = "ready") -> dict:
+        """Return what it writes of itself into the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "ikeja",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+
+    def crash(self) -> None:
+        """Close all connections and stop listening."""
+        self._scope.cancel()
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled or crashed."""
+        with self._scope:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            self.port = listeners[0].socket.getsockname()[1]
+            task_status.started()
+            await trio.serve_listeners(self._serve_one, listeners)
+
+    async def _serve_one(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._exchange(stream, connection):
+                connection.start_next_cycle()
+        except (trio.BrokenResourceError, h11.ProtocolError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _exchange(self, stream, connection) -> bool:
+        arrival = await self._read(stream, connection)
+        if arrival is None:
+            return False
+        target = arrival.request.target
+        if target == b"/kv-move":
+            await self._move(arrival)
+        elif target.startswith(b"/kv-handle/"):
+            await self.respond(arrival, 200, b"{}")
+        else:
+            self.arrivals.append(arrival)
+            if not await self._serve_request(arrival):
+                return False
+        return connection.our_state is h11.DONE
+
+    async def _read(self, stream, connection) -> Arrival | None:
+        request, body = None, b""
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await stream.receive_some(65_536))
+            elif isinstance(event, h11.Request):
+                request = event
+                if self.faults and self.faults[0] == "early":
+                    return Arrival(stream, connection, request, b"")
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return Arrival(stream, connection, request, body)
+            else:
+                return None
+
+    async def _serve_request(self, arrival: Arrival) -> bool:
+        if arrival.headers.get("expected-instance") != self.identity:
+            await self.respond(arrival, 421, b"", seal=False)
+            return True
+        name = self.faults.pop(0) if self.faults else ""
+        if name:
+            return await FAULTS[name](self, arrival)
+        if "token-usage" in arrival.headers:
+            await self._stream(arrival)
+            return True
+        self.runs[arrival.identity] += 1
+        await self.respond(arrival, 200, self.body(arrival))
+        return True
+
+    def body(self, arrival: Arrival) -> bytes:
+        """Return the answer's body."""
+        return BODY % (self.identity.encode(), arrival.identity.encode())
+
+    def head(self, arrival: Arrival, *extra, seal: bool = True) -> list:
+        """Return the headers of an answer."""
+        headers = [("Attempt-Id", arrival.identity), ("Instance-Id", self.identity)]
+        if seal:
+            headers.append(("Response-Seal", f"seal.{arrival.identity}"))
+        return [*headers, *extra]
+
+    async def respond(
+        self, arrival: Arrival, status: int, body: bytes, *extra, seal: bool = True
+    ) -> None:
+        """Send a whole answer."""
+        length = ("Content-Length", str(len(body)))
+        headers = self.head(arrival, length, *extra, seal=seal)
+        response = h11.Response(status_code=status, headers=headers)
+        data = arrival.connection.send(response)
+        data += arrival.connection.send(h11.Data(body))
+        data += arrival.connection.send(h11.EndOfMessage())
+        await arrival.stream.send_all(data)
+
+    async def _stream(self, arrival: Arrival) -> None:
+        most = int(arrival.headers["token-usage"].split(",")[1]) // TOKENS_AN_EVENT
+        first = 1
+        came_from = arrival.headers.get("kv-from")
+        if came_from is not None:
+            if not self._take_copy(came_from):
+                await self.respond(arrival, 503, b"", ("Not-Executed", "1"))
+                return
+            self.continued[arrival.identity] += 1
+            first = int(arrival.headers.get("last-event-id", "0")) + 1
+        else:
+            self.runs[arrival.identity] += 1
+        if (backup := arrival.headers.get("kv-backup")) is not None:
+            self._memory.copies[f"{backup}/{arrival.identity}"] = backup
+        headers = self.head(arrival, ("Content-Type", "text/event-stream"))
+        headers.append(("Transfer-Encoding", "chunked"))
+        self.open_streams += 1
+        try:
+            with trio.CancelScope() as scope:
+                self._running[arrival.identity] = scope
+                await self._send_events(arrival, headers, first, most)
+        finally:
+            self.open_streams -= 1
+            self._running.pop(arrival.identity, None)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("stopped for a move")
+
+    async def _send_events(self, arrival, headers, first: int, most: int) -> None:
+        connection, stream = arrival.connection, arrival.stream
+        data = connection.send(h11.Response(status_code=200, headers=headers))
+        for number in range(first, most + 1):
+            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            await stream.send_all(data + connection.send(h11.Data(event)))
+            data = b""
+            await trio.sleep(PACE_SECONDS)
+        await stream.send_all(data + connection.send(h11.EndOfMessage()))
+
+    def _take_copy(self, name: str) -> bool:
+        holder = self._memory.copies.get(name)
+        if holder != self.address or name in self._memory.used:
+            return False
+        self._memory.used.add(name)
+        return True
+
+    async def _move(self, arrival: Arrival) -> None:
+        order = orjson.loads(arrival.body)
+        scope = self._running.get(order["id"])
+        if scope is None:
+            await self.respond(arrival, 404, b"{}")
+            return
+        await trio.sleep(self.move_seconds)
+        if order["last"]:
+            scope.cancel()
+        handle = f"h-{order['id']}"
+        self._memory.copies[f"{self.address}/{handle}"] = order["target_version"]
+        await self.respond(arrival, 200, orjson.dumps({"handle": handle, "made": 1}))
+
+
+@fault("fails")
+async def _fails(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await endpoint.respond(arrival, 500, b"failed")
+    return True
+
+
+@fault("not run")
+async def _not_run(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    await endpoint.respond(arrival, 503, b"", ("Not-Executed", "1"), seal=False)
+    return True
+
+
+@fault("503 without proof")
+async def _unproven(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await endpoint.respond(arrival, 503, b"", seal=False)
+    return True
+
+
+@fault("reset")
+async def _reset(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    return False
+
+
+@fault("silent")
+async def _silent(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await trio.sleep(30)
+    return False
+
+
+@fault("garbage")
+async def _garbage(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await arrival.stream.send_all(b"\x00\x01 not an answer\r\n\r\n")
+    return False
+
+
+@fault("no seal")
+async def _no_seal(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await endpoint.respond(arrival, 200, endpoint.body(arrival), seal=False)
+    return True
+
+
+@fault("encoded")
+async def _encoded(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    encoding = ("Content-Encoding", "gzip")
+    await endpoint.respond(arrival, 200, b"zipped", encoding)
+    return True
+
+
+@fault("short body")
+async def _short(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    headers = endpoint.head(arrival, ("Content-Length", "100"))
+    data = arrival.connection.send(h11.Response(status_code=200, headers=headers))
+    await arrival.stream.send_all(data + b"only this")
+    return False
+
+
+@fault("surplus answer")
+async def _surplus(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await endpoint.respond(arrival, 200, endpoint.body(arrival))
+    await arrival.stream.send_all(_foreign(endpoint))
+    return True
+
+
+@fault("late foreign answer")
+async def _foreign_first(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await arrival.stream.send_all(_foreign(endpoint))
+    await endpoint.respond(arrival, 200, endpoint.body(arrival))
+    return True
+
+
+@fault("unframed")
+async def _unframed(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await arrival.stream.send_all(_plain_head(endpoint, arrival))
+    await arrival.stream.send_all(endpoint.body(arrival))
+    await arrival.stream.send_eof()
+    return False
+
+
+@fault("unframed and reset")
+async def _unframed_reset(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    await arrival.stream.send_all(_plain_head(endpoint, arrival) + b"half")
+    linger_none = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    option = trio.socket.SO_LINGER
+    arrival.stream.socket.setsockopt(trio.socket.SOL_SOCKET, option, linger_none)
+    return False
+
+
+@fault("early")
+async def _early(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    data = b"HTTP/1.1 413 Too Large\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
+    await arrival.stream.send_all(data % arrival.identity.encode())
+    await trio.sleep(0.2)
+    return False
+
+
+@fault("breaks inside an event")
+async def _half_event(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.runs[arrival.identity] += 1
+    headers = endpoint.head(arrival, ("Transfer-Encoding", "chunked"))
+    data = arrival.connection.send(h11.Response(status_code=200, headers=headers))
+    whole = b"id: 1\ndata: token-1\n\nid: 2\ndata: tok"
+    await arrival.stream.send_all(data + arrival.connection.send(h11.Data(whole)))
+    await trio.sleep(0.05)
+    return False
+
+
+def _foreign(endpoint: PublishedEndpoint) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: of-another\r\nResponse-Seal: s\r\n"
+        b"Content-Length: 5\r\n\r\nwrong"
+    )
+
+
+def _plain_head(endpoint: PublishedEndpoint, arrival: Arrival) -> bytes:
+    lines = [f"{name}: {value}" for name, value in endpoint.head(arrival)]
+    return "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
