Send all events that were read before a stream goes on elsewhere

The wait for the next part and the sending to the caller were one cancel scope: cancelled while sending, events counted as delivered were lost. The same was so for events before a gap in one batch. Change: only the wait for the next part is cancelled; what was taken is always sent.

--- a/features/ingress_streams.feature
+++ b/features/ingress_streams.feature
@@ -25,6 +25,13 @@
     When a stream of 60 events is read and its endpoint says that it leaves midway
     Then all events came once and in order, from 1 run
 
+  @tokens_once_in_order @planned_stop_cuts_nothing
+  Scenario: a stream goes on at its backup while its caller does not read
+    Given 3 engines with slow links
+    When a caller pauses a large stream of 400 events and its endpoint leaves
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint 1 times
+
   @tokens_once_in_order
   Scenario: an endpoint crashes and there is a backup
     Given 3 engines
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -11,6 +11,7 @@
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
+SLOW_LINK_MBPS = 20_000.0
 LARGE_SIZE = "11000,{}"
 """Prompt tokens that don't get away in a notice's time, so that a backup is made."""
 
@@ -234,6 +235,7 @@
 
 @given("{count:d} engine")
 @given("{count:d} engines")
+@given("{count:d} engines with {habit}")
 @given("{count:d} engine that {habit}")
 @given("{count:d} engines that {habit}")
 def given_engines(context, count, habit=""):
@@ -244,6 +246,32 @@
     context.ingress = IngressWorld()
     context.ingress.add_endpoints("model", count, faults.get(habit, ()))
     context.crash_after_copy = "crash" in habit
+    if habit == "slow links":
+        engine = context.ingress.configuration["services"][1]["engine"]
+        engine["link_mbps"] = SLOW_LINK_MBPS
+        for endpoint in context.ingress.endpoints:
+            endpoint.pace = 0.001
+            endpoint.padding = b"x" * 4_000
+
+
+@when("a caller pauses a large stream of {count:d} events and its endpoint leaves")
+def pause_and_leave(context, count):
+    context.count = count
+
+    async def script(world):
+        context.reading = Reading(world, count, LARGE_SIZE)
+        context.reading.pause_after = 100
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.reading.read)
+            await context.reading.wait_events(100)
+            source = context.reading.running_at()
+            # Until the gateway can send no more, and its backup is complete.
+            await trio.sleep(1.2)
+            world.list_endpoint(source, "draining")
+            await trio.sleep(0.3)
+            context.reading.go_on.set()
+
+    context.ingress.run(script)
 
 
 class Reading:
@@ -254,6 +282,8 @@
         self._size = size.format(events * 4)
         self.parts = []
         self.reply = None
+        self.pause_after = None
+        self.go_on = trio.Event()
 
     async def read(self):
         world = self._world
@@ -261,11 +291,19 @@
         address = world.address()
         connection = await ClientConnection.open(address.host, address.port, 1.0)
         await connection.send(head, b"")
-        self.reply = await world.read(connection, self.parts)
+        self.reply = await world.read(connection, self)
         await connection.close()
 
+    async def take(self, part):
+        self.parts.append(part)
+        if self.pause_after and self.seen() >= self.pause_after:
+            await self.go_on.wait()
+
+    def seen(self):
+        return b"".join(self.parts).count(b"id: ")
+
     async def wait_events(self, count):
-        while b"".join(self.parts).count(b"id: ") < count:
+        while self.seen() < count:
             await trio.sleep(0.005)
 
     def running_at(self):
--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import socket
 from itertools import count
 
 import trio
 
+from devtools.ports import free_port
 from piershore.core.attempts.retry_allowance import RetryLimits
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
@@ -144,8 +144,8 @@
             name=f"front-{number}",
             data_hall="ikeja",
             host=host,
-            callers_address=Address(host, free_port(host)),
-            ready_address=Address(host, free_port(host)),
+            callers_address=Address(host, free_port()),
+            ready_address=Address(host, free_port()),
             peer_ports=(self._peer_port, self._peer_port),
             seeds=(Address("127.0.0.2", 1), Address("127.0.0.3", 1)),
             store_address=Address("127.0.0.1", self.store.port),
@@ -208,13 +208,16 @@
         finally:
             await connection.close()
 
-    async def read(self, connection, parts=None):
+    async def read(self, connection, reading=None):
         answer = await connection.read_head()
-        received = parts if parts is not None else []
+        received = reading.parts if reading else []
         is_whole = False
         try:
             async for part in connection.read_parts():
-                received.append(part)
+                if reading is None:
+                    received.append(part)
+                else:
+                    await reading.take(part)
             is_whole = True
         except ExchangeBrokenError:
             pass
@@ -238,9 +241,3 @@
 
     def arrivals(self):
         return [arrival for e in self.endpoints for arrival in e.arrivals]
-
-
-def free_port(host="127.0.0.1"):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -38,8 +38,9 @@
 class LiveStream:
     """One stream of a caller; `endpoint` runs it now.
 
-    `backup` gets its memory as it grows; cancelling `leg_scope` ends the reading
-    from the present endpoint.
+    `backup` gets its memory as it grows; `reading_scope` is the wait for the next
+    part from the present endpoint, which is `is_given_up` when the stream shall go
+    on elsewhere.
     """
 
     exchange: Exchange
@@ -48,13 +49,20 @@
     delivered: DeliveredEvents = field(default_factory=DeliveredEvents)
     handover: Handover | None = None
     backup: Endpoint | None = None
-    leg_scope: trio.CancelScope | None = None
+    is_given_up: bool = False
+    reading_scope: trio.CancelScope | None = None
     moves: int = 0
     leg_began_at: float = float("inf")
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     first_seconds: float = 0.0
 
+    def give_up_endpoint(self) -> None:
+        """Stop reading from the present endpoint; what was read is passed on."""
+        self.is_given_up = True
+        if self.reading_scope is not None:
+            self.reading_scope.cancel()
+
     @property
     def has_backup(self) -> bool:
         """Whether its memory is at another endpoint by now."""
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -170,8 +170,7 @@
         stream.handover = backup_handover(stream)
         self._log_start(stream, source, stream.backup)
         ingress_metrics.MOVES.labels("backup").inc()
-        if stream.leg_scope is not None:
-            stream.leg_scope.cancel()
+        stream.give_up_endpoint()
 
     async def _copy(self, stream: LiveStream, source: Endpoint) -> MoveResult | None:
         """Copy what there is while the stream goes on."""
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator, Iterable
 from http import HTTPStatus
 
 import trio
@@ -15,7 +16,7 @@
 from piershore.core.fleet.placement import Candidate
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.core.streams.delivered_events import MissingEventError
-from piershore.core.streams.event_splitter import EventSplitter
+from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.ingress.call_forwarder import note_failure, REFUSING_STATUSES
 from piershore.ingress.endpoint_attempt import EndpointAttempt
@@ -248,12 +249,11 @@
     async def _relay(self, stream: LiveStream, attempt: EndpointAttempt) -> str | None:
         """Pass events on; return None when whole, or why the stream broke."""
         splitter = EventSplitter()
+        parts = attempt.read_parts()
         try:
-            with trio.CancelScope() as stream.leg_scope:
-                async for part in attempt.read_parts():
-                    events = stream.delivered.take(splitter.feed(part))
-                    await self._pass_on(stream, attempt, list(events))
-            if stream.leg_scope.cancelled_caught:
+            while (part := await self._next_part(stream, parts)) is not None:
+                await self._pass_on(stream, attempt, splitter.feed(part))
+            if stream.is_given_up:
                 return "the endpoint was given up"
         except ExchangeBrokenError as error:
             return error.message
@@ -269,11 +269,36 @@
             await self._send(stream, attempt, splitter.rest)
         return None
 
-    async def _pass_on(self, stream, attempt, events) -> None:
-        if not events:
-            return
-        stream.note_events(len(events), trio.current_time(), TOKENS_AN_EVENT)
-        await self._send(stream, attempt, b"".join(event.data for event in events))
+    @staticmethod
+    async def _next_part(
+        stream: LiveStream, parts: AsyncIterator[bytes]
+    ) -> bytes | None:
+        """Wait for the next part; None at the end or when the endpoint is given up.
+
+        Only this wait may be cancelled to go on elsewhere: events that were taken
+        are always sent.
+        """
+        if stream.is_given_up:
+            return None
+        with trio.CancelScope() as stream.reading_scope:
+            return await anext(parts, None)
+        return None
+
+    async def _pass_on(
+        self,
+        stream: LiveStream,
+        attempt: EndpointAttempt,
+        events: Iterable[StreamEvent],
+    ) -> None:
+        """Send the events that are new; raise `MissingEventError` after them."""
+        taken: list[bytes] = []
+        try:
+            for event in stream.delivered.take(events):
+                taken.append(event.data)
+        finally:
+            if taken:
+                stream.note_events(len(taken), trio.current_time(), TOKENS_AN_EVENT)
+                await self._send(stream, attempt, b"".join(taken))
 
     async def _send(
         self, stream: LiveStream, attempt: EndpointAttempt, data: bytes
@@ -387,6 +412,7 @@
             load.add(endpoint.identity, self._work)
         stream.endpoint = endpoint
         stream.handover = None
+        stream.is_given_up = False
         stream.leg_began_at = float("inf")
         self._set_backup(backup)
         stream.backup = backup
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -66,6 +66,8 @@
         self.connections = 0
         self.open_streams = 0
         self.move_seconds = 0.02
+        self.pace = PACE_SECONDS
+        self.padding = b""
         self._memory = memory
         self._running: dict[str, trio.CancelScope] = {}
         self._scope = trio.CancelScope()
@@ -212,10 +214,11 @@
         connection, stream = arrival.connection, arrival.stream
         data = connection.send(h11.Response(status_code=200, headers=headers))
         for number in range(first, most + 1):
-            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            text = b"token-%d%s" % (number, self.padding)
+            event = b"id: %d\ndata: %s\n\n" % (number, text)
             await stream.send_all(data + connection.send(h11.Data(event)))
             data = b""
-            await trio.sleep(PACE_SECONDS)
+            await trio.sleep(self.pace)
         await stream.send_all(data + connection.send(h11.EndOfMessage()))
 
     def _take_copy(self, name: str) -> bool:
