--- a/features/core.feature
+++ b/features/core.feature
@@ -25,6 +25,12 @@
     Then of 3 agents, of which one came first, each owns some of 16 slots in the end
     And when one of them falls silent the others own all slots in the end
 
+  @at_most_once
+  Scenario: An agent whose slots were all taken wants some of them back
+    Given an agent that let its leases run out for another, which took all slots
+    When it makes a round of its upkeep
+    Then it has read the record again, and wants the slots that it is preferred for
+
   @tokens_once_in_order
   Scenario: Engine, readers and acknowledgements in any order
     Then each reader of 300 random histories sees tokens once and in order
--- a/src/piershore/agent/lease_keeper.py
+++ b/src/piershore/agent/lease_keeper.py
@@ -76,8 +76,17 @@
         table = self._owner.table
         if table is None:
             return True
-        wanted = self._change(spec, table)
-        return wanted != table
+        return self._is_outdated(table) or self._change(spec, table) != table
+
+    def _is_outdated(self, table: SlotTable) -> bool:
+        """Tell whether a lease in the record has run out.
+
+        Somebody else may have taken the slot since: an owner that let its lease run
+        out for another must read again to want a slot back.
+        """
+        now = self._now()
+        lasts = (slot.last for slot in table.current.slots)
+        return any(last and not last.released and last.end < now for last in lasts)
 
     async def _write(self, spec: Service, stored: StoredObject | None) -> None:
         version = 0
