Speak the platform's published form from the product's own store adapter too

Cause: two forms of one platform: the one invented before the users published theirs, and theirs; two clients, two stand-ins. Change: HttpPlatformStore goes over the same ObjectClient (create, replace, remove with revisions); all configuration objects lie in one kind, so that one list and one watch show them in order; the ids of the last writes lie beside the value. A removal whose answer was lost is settled by finding nothing there.

--- a/src/piershore/platform/exceptions.py
+++ b/src/piershore/platform/exceptions.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from piershore.core.configuration.stored_object import StoredObject
+    from piershore.platform.object_client import PlatformObject
 
 
 class PlatformUnavailableError(PiershoreError):
@@ -42,3 +43,13 @@
     """An object of the platform doesn't hold what it should."""
 
     code = "invalid_object"
+
+
+class ObjectConflictError(PiershoreError):
+    """An object isn't at the revision that a write named; `current` is as it is."""
+
+    code = "object_conflict"
+
+    def __init__(self, message: str, current: PlatformObject | None) -> None:
+        super().__init__(message)
+        self.current = current
--- a/src/piershore/platform/http_platform_store.py
+++ b/src/piershore/platform/http_platform_store.py
@@ -1,12 +1,14 @@
-"""The platform's object API over HTTP."""
+"""The product's own objects in the platform's object API."""
 
 from __future__ import annotations
 
 import base64
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
+from typing import TypeVar
+from urllib.parse import urlsplit
 
-import httpx
-import orjson
+import trio
 
 from piershore.core.configuration.objects import ObjectKind
 from piershore.core.configuration.stored_object import (
@@ -14,129 +16,163 @@
     Snapshot,
     StoredObject,
 )
+from piershore.core.fleet.endpoint import Address
 from piershore.core.ports import Box, BoxList, BoxRole, BoxState, PlatformStore
-from piershore.platform.exceptions import (
-    PlatformUnavailableError,
-    StaleVersionError,
-    WatchGapError,
-    WriteUncertainError,
+from piershore.platform.exceptions import ObjectConflictError, StaleVersionError
+from piershore.platform.object_client import (
+    ObjectChange,
+    ObjectClient,
+    PlatformObject,
 )
 
-CALL_TIMEOUT_SECONDS = 2.0
-WATCH_SILENCE_SECONDS = 5.0
-CONFIGURATION_KINDS = ",".join(k for k in ObjectKind if k is not ObjectKind.SLOTS)
+WATCH_SECONDS = 1.0
+"""A watch tells at least so often that nothing has changed."""
+CONFIGURATION_KIND = "piershore-configuration"
+"""One kind for all objects of the configuration: one list and one watch show them
+all, in the order of their changes. Their own kind is a part of the name."""
+SLOT_KIND = "piershore-slots"
 """Slot tables change with each lease; only agents read them, one by one."""
+BOX_KIND = "boxes"
+KIND_SEPARATOR = ":"
+WRITE_IDS_KEPT = 8
+"""Writes that an object remembers, to settle one whose answer was lost late."""
+KEPT_CLIENTS = 8
+
+Result = TypeVar("Result")
 
 
 class HttpPlatformStore(PlatformStore, BoxList):
-    """Reads, conditional writes, watches and the box list of one platform."""
+    """Reads, conditional writes, watches and the box list of one platform.
+
+    An object's contents are the field `value` of its spec; `write_ids` beside it
+    names its last writes.
+    """
 
     def __init__(self, base_url: str) -> None:
-        self._client = httpx.AsyncClient(
-            base_url=base_url, timeout=CALL_TIMEOUT_SECONDS, trust_env=False
-        )
+        self._address = Address.parse(urlsplit(base_url).netloc)
+        self._idle: list[ObjectClient] = []
+        self._write_ids: dict[ObjectName, tuple[int, tuple[str, ...]]] = {}
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.aclose()
+        while self._idle:
+            await self._idle.pop().close()
 
     async def get(self, name: ObjectName) -> StoredObject | None:
         """Read one object; the answer may be stale."""
-        response = await self._read(f"/objects/{name.kind}/{name.name}")
-        if response.status_code == httpx.codes.NOT_FOUND:
-            return None
-        return decode_stored(response.json())
+        kind, key = _place(name)
+        found = await self._with_client(lambda client: client.get(kind, key))
+        return None if found is None else self._decode(found)
 
     async def list(self) -> Snapshot:
         """Read all configuration objects; the answer may be stale."""
-        body = (await self._read(f"/objects?kinds={CONFIGURATION_KINDS}")).json()
-        objects = tuple(decode_stored(item) for item in body["objects"])
-        return Snapshot(body["revision"], objects)
+        listed = await self._with_client(lambda client: client.list(CONFIGURATION_KIND))
+        return Snapshot(listed.revision, tuple(map(self._decode, listed.objects)))
 
     async def put(
         self, name: ObjectName, value: bytes | None, version: int, write_id: str
     ) -> StoredObject:
         """Write if the object's version is still `version`."""
-        body = {"value": encode_value(value), "version": version, "write_id": write_id}
-        path = f"/objects/{name.kind}/{name.name}"
         try:
-            response = await self._client.put(path, content=orjson.dumps(body))
-        except httpx.ConnectError as error:
-            raise PlatformUnavailableError("the platform can't be reached") from error
-        except httpx.HTTPError as error:
-            raise WriteUncertainError("the write's answer was lost") from error
-        if response.status_code == httpx.codes.CONFLICT:
-            current = response.json()
+            return await self._with_client(
+                lambda c: self._write(c, name, value, version, write_id)
+            )
+        except ObjectConflictError as error:
+            current = error.current
             raise StaleVersionError(
                 f"{name.kind} {name.name} has changed",
-                decode_stored(current) if current else None,
-            )
-        if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
-            raise PlatformUnavailableError("the platform is out of service")
-        if response.is_error:
-            raise WriteUncertainError(f"the platform answered {response.status_code}")
-        return decode_stored(response.json())
+                None if current is None else self._decode(current),
+            ) from error
 
     async def watch(self, revision: int) -> AsyncIterator[StoredObject | int]:
-        """Yield changes after `revision`, and the revision when all is told.
-
-        The platform repeats its revision while nothing changes, so a silent
-        watch is a broken one.
-        """
-        timeout = httpx.Timeout(CALL_TIMEOUT_SECONDS, read=WATCH_SILENCE_SECONDS)
-        path = f"/watch?from={revision}&kinds={CONFIGURATION_KINDS}"
-        try:
-            async with self._client.stream("GET", path, timeout=timeout) as response:
-                if response.status_code == httpx.codes.GONE:
-                    raise WatchGapError(f"changes after {revision} are not kept")
-                if response.is_error:
-                    raise PlatformUnavailableError("the platform refuses the watch")
-                async for line in response.aiter_lines():
-                    item = orjson.loads(line)
-                    if "gap" in item:
-                        raise WatchGapError("the watch reported a gap")
-                    if "revision" in item:
-                        yield item["revision"]
-                    else:
-                        yield decode_stored(item)
-        except httpx.HTTPError as error:
-            raise PlatformUnavailableError("the watch broke") from error
+        """Yield changes after `revision`, and the revision when all is told."""
+        while True:
+            batch = await self._with_client(
+                lambda client, after=revision: client.watch(
+                    CONFIGURATION_KIND, after, WATCH_SECONDS
+                )
+            )
+            for change in batch.changes:
+                yield self._changed(change)
+            revision = batch.revision
+            yield revision
 
     async def boxes(self) -> tuple[Box, ...]:
         """Return the boxes that the platform knows of."""
-        body = (await self._read("/boxes")).json()
-        return tuple(
-            Box(
-                name=item["name"],
-                role=BoxRole(item["role"]),
-                data_hall=item["data_hall"],
-                peer_address=item["peer_address"],
-                state=BoxState(item["state"]),
-            )
-            for item in body
-        )
-
-    async def _read(self, path: str) -> httpx.Response:
+        listed = await self._with_client(lambda c: c.list(BOX_KIND))
+        return tuple(_box(item) for item in listed.objects)
+
+    async def _write(
+        self,
+        client: ObjectClient,
+        name: ObjectName,
+        value: bytes | None,
+        version: int,
+        write_id: str,
+    ) -> StoredObject:
+        kind, key = _place(name)
+        if value is None:
+            await client.remove(kind, key, version)
+            return StoredObject(name, version + 1, None, (write_id,))
+        known_at, known = self._write_ids.get(name, (0, ()))
+        previous = known if known_at == version else ()
+        ids = (*previous, write_id)[-WRITE_IDS_KEPT:]
+        spec = {"value": base64.b64encode(value).decode(), "write_ids": ids}
+        if version:
+            written = await client.replace(kind, key, spec, version)
+        else:
+            written = await client.create(kind, key, spec)
+        return self._decode(written)
+
+    def _changed(self, change: ObjectChange) -> StoredObject:
+        if not change.is_gone:
+            return self._decode(change.object)
+        # Above all versions of this object, below those of a later one.
+        return StoredObject(_name(change.object), change.object.revision + 1, None)
+
+    def _decode(self, item: PlatformObject) -> StoredObject:
+        name = _name(item)
+        ids = tuple(item.spec["write_ids"])
+        self._write_ids[name] = (item.revision, ids)
+        value = base64.b64decode(item.spec["value"])
+        return StoredObject(name, item.revision, value, ids)
+
+    async def _with_client(
+        self, call: Callable[[ObjectClient], Awaitable[Result]]
+    ) -> Result:
+        async with self._client() as client:
+            return await call(client)
+
+    @asynccontextmanager
+    async def _client(self) -> AsyncIterator[ObjectClient]:
+        client = self._idle.pop() if self._idle else ObjectClient(self._address)
         try:
-            response = await self._client.get(path)
-        except httpx.HTTPError as error:
-            raise PlatformUnavailableError("the platform can't be reached") from error
-        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
-            raise PlatformUnavailableError("the platform is out of service")
-        return response
-
-
-def encode_value(value: bytes | None) -> str | None:
-    """Return the text form of a value for JSON."""
-    return None if value is None else base64.b64encode(value).decode()
-
-
-def decode_stored(item: dict) -> StoredObject:
-    """Read an object from the platform's JSON."""
-    value = item["value"]
-    return StoredObject(
-        name=ObjectName(ObjectKind(item["kind"]), item["name"]),
-        version=item["version"],
-        value=None if value is None else base64.b64decode(value),
-        write_ids=tuple(item["write_ids"]),
+            yield client
+        finally:
+            if len(self._idle) < KEPT_CLIENTS:
+                self._idle.append(client)
+            else:
+                with trio.CancelScope(shield=True):
+                    await client.close()
+
+
+def _place(name: ObjectName) -> tuple[str, str]:
+    """Return the platform's kind and name of an object."""
+    kind = SLOT_KIND if name.kind is ObjectKind.SLOTS else CONFIGURATION_KIND
+    return kind, f"{name.kind}{KIND_SEPARATOR}{name.name}"
+
+
+def _name(item: PlatformObject) -> ObjectName:
+    kind, _, name = item.name.partition(KIND_SEPARATOR)
+    return ObjectName(ObjectKind(kind), name)
+
+
+def _box(item: PlatformObject) -> Box:
+    spec: Mapping = item.spec
+    return Box(
+        name=item.name,
+        role=BoxRole(spec["role"]),
+        data_hall=spec["data_hall"],
+        peer_address=spec["peer_address"],
+        state=BoxState(spec["state"]),
     )
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -1,9 +1,11 @@
-"""Reads and watches of the platform's object API, for one loop that follows it."""
+"""The platform's object API: reads, conditional writes and watches."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
+from urllib.parse import quote
 
 import orjson
 import trio
@@ -12,7 +14,12 @@
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead
-from piershore.platform.exceptions import PlatformUnavailableError, WatchGapError
+from piershore.platform.exceptions import (
+    ObjectConflictError,
+    PlatformUnavailableError,
+    WatchGapError,
+    WriteUncertainError,
+)
 
 CONNECT_SECONDS = 0.6
 """The store answers in a few ms; a lost first packet is sent again after 1 s."""
@@ -20,16 +27,24 @@
 """Longest wait for an answer; a slow store takes 60 times its usual 4 ms."""
 WATCH_SLACK_SECONDS = 0.8
 """How much later than asked for a waiting watch may answer."""
-STATUS_OK = 200
-STATUS_GONE = 410
+ANSWERING_STATUSES = frozenset(
+    {
+        HTTPStatus.OK,
+        HTTPStatus.CREATED,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.CONFLICT,
+    }
+)
+"""Any other status says that nothing was done."""
 
 
 @dataclass(frozen=True)
 class PlatformObject:
-    """An object: its name and what the operator or an endpoint put there."""
+    """An object: its name, what was put there, and its last change's revision."""
 
     name: str
     spec: Mapping
+    revision: int = 0
 
 
 @dataclass(frozen=True)
@@ -56,12 +71,30 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class ObjectCall:
+    """One call to the store."""
+
+    method: bytes
+    path: str
+    body: Mapping | None = None
+
+
+@dataclass(frozen=True)
+class ObjectAnswer:
+    """The store's answer to a call."""
+
+    status: int
+    body: Mapping
+
+
 class ObjectClient:
     """Keeps one connection to the store; one call at a time."""
 
     def __init__(self, address: Address) -> None:
         self._address = address
         self._connection: ClientConnection | None = None
+        self._is_sent = False
 
     async def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind, page by page.
@@ -71,7 +104,7 @@
         objects: list[PlatformObject] = []
         after = ""
         while True:
-            query = f"?since_revision={after}" if after else ""
+            query = f"?since_revision={quote(after)}" if after else ""
             body = await self._get(f"/objects/{kind}{query}", CALL_SECONDS)
             objects.extend(_object(item) for item in body["items"])
             if not body.get("more") or not body["items"]:
@@ -88,6 +121,34 @@
         body = await self._get(path, wait + WATCH_SLACK_SECONDS)
         return ObjectChanges(tuple(_changes(body)), int(body["at"]))
 
+    async def get(self, kind: str, name: str) -> PlatformObject | None:
+        """Read one object; None if there is none."""
+        call = ObjectCall(b"GET", f"/objects/{kind}/{quote(name)}")
+        answer = await self._call(call, CALL_SECONDS)
+        return None if answer.status == HTTPStatus.NOT_FOUND else _object(answer.body)
+
+    async def create(self, kind: str, name: str, spec: Mapping) -> PlatformObject:
+        """Make an object; raise `ObjectConflictError` if it is there.
+
+        This and the other writes raise `WriteUncertainError` when the answer was
+        lost, and `PlatformUnavailableError` when nothing was done.
+        """
+        body = {"metadata": {"name": name}, "spec": spec}
+        return await self._write(ObjectCall(b"POST", f"/objects/{kind}", body))
+
+    async def replace(
+        self, kind: str, name: str, spec: Mapping, revision: int
+    ) -> PlatformObject:
+        """Replace an object that is at `revision`."""
+        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        path = f"/objects/{kind}/{quote(name)}"
+        return await self._write(ObjectCall(b"PUT", path, body))
+
+    async def remove(self, kind: str, name: str, revision: int) -> PlatformObject:
+        """Remove an object that is at `revision`; return it as it was."""
+        path = f"/objects/{kind}/{quote(name)}?revision={revision}"
+        return await self._write(ObjectCall(b"DELETE", path))
+
     async def close(self) -> None:
         """Close the connection."""
         if self._connection is not None:
@@ -95,46 +156,74 @@
             self._connection = None
 
     async def _get(self, path: str, timeout: float) -> Mapping:
+        answer = await self._call(ObjectCall(b"GET", path), timeout)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            raise PlatformUnavailableError("the store doesn't know the kind")
+        return answer.body
+
+    async def _write(self, call: ObjectCall) -> PlatformObject:
+        answer = await self._call(call, CALL_SECONDS)
+        if answer.status in (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND):
+            current = _object(answer.body) if answer.body else None
+            raise ObjectConflictError("the object has changed", current)
+        return _object(answer.body)
+
+    async def _call(self, call: ObjectCall, timeout: float) -> ObjectAnswer:
+        self._is_sent = False
         try:
             with trio.fail_after(timeout + CONNECT_SECONDS):
-                return await self._exchange(path)
+                return await self._exchange(call)
         except (trio.TooSlowError, ExchangeBrokenError, NotConnectedError) as error:
             await self.close()
+            if self._is_sent and call.method != b"GET":
+                raise WriteUncertainError(f"the answer was lost: {error}") from error
             raise PlatformUnavailableError(f"the store: {error}") from error
         except BaseException:
             with trio.CancelScope(shield=True):
                 await self.close()
             raise
 
-    async def _exchange(self, path: str) -> Mapping:
+    async def _exchange(self, call: ObjectCall) -> ObjectAnswer:
+        connection = await self._connect()
+        body = b"" if call.body is None else orjson.dumps(call.body)
+        headers = [(b"host", str(self._address).encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", str(len(body)).encode()))
+        self._is_sent = True
+        head = RequestHead(call.method, call.path.encode(), tuple(headers))
+        await connection.send(head, body)
+        answer = await connection.read_head()
+        data = await connection.read_body()
+        if not connection.end_exchange():
+            await self.close()
+        return _answer(answer.status, data)
+
+    async def _connect(self) -> ClientConnection:
         if self._connection is None or not self._connection.is_clean():
             await self.close()
             self._connection = await ClientConnection.open(
                 self._address.host, self._address.port, CONNECT_SECONDS
             )
-        connection = self._connection
-        headers = ((b"host", str(self._address).encode()),)
-        await connection.send(RequestHead(b"GET", path.encode(), headers), b"")
-        head = await connection.read_head()
-        body = await connection.read_body()
-        if not connection.end_exchange():
-            await self.close()
-        if head.status == STATUS_GONE:
-            raise WatchGapError("the store no longer has these changes")
-        if head.status != STATUS_OK:
-            raise PlatformUnavailableError(f"the store answered {head.status}")
-        return _decode(body)
+        return self._connection
 
 
-def _decode(body: bytes) -> Mapping:
+def _answer(status: int, data: bytes) -> ObjectAnswer:
+    """Decode an answer; raise the error that its status stands for."""
+    if status == HTTPStatus.GONE:
+        raise WatchGapError("the store no longer has these changes")
+    if status not in ANSWERING_STATUSES:
+        raise PlatformUnavailableError(f"the store answered {status}")
     try:
-        return orjson.loads(body)
+        return ObjectAnswer(status, orjson.loads(data) if data else {})
     except orjson.JSONDecodeError as error:
         raise PlatformUnavailableError("the store's answer is no JSON") from error
 
 
 def _object(item: Mapping) -> PlatformObject:
-    return PlatformObject(item["metadata"]["name"], item.get("spec") or {})
+    metadata = item["metadata"]
+    revision = int(metadata.get("revision") or 0)
+    return PlatformObject(metadata["name"], item.get("spec") or {}, revision)
 
 
 def _changes(body: Mapping) -> Iterator[ObjectChange]:
--- a/src/piershore/platform/settled_write.py
+++ b/src/piershore/platform/settled_write.py
@@ -32,6 +32,9 @@
             current = error.current
             if current is not None and write_id in current.write_ids:
                 return current
+            if value is None and current is None and attempt:
+                # The first removal took effect, and its answer was lost.
+                return StoredObject(name, version + 1, None, (write_id,))
             raise
         except WriteUncertainError:
             if attempt == ATTEMPTS - 1:
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from copy import deepcopy
+from dataclasses import asdict, dataclass
 from enum import StrEnum
 from http import HTTPStatus
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import orjson
 import trio
 
 from piershore.core.routes.client_limits import ClientLimits
 from piershore.http1.exceptions import BadRequestError
+from piershore.http1.message import RequestHead
 from piershore.http1.server_connection import ServerConnection
 
 PAGE = 50
+BOX_KIND = "boxes"
+LEASE_KIND = "piershore-slots"
+READS_PER_SECOND = 2_000
+WRITES_PER_SECOND = 300
 
 
 class StoreFault(StrEnum):
@@ -26,34 +34,102 @@
     SILENT = "silent"
 
 
+REFUSING = {
+    StoreFault.BUSY: HTTPStatus.SERVICE_UNAVAILABLE,
+    StoreFault.MANY: HTTPStatus.TOO_MANY_REQUESTS,
+}
+
+
+@dataclass
+class Faults:
+    """Switches of the faults; times are seconds."""
+
+    outage: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    stale_reads: bool = False
+    drop_changes: int = 0
+    box_lag: float = 0.0
+    outage_after_write: bool = False
+
+
+@dataclass
+class Counts:
+    """Calls so far; a waiting watch counts as one."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+
+
+@dataclass(frozen=True)
+class Call:
+    """A call: method, kind and name in the path, query and body."""
+
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str]
+    body: bytes
+
+    @classmethod
+    def of(cls, head: RequestHead, body: bytes) -> Call:
+        """Return the call that a request makes."""
+        url = urlsplit(head.target.decode())
+        path = tuple(unquote(part) for part in url.path.split("/") if part)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        return cls(head.method.decode(), path, query, body)
+
+    @property
+    def is_write(self) -> bool:
+        """Whether it changes an object."""
+        return self.path[0] == "objects" and self.method != "GET"
+
+
+Answer = tuple[int, object]
+
+
 class PublishedStore:
     """Objects by kind and name, one counter of revisions, and watches."""
 
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
+        self.faults = Faults()
+        self.counts = Counts()
         self.calls = 0
         self.is_deaf = False
+        self.port = 0
         self._revision = 1
         self._objects: dict[str, dict[str, dict]] = {}
+        self._frozen: tuple[dict[str, dict[str, dict]], int] | None = None
+        self._boxes: dict[str, list[tuple[float, dict | None]]] = {}
         self._events: list[tuple[int, str, dict]] = []
         self._oldest = 0
         self._changed = trio.Event()
         self._scopes: set[trio.CancelScope] = set()
-        self.port = 0
+        self._second = 0
+        self._in_second = Counts()
 
-    def put(self, kind: str, name: str, spec: dict) -> None:
+    def put(self, kind: str, name: str, spec: dict) -> dict:
         """Make or replace an object."""
         self._revision += 1
-        metadata = {"name": name, "revision": self._revision, "made": 1}
+        metadata = {
+            "name": name,
+            "revision": self._revision,
+            "made": 1,
+            "finalizers": [],
+            "deleting": False,
+        }
         item = {"metadata": metadata, "spec": spec, "status": None}
         self._objects.setdefault(kind, {})[name] = item
         self._note(kind, {"gone": False, "object": item})
+        return item
 
-    def remove(self, kind: str, name: str) -> None:
+    def remove(self, kind: str, name: str) -> dict:
         """Remove an object."""
         self._revision += 1
         item = self._objects[kind].pop(name)
         self._note(kind, {"gone": True, "object": item})
+        return item
 
     def forget_history(self) -> None:
         """Drop all changes so far."""
@@ -61,13 +137,18 @@
         self._events.clear()
 
     def cut_watches(self) -> None:
-        """Close all connections."""
-        for scope in self._scopes:
+        """Close the connections of all watches that wait."""
+        for scope in list(self._scopes):
             scope.cancel()
 
-    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def serve(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        task_status=trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(port, host=host)
         self.port = listeners[0].socket.getsockname()[1]
         task_status.started()
         await trio.serve_listeners(self._serve_one, listeners)
@@ -80,58 +161,164 @@
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         connection = ServerConnection(stream, ClientLimits)
         try:
-            with trio.CancelScope() as scope:
-                self._scopes.add(scope)
-                while (head := await connection.next_request()) is not None:
-                    await connection.read_body()
-                    self.calls += 1
-                    if not await self._answer(connection, head.target.decode()):
-                        break
-                    if not connection.start_next():
-                        break
-        except (BadRequestError, trio.BrokenResourceError):
+            while (head := await connection.next_request()) is not None:
+                call = Call.of(head, await connection.read_body())
+                if not await self._respond(connection, call):
+                    break
+                if not connection.start_next():
+                    break
+        except (BadRequestError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
-            self._scopes.discard(scope)
             with trio.CancelScope(shield=True):
                 await connection.close()
 
-    async def _answer(self, connection: ServerConnection, target: str) -> bool:
-        if self.fault is StoreFault.RESET:
-            return False
-        if self.fault is StoreFault.SILENT:
-            await trio.sleep_forever()
-        refusing = {
-            StoreFault.BUSY: HTTPStatus.SERVICE_UNAVAILABLE,
-            StoreFault.MANY: HTTPStatus.TOO_MANY_REQUESTS,
-        }
-        if self.fault in refusing:
-            await connection.respond(refusing[self.fault], (), b"{}")
-            return True
-        url = urlsplit(target)
-        kind = url.path.split("/")[2]
-        query = {key: values[0] for key, values in parse_qs(url.query).items()}
-        if "watch" in query:
-            status, body = await self._watch(kind, query)
+    async def _respond(self, connection: ServerConnection, call: Call) -> bool:
+        """Answer one call; False if its connection is to be closed instead."""
+        self.calls += 1
+        if call.path[0].startswith("_"):
+            status, body = self._control(call)
         else:
-            status, body = HTTPStatus.OK, self._list(kind, query)
+            await trio.sleep(self.faults.delay)
+            if self.fault is StoreFault.RESET:
+                return False
+            if self.fault is StoreFault.SILENT:
+                await trio.sleep_forever()
+            status, body = await self._serve_objects(call)
+            if status < HTTPStatus.BAD_REQUEST and self._loses_answer(call):
+                return False
         await connection.respond(status, (), orjson.dumps(body))
         return True
 
+    def _loses_answer(self, call: Call) -> bool:
+        if not call.is_write:
+            return False
+        if self.faults.outage_after_write and call.path[1] != LEASE_KIND:
+            self.faults.outage = True
+        if self.faults.lose_answers <= 0:
+            return False
+        self.faults.lose_answers -= 1
+        return True
+
+    async def _serve_objects(self, call: Call) -> Answer:
+        if self.fault in REFUSING:
+            return REFUSING[self.fault], {}
+        if self.faults.outage or not self._is_within_rate(call):
+            return HTTPStatus.SERVICE_UNAVAILABLE, {}
+        kind, *rest = call.path[1:]
+        if call.is_write:
+            self.counts.writes += 1
+            return self._write(call, kind, rest)
+        self.counts.reads += 1
+        if "watch" in call.query:
+            return await self._watch(kind, call.query)
+        if rest:
+            item = self._readable()[0].get(kind, {}).get(rest[0])
+            return (HTTPStatus.OK, item) if item else (HTTPStatus.NOT_FOUND, {})
+        return HTTPStatus.OK, self._list(kind, call.query)
+
+    def _is_within_rate(self, call: Call) -> bool:
+        second = int(trio.current_time())
+        if second != self._second:
+            self._second, self._in_second = second, Counts()
+        if call.is_write:
+            self._in_second.writes += 1
+            return self._in_second.writes <= WRITES_PER_SECOND
+        self._in_second.reads += 1
+        return self._in_second.reads <= READS_PER_SECOND
+
+    def _write(self, call: Call, kind: str, rest: list[str]) -> Answer:
+        body = orjson.loads(call.body) if call.body else {}
+        metadata = body.get("metadata", {})
+        name = rest[0] if rest else metadata["name"]
+        current = self._objects.get(kind, {}).get(name)
+        if call.method == "POST":
+            if current is not None:
+                return HTTPStatus.CONFLICT, current
+            return HTTPStatus.CREATED, self.put(kind, name, body["spec"])
+        if current is None:
+            return HTTPStatus.NOT_FOUND, {}
+        wanted = metadata.get("revision", call.query.get("revision"))
+        if wanted is not None and int(wanted) != current["metadata"]["revision"]:
+            return HTTPStatus.CONFLICT, current
+        if call.method == "DELETE":
+            return HTTPStatus.OK, self.remove(kind, name)
+        if body["spec"] == current["spec"]:
+            return HTTPStatus.OK, current
+        return HTTPStatus.OK, self.put(kind, name, body["spec"])
+
+    def _readable(self) -> tuple[dict[str, dict[str, dict]], int]:
+        if self.faults.stale_reads and self._frozen is not None:
+            return self._frozen
+        return self._objects, self._revision
+
     def _list(self, kind: str, query: dict[str, str]) -> dict:
+        if kind == BOX_KIND:
+            return {"items": self._listed_boxes(), "more": False, "at": self._revision}
+        objects, revision = self._readable()
         after = query.get("since_revision", "")
-        names = [n for n in sorted(self._objects.get(kind, {})) if n > after]
-        items = [self._objects[kind][name] for name in names[:PAGE]]
-        return {"items": items, "more": len(names) > PAGE, "at": self._revision}
+        names = [n for n in sorted(objects.get(kind, {})) if n > after]
+        items = [objects[kind][name] for name in names[:PAGE]]
+        return {"items": items, "more": len(names) > PAGE, "at": revision}
+
+    def _listed_boxes(self) -> list[dict]:
+        seen_at = trio.current_time() - self.faults.box_lag
+        items = []
+        for name, history in self._boxes.items():
+            past = [entry for at, entry in history if at <= seen_at]
+            if past and past[-1] is not None:
+                items.append({"metadata": {"name": name}, "spec": past[-1]})
+        return items
 
-    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, dict]:
+    async def _watch(self, kind: str, query: dict[str, str]) -> Answer:
         since = int(query["watch"])
-        with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000):
-            while True:
-                if since < self._oldest:
+        self.counts.watches += 1
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000):
+                    return await self._next_events(kind, since)
+                return HTTPStatus.OK, {"events": [], "at": self._revision}
+            finally:
+                self._scopes.discard(scope)
+                self.counts.watches -= 1
+        raise trio.BrokenResourceError("the watch was cut")
+
+    async def _next_events(self, kind: str, since: int) -> Answer:
+        while True:
+            if since < self._oldest:
+                return HTTPStatus.GONE, {}
+            events = [e for r, k, e in self._events if k == kind and r > since]
+            if events and not self.is_deaf:
+                if self.faults.drop_changes > 0:
+                    self.faults.drop_changes -= 1
                     return HTTPStatus.GONE, {}
-                events = [e for r, k, e in self._events if k == kind and r > since]
-                if events and not self.is_deaf:
-                    return HTTPStatus.OK, {"events": events, "at": self._revision}
-                await self._changed.wait()
-        return HTTPStatus.OK, {"events": [], "at": self._revision}
+                return HTTPStatus.OK, {"events": events, "at": self._revision}
+            await self._changed.wait()
+
+    def _control(self, call: Call) -> Answer:
+        """Switch faults, enter boxes and tell counts."""
+        control: dict[str, Callable[[Call], object]] = {
+            "_faults": self._set_faults,
+            "_counts": lambda call: asdict(self.counts),
+            "_boxes": self._set_box,
+        }
+        return HTTPStatus.OK, control[call.path[0]](call)
+
+    def _set_faults(self, call: Call) -> object:
+        for name, value in orjson.loads(call.body).items():
+            if name == "stale_reads" and value:
+                self._frozen = (deepcopy(self._objects), self._revision)
+            setattr(self.faults, name, value)
+        if self.faults.outage:
+            self.cut_watches()
+        return asdict(self.faults)
+
+    def _set_box(self, call: Call) -> object:
+        if call.method == "DELETE":
+            name, entry = call.path[1], None
+        else:
+            entry = orjson.loads(call.body)
+            name = entry["name"]
+        self._boxes.setdefault(name, []).append((trio.current_time(), entry))
+        return {}
