--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -109,6 +109,7 @@
         self._ids = count(1)
         self._peer_port = free_port()
         self._start_gateways = 1
+        self.log_output = None
 
     def add_endpoints(self, service, number, faults=()):
         for _ in range(number):
@@ -163,6 +164,8 @@
             StoredConfigurationFeed(settings.store_address),
             StoredEndpointFeed(settings.store_address),
         )
+        if self.log_output is not None:
+            daemon._log._output = self.log_output
         self.gateways[number] = (settings, daemon)
         await self.nursery.start(daemon.serve)
         if wait:
--- a/src/piershore/commands/command.py
+++ b/src/piershore/commands/command.py
@@ -38,6 +38,7 @@
     "gateway": "gateway_command",
     "agent": "agent_command",
     "ingress": "ingress_command",
+    "explain": "explain_command",
     "validate": "validate_command",
     "template": "object_commands",
     "account": "object_commands",
--- /dev/null
+++ b/src/piershore/commands/explain_command.py
@@ -0,0 +1,77 @@
+"""`piershore explain`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Iterator, Sequence
+
+import orjson
+
+from piershore.commands.command import Command, command, ExitCode
+from piershore.commands.exceptions import CommandError
+from piershore.commands.options import OUTPUT
+from piershore.telemetry.request_story import read_lines, StoryLine, tell_story
+
+DIM = "\x1b[2m"
+RED = "\x1b[31m"
+PLAIN = "\x1b[0m"
+BAD_EVENTS = frozenset(
+    {"attempt_ended", "request_refused", "stream_broken_off", "internal_error"}
+)
+PROGRESS_LINES = 200_000
+"""Lines between two signs of progress on a terminal."""
+
+
+@command("explain")
+class ExplainCommand(Command):
+    """Tell the story of one request."""
+
+    usage = "explain ID [FILE...] [--output json]"
+    summary = "Tell what happened to a request, from the logs of one or more gateways."
+    example = "piershore explain 9c41d07be2a35f68 front-*.log"
+
+    def run(self, arguments: Sequence[str]) -> ExitCode:
+        """Print the request's lines in order, with what explains them."""
+        if not arguments:
+            raise CommandError(ExitCode.USAGE, "ID is missing")
+        request, *files = arguments
+        story = list(tell_story(read_lines(_texts(files)), request))
+        if not story:
+            raise CommandError(ExitCode.FAILED, f"no line names request {request}")
+        if OUTPUT.value == "json":
+            lines = [line.as_json() for line in story]
+            print(orjson.dumps(lines, option=orjson.OPT_INDENT_2).decode())
+            return ExitCode.OK
+        has_colours = sys.stdout.isatty() and "NO_COLOR" not in os.environ
+        for line in story:
+            print(_coloured(line) if has_colours else line.as_text())
+        return ExitCode.OK
+
+
+def _texts(files: Sequence[str]) -> Iterator[bytes]:
+    shows_progress = sys.stderr.isatty()
+    if not files:
+        yield from sys.stdin.buffer
+        return
+    count = 0
+    for file in files:
+        try:
+            with open(file, "rb") as stream:
+                for text in stream:
+                    yield text
+                    count += 1
+                    if shows_progress and count % PROGRESS_LINES == 0:
+                        print(f"\r{count:,} lines read", end="", file=sys.stderr)
+        except OSError as error:
+            raise CommandError(ExitCode.FAILED, f"{file}: {error.strerror}") from error
+    if shows_progress and count >= PROGRESS_LINES:
+        print(file=sys.stderr)
+
+
+def _coloured(line: StoryLine) -> str:
+    if line.is_context:
+        return f"{DIM}{line.as_text()}{PLAIN}"
+    if line.line.event in BAD_EVENTS:
+        return f"{RED}{line.as_text()}{PLAIN}"
+    return line.as_text()
--- /dev/null
+++ b/src/piershore/telemetry/request_story.py
@@ -0,0 +1,127 @@
+"""The story of one request, told from the logs of several processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from datetime import datetime
+
+import orjson
+
+CONTEXT_SECONDS = 3.0
+"""Changes of beliefs so long before a request's first line may explain it."""
+CONTEXT_EVENTS = frozenset(
+    {
+        "configuration_in_force",
+        "dependency_lost",
+        "dependency_regained",
+        "endpoint_ejected",
+        "endpoint_left",
+        "process_started",
+        "process_stopping",
+        "process_stopped",
+        "internal_error",
+        "events_omitted",
+    }
+)
+HIDDEN_FIELDS = frozenset({"time", "box", "event", "request"})
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One line of a log, decoded; `at` is the box's own time of day."""
+
+    at: datetime
+    box: str
+    event: str
+    request: str
+    fields: Mapping[str, object]
+
+    @property
+    def endpoints(self) -> frozenset[str]:
+        """Endpoints that the line names."""
+        names = (self.fields.get("endpoint"), self.fields.get("target"))
+        return frozenset(str(name) for name in names if name)
+
+
+@dataclass(frozen=True)
+class StoryLine:
+    """A line of the story; `seconds` since the request's first line."""
+
+    seconds: float
+    line: LogLine
+    is_context: bool
+
+    def as_json(self) -> dict:
+        """Return plain data for tools."""
+        return {
+            "seconds": round(self.seconds, 4),
+            "box": self.line.box,
+            "event": self.line.event,
+            "is_context": self.is_context,
+            **self.line.fields,
+        }
+
+    def as_text(self) -> str:
+        """Return one line for people."""
+        mark = "~" if self.is_context else " "
+        words = (f"{key}={_shown(value)}" for key, value in self.line.fields.items())
+        name = self.line.event.replace("_", " ")
+        return f"{self.seconds:9.3f} s {mark} {self.line.box}: {name} {' '.join(words)}"
+
+
+def read_lines(texts: Iterable[bytes]) -> Iterator[LogLine]:
+    """Decode log lines; what isn't one, or has a prefix before it, is passed over."""
+    for text in texts:
+        start = text.find(b'{"time"')
+        if start < 0:
+            continue
+        try:
+            record = orjson.loads(text[start:])
+            yield LogLine(
+                datetime.fromisoformat(record["time"]),
+                str(record["box"]),
+                str(record["event"]),
+                str(record.get("request", "")),
+                {k: v for k, v in record.items() if k not in HIDDEN_FIELDS},
+            )
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+            # A line that was cut by a kill; the others still tell.
+            continue
+
+
+def tell_story(lines: Iterable[LogLine], request: str) -> Iterator[StoryLine]:
+    """Yield the lines of a request in their order, and what explains them.
+
+    Context is what the same box noted of itself, or any box of an endpoint that the
+    request was at, from some seconds before the first line to the last.
+    """
+    lines = sorted(lines, key=lambda line: line.at)
+    own = [line for line in lines if line.request == request]
+    if not own:
+        return
+    boxes = {line.box for line in own}
+    endpoints = frozenset().union(*(line.endpoints for line in own))
+    first, last = own[0].at, own[-1].at
+    for line in lines:
+        seconds = (line.at - first).total_seconds()
+        if line.request == request:
+            yield StoryLine(seconds, line, is_context=False)
+        elif (
+            line.event in CONTEXT_EVENTS
+            and seconds >= -CONTEXT_SECONDS
+            and line.at <= last
+            and _concerns(line, boxes, endpoints)
+        ):
+            yield StoryLine(seconds, line, is_context=True)
+
+
+def _concerns(line: LogLine, boxes: set[str], endpoints: frozenset[str]) -> bool:
+    if line.endpoints:
+        return line.box in boxes and bool(line.endpoints & endpoints)
+    return line.box in boxes
+
+
+def _shown(value: object) -> str:
+    text = str(value)
+    return orjson.dumps(text).decode() if " " in text or not text else text
