--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint model behave bench slopes mutants proto
+.PHONY: setup demo test lint model behave bench slopes soak mutants proto
 
 setup: .venv/.installed
 
@@ -35,6 +35,12 @@
 slopes: setup
 	$(BIN)/python -m devtools.slopes
 
+# Real gateways before stand-ins, faults from outside: make soak SEEDS=50 FIRST=100
+SEEDS ?= 50
+FIRST ?= 1
+soak: setup
+	$(BIN)/python -m devtools.soak --seeds $(SEEDS) --first $(FIRST) --jobs 4
+
 # Only needed after an edit of link.proto; the generated code is committed.
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpc_python_out=src src/piershore/wire/link.proto
--- /dev/null
+++ b/devtools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways before stand-ins, faults injected from outside."""
--- /dev/null
+++ b/devtools/soak/__main__.py
@@ -0,0 +1,112 @@
+"""`python -m devtools.soak`: plays seeds and tells which promises were broken."""
+
+from __future__ import annotations
+
+import shutil
+import sys
+import tempfile
+from argparse import ArgumentParser, Namespace
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from random import Random
+
+import trio
+
+from devtools.soak.callers import Callers
+from devtools.soak.checks import find_broken
+from devtools.soak.faults import Troubles
+from devtools.soak.fleet import Fleet
+
+CASES = Path(__file__).with_name("cases.txt")
+"""Seeds that ever failed, each with a line on the cause."""
+KEPT = Path("build/soak")
+READY_SECONDS = 20.0
+QUIET_SECONDS = 1.0
+MOST_SECONDS = 90.0
+
+
+def main() -> int:
+    """Play the seeds asked for, and those that ever failed."""
+    options = _options()
+    seeds = [*_case_seeds(), *range(options.first, options.first + options.seeds)]
+    broken = 0
+    with ProcessPoolExecutor(options.jobs) as pool:
+        runs = [pool.submit(play, seed, options) for seed in dict.fromkeys(seeds)]
+        for run in runs:
+            text, is_broken = run.result()
+            broken += is_broken
+            print(text, flush=True)
+    print(f"{len(runs) - broken} seeds kept all promises, {broken} broke some")
+    return 1 if broken else 0
+
+
+def play(seed: int, options: Namespace) -> tuple[str, bool]:
+    """Play one seed; return what to print and whether a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    fleet = Fleet(folder, options.gateways, {"desk": 3, "model": 3})
+    random = Random(seed)
+    callers = Callers(fleet, random, options.callers)
+    troubles = Troubles(fleet, random, options.gap)
+    try:
+        trio.run(_run, fleet, callers, troubles, options.seconds)
+        findings = list(find_broken(fleet, callers, troubles))
+    finally:
+        fleet.close()
+    served = sum(call.status == 200 for call in callers.calls)
+    text = f"seed {seed}: {len(callers.calls)} calls, {served} served"
+    text += f", {len(troubles.told)} faults"
+    if findings:
+        kept = KEPT / str(seed)
+        shutil.rmtree(kept, ignore_errors=True)
+        shutil.copytree(folder, kept)
+        (kept / "faults.txt").write_text("\n".join([*troubles.told, *findings]))
+        shown = "\n  ".join(findings[:10])
+        text += f": BROKEN, logs in {kept}\n  {shown}"
+    shutil.rmtree(folder, ignore_errors=True)
+    return text, bool(findings)
+
+
+async def _run(
+    fleet: Fleet, callers: Callers, troubles: Troubles, seconds: float
+) -> None:
+    with trio.fail_after(MOST_SECONDS):
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await _wait_ready(fleet)
+            async with trio.open_nursery() as playing:
+                playing.start_soon(callers.run, seconds + QUIET_SECONDS)
+                playing.start_soon(troubles.run, seconds)
+            nursery.cancel_scope.cancel()
+
+
+async def _wait_ready(fleet: Fleet) -> None:
+    with trio.fail_after(READY_SECONDS):
+        for gateway in fleet.gateways:
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(*gateway.address)
+                    await stream.aclose()
+                    break
+                except OSError:
+                    await trio.sleep(0.05)
+
+
+def _case_seeds() -> list[int]:
+    lines = CASES.read_text().splitlines() if CASES.exists() else []
+    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
+
+
+def _options() -> Namespace:
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3, help="how many seeds")
+    parser.add_argument("--first", type=int, default=1, help="the first of them")
+    parser.add_argument("--jobs", type=int, default=2, help="seeds played at once")
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--gap", type=float, default=0.25, help="between faults, s")
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/devtools/soak/callers.py
@@ -0,0 +1,140 @@
+"""Callers of a soak: they keep connections, and record what they got."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from devtools.soak.fleet import ACCOUNTS, Fleet, Gateway, HOST
+from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.http1.message import RequestHead
+from piershore.platform.headers import REQUEST_ID
+
+KINDS = {"once": 5, "again": 5, "stream": 4, "version": 3}
+LEAVE_SHARE = 0.05
+PAUSE_SECONDS = 0.03
+DEADLINE_MS = 9_000
+
+
+@dataclass
+class Call:
+    """One attempt of a caller and what came of it."""
+
+    identity: str
+    kind: str
+    account: str
+    gateway: str
+    life: int
+    sent_at: float
+    version: int = 0
+    events_wanted: int = 0
+    status: int | None = None
+    is_whole: bool = False
+    has_left: bool = False
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    ended_at: float = 0.0
+
+
+class Callers:
+    """Some callers at random gateways."""
+
+    def __init__(self, fleet: Fleet, random: Random, count: int) -> None:
+        self._fleet = fleet
+        self._random = random
+        self._count = count
+        self._next = 0
+        self.calls: list[Call] = []
+
+    async def run(self, seconds: float) -> None:
+        """Call for some seconds, then let the last calls end."""
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            for _ in range(self._count):
+                nursery.start_soon(self._call_on, end)
+
+    async def _call_on(self, end: float) -> None:
+        connection: ClientConnection | None = None
+        gateway: Gateway | None = None
+        while trio.current_time() < end:
+            await trio.sleep(self._random.random() * 2 * PAUSE_SECONDS)
+            if connection is None:
+                gateway = self._random.choice(self._fleet.gateways)
+                connection = await self._connect(gateway)
+                if connection is None:
+                    continue
+            call = self._new_call(gateway)
+            with trio.move_on_after(DEADLINE_MS / 1_000 + 1):
+                if await self._exchange(connection, call) and connection.is_clean():
+                    continue
+            await connection.close()
+            connection = None
+        if connection is not None:
+            await connection.close()
+
+    async def _connect(self, gateway: Gateway) -> ClientConnection | None:
+        try:
+            return await ClientConnection.open(*gateway.address, timeout=0.5)
+        except NotConnectedError:
+            return None
+
+    def _new_call(self, gateway: Gateway) -> Call:
+        self._next += 1
+        kind = self._random.choices(list(KINDS), KINDS.values())[0]
+        call = Call(
+            identity=f"{self._next:016x}",
+            kind=kind,
+            account=self._random.choice(list(ACCOUNTS)),
+            gateway=gateway.name,
+            life=gateway.lives,
+            sent_at=trio.current_time(),
+        )
+        if kind == "stream":
+            call.events_wanted = self._random.choice([3, 12, 60, 150])
+        if kind == "version":
+            call.version = self._random.randint(
+                max(1, self._fleet.config_version - 2), self._fleet.config_version
+            )
+        self.calls.append(call)
+        return call
+
+    def _head(self, call: Call) -> RequestHead:
+        name = f"v{call.version}" if call.kind == "version" else call.kind
+        headers = [
+            (b"host", HOST.encode()),
+            (REQUEST_ID, call.identity.encode()),
+            (b"deadline-ms", str(DEADLINE_MS).encode()),
+            (b"authorization", f"Token {call.account}".encode()),
+            (b"tenant", b"somebody-else"),
+            (b"content-length", b"2"),
+        ]
+        if call.events_wanted:
+            prompt = self._random.choice([100, 2_000, 9_000])
+            usage = f"{prompt},{call.events_wanted * 4}".encode()
+            headers.append((b"token-usage", usage))
+        return RequestHead(b"POST", f"/{name}/x".encode(), tuple(headers))
+
+    async def _exchange(self, connection: ClientConnection, call: Call) -> bool:
+        """Make one call; tell whether the connection may be used again."""
+        leaves_after = self._random.random() if self._leaves() else float("inf")
+        try:
+            with trio.move_on_after(leaves_after) as scope:
+                await connection.send(self._head(call), b"{}")
+                head = await connection.read_head()
+                call.status = head.status
+                call.headers = {k.decode(): v.decode() for k, v in head.headers}
+                async for part in connection.read_parts():
+                    call.body += part
+                call.is_whole = True
+        except ExchangeBrokenError:
+            call.is_whole = False
+        call.has_left = scope.cancelled_caught
+        call.ended_at = trio.current_time()
+        closes = call.headers.get("connection", "") == "close"
+        return call.is_whole and not closes and connection.end_exchange()
+
+    def _leaves(self) -> bool:
+        return self._random.random() < LEAVE_SHARE
--- /dev/null
+++ b/devtools/soak/checks.py
@@ -0,0 +1,119 @@
+"""The promises, checked from what callers and endpoints saw."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from devtools.soak.callers import Call, Callers
+from devtools.soak.faults import Troubles
+from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+APPLY_SECONDS = 2.5
+"""Time for an accepted configuration to be in force, as the platform asks, and some
+more for a busy machine."""
+CONTACT_SECONDS = 3.0
+"""A gateway that was disturbed is not held to times for so long."""
+DRAIN_SLACK_SECONDS = 0.5
+LEAST_SERVED_SHARE = 0.25
+
+
+def find_broken(fleet: Fleet, callers: Callers, troubles: Troubles) -> Iterator[str]:
+    """Yield each promise that was broken, with its place."""
+    runs: Counter[str] = Counter()
+    for standin in fleet.standins():
+        runs.update(standin.runs)
+    known = {call.identity: call for call in callers.calls}
+    yield from troubles.bad_exits
+    yield from _unasked(fleet, known)
+    for call in callers.calls:
+        yield from _one_call(call, runs[call.identity])
+    yield from _versions(callers.calls)
+    yield from _leaving(fleet, known, troubles)
+    yield from _service(callers.calls)
+    yield from _faults_of_the_program(fleet)
+
+
+def _one_call(call: Call, runs: int) -> Iterator[str]:
+    place = f"{call.kind} {call.identity} at {call.gateway}"
+    most = 2 if call.kind in ("again", "version") else 1
+    if runs > most:
+        yield f"{place}: ran {runs} times"
+    if call.status in NOT_RUN_STATUSES and runs and most == 1:
+        yield f"{place}: told {call.status}, and ran"
+    if call.status == 401:
+        yield f"{place}: its key was refused"
+    if call.status != 200:
+        return
+    if call.headers.get("response-seal") != f"seal.{call.identity}":
+        yield f"{place}: a success with another seal"
+    if call.kind == "stream":
+        yield from _stream(place, call)
+    elif call.is_whole and f'"request":"{call.identity}"'.encode() not in call.body:
+        yield f"{place}: got another answer: {call.body!r}"
+
+
+def _stream(place: str, call: Call) -> Iterator[str]:
+    lines = call.body.decode().splitlines()
+    numbers = [int(line[4:]) for line in lines if line.startswith("id: ")]
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield f"{place}: events out of order: {numbers[:5]} to {numbers[-5:]}"
+    if call.is_whole and len(numbers) != call.events_wanted:
+        yield f"{place}: looks whole with {len(numbers)} of {call.events_wanted}"
+
+
+def _unasked(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
+    for standin in fleet.standins():
+        for arrival in standin.arrivals:
+            call = known.get(arrival.identity)
+            if call is None:
+                yield f"{standin.identity}: {arrival.identity!r} was never sent"
+            elif arrival.headers.get("tenant") != ACCOUNTS[call.account]:
+                yield f"{standin.identity}: {call.identity} with another account"
+
+
+def _versions(calls: list[Call]) -> Iterator[str]:
+    """Within one life a gateway serves all versions that it has served once."""
+    served: dict[tuple[str, int], tuple[int, float]] = defaultdict(lambda: (0, 0.0))
+    of_versions = [call for call in calls if call.kind == "version"]
+    ordered = sorted(of_versions, key=lambda call: call.ended_at)
+    for call in ordered:
+        life = (call.gateway, call.life)
+        highest, since = served[life]
+        if call.status == 200 and call.version > highest:
+            served[life] = (call.version, call.ended_at)
+        elif call.status == 404 and call.version <= highest and call.sent_at > since:
+            yield f"{call.gateway}: version {call.version} gone after {highest}"
+
+
+def _leaving(fleet: Fleet, known: dict[str, Call], troubles: Troubles) -> Iterator[str]:
+    disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
+    allowed = DRAIN_SECONDS + DRAIN_SLACK_SECONDS
+    for endpoint in fleet.endpoints:
+        for standin in (*endpoint.past, endpoint.standin):
+            left = endpoint.left_at.get(standin.identity)
+            if left is None:
+                continue
+            for arrival in standin.arrivals:
+                call = known.get(arrival.identity)
+                if call is None or arrival.at < left + allowed:
+                    continue
+                calm_since = max(disturbed[call.gateway], troubles.store_bad_until)
+                if arrival.at > calm_since + CONTACT_SECONDS:
+                    late = arrival.at - left
+                    yield f"{standin.identity}: new work {late:.1f} s after it left"
+
+
+def _service(calls: list[Call]) -> Iterator[str]:
+    served = sum(call.status == 200 for call in calls)
+    if served < LEAST_SERVED_SHARE * len(calls):
+        yield f"only {served} of {len(calls)} requests were served"
+
+
+def _faults_of_the_program(fleet: Fleet) -> Iterator[str]:
+    for gateway in fleet.gateways:
+        text = gateway.log.read_text(errors="replace")
+        for line in text.splitlines():
+            if "internal_error" in line or line.startswith("Traceback"):
+                yield f"{gateway.name}: {line[:500]}"
--- /dev/null
+++ b/devtools/soak/fault_proxy.py
@@ -0,0 +1,104 @@
+"""A loopback proxy whose connections can be delayed, cut, reset or silenced."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable
+from enum import StrEnum
+
+import trio
+
+CHUNK_BYTES = 65_536
+DELAY_SECONDS = 0.15
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class LinkFault(StrEnum):
+    """What happens to bytes on the way."""
+
+    NONE = "none"
+    DELAY = "delay"
+    REFUSE = "refuse"
+    RESET = "reset"
+    SILENCE = "silence"
+    SILENCE_ANSWERS = "silence_answers"
+
+
+class FaultProxy:
+    """Passes connections on to `target` as the present fault allows."""
+
+    def __init__(self, target: Callable[[], tuple[str, int]]) -> None:
+        self._target = target
+        self._scopes: set[trio.CancelScope] = set()
+        self._changed = trio.Event()
+        self._fault = LinkFault.NONE
+        self.port = 0
+
+    @property
+    def fault(self) -> LinkFault:
+        """The fault in force."""
+        return self._fault
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Put a fault in force; a reset ends the open connections."""
+        self._fault = fault
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+        if fault is LinkFault.RESET:
+            for scope in list(self._scopes):
+                scope.cancel()
+
+    async def serve(self, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        self.port = port
+        task_status.started()
+        await trio.serve_listeners(self._relay, listeners)
+
+    async def _relay(self, caller: trio.SocketStream) -> None:
+        if self._fault in (LinkFault.REFUSE, LinkFault.RESET):
+            self._reset(caller)
+            return
+        target = None
+        try:
+            with trio.CancelScope() as scope:
+                self._scopes.add(scope)
+                target = await trio.open_tcp_stream(*self._target())
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pump, caller, target, False)
+                    await self._pump(target, caller, True)
+                    nursery.cancel_scope.cancel()
+        except* OSError:
+            pass
+        finally:
+            self._scopes.discard(scope)
+            for stream in filter(None, (caller, target)):
+                self._reset(stream) if scope.cancel_called else None
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(stream)
+
+    async def _pump(self, source, sink, is_answer: bool) -> None:
+        try:
+            while data := await source.receive_some(CHUNK_BYTES):
+                await self._hold(is_answer)
+                await sink.send_all(data)
+            await sink.send_eof()
+        except trio.BrokenResourceError:
+            # A reset travels on as a reset: a close would look like a whole end.
+            self._reset(sink)
+        except trio.ClosedResourceError:
+            return
+
+    async def _hold(self, is_answer: bool) -> None:
+        if self._fault is LinkFault.DELAY:
+            await trio.sleep(DELAY_SECONDS)
+        while self._fault is LinkFault.SILENCE or (
+            is_answer and self._fault is LinkFault.SILENCE_ANSWERS
+        ):
+            await self._changed.wait()
+
+    @staticmethod
+    def _reset(stream: trio.SocketStream) -> None:
+        socket = stream.socket
+        socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, NO_LINGER)
+        socket.close()
--- /dev/null
+++ b/devtools/soak/fleet.py
@@ -0,0 +1,242 @@
+"""The gateways of a soak as processes, before stand-ins in this process."""
+
+from __future__ import annotations
+
+import os
+import signal
+from pathlib import Path
+from subprocess import DEVNULL, Popen
+from sys import executable
+
+import trio
+
+from devtools.ports import free_port
+from devtools.soak.fault_proxy import FaultProxy, LinkFault
+from standins.published_endpoint import EngineMemory, PublishedEndpoint
+from standins.published_store import PublishedStore
+
+HOST = "api.example"
+ACCOUNTS = {"key-a": "surulere", "key-b": "lekki"}
+GRACE_SECONDS = 4
+HALLS = ("ikeja", "lekki", "apapa")
+DRAIN_SECONDS = 2.0
+
+
+class Gateway:
+    """One gateway process and its own link to the store; `lives` counts starts."""
+
+    def __init__(self, fleet: Fleet, number: int, folder: Path) -> None:
+        self._fleet = fleet
+        self.name = f"front-{number}"
+        self.host = f"127.0.{number // 200}.{number % 200 + 2}"
+        self._port, self._ready = free_port(), free_port()
+        self._settings = folder / f"{self.name}.conf"
+        self.log = folder / f"{self.name}.log"
+        self._hall = HALLS[number % len(HALLS)]
+        self.store_link = FaultProxy(lambda: ("127.0.0.1", fleet.store.port))
+        self._process: Popen | None = None
+        self.lives = 0
+        self.undisturbed_since = 0.0
+        self.started_at = 0.0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where callers reach it."""
+        return self.host, self._port
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def disturb(self) -> None:
+        """Note that something is being done to it."""
+        self.undisturbed_since = trio.current_time()
+
+    def start(self) -> None:
+        """Start the process."""
+        self._settings.write_text(self._settings_text())
+        self.lives += 1
+        self.started_at = trio.current_time()
+        self.disturb()
+        with self.log.open("ab") as output:
+            self._process = Popen(
+                [executable, "-m", "piershore", "ingress"],
+                stdin=DEVNULL,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PIERSHORE_BOOT": str(self._settings)},
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.is_running:
+            self.disturb()
+            self._process.send_signal(number)
+
+    async def wait_end(self, seconds: float) -> int | None:
+        """Wait for the end of the present process; None if it didn't come."""
+        process = self._process
+        with trio.move_on_after(seconds):
+            while process.poll() is None:
+                await trio.sleep(0.02)
+        return process.poll()
+
+    def close(self) -> None:
+        """End the process by its id."""
+        if self.is_running:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.kill()
+            self._process.wait()
+
+    def _settings_text(self) -> str:
+        seeds = ",".join(f"{g.host}:1" for g in self._fleet.gateways[:3])
+        port = self._fleet.peer_port
+        lines = {
+            "node_name": self.name,
+            "zone": self._hall,
+            "ip": self.host,
+            "listen.front": f"{self.host}:{self._port}",
+            "listen.ready": f"{self.host}:{self._ready}",
+            "internal_port_range": f"{port},{port}",
+            "seed_nodes": seeds,
+            "platform.address": f"127.0.0.1:{self.store_link.port}",
+            "bounds.grace_s": GRACE_SECONDS,
+            "bounds.retry_budget_slack": 30,
+        }
+        return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+class SoakEndpoint:
+    """An endpoint behind its link; a restart is another endpoint."""
+
+    def __init__(self, number: int, service: str, memory: EngineMemory) -> None:
+        self._number = number
+        self._service = service
+        self._memory = memory
+        self._lives = 0
+        self.link = FaultProxy(lambda: ("127.0.0.1", self.standin.port))
+        self.past: list[PublishedEndpoint] = []
+        self.standin = self._new()
+        self.left_at: dict[str, float] = {}
+
+    def _new(self) -> PublishedEndpoint:
+        self._lives += 1
+        identity = f"i-{self._number}-{self._lives}"
+        standin = PublishedEndpoint(identity, self._service, self._memory)
+        standin.listed_as = lambda: f"127.0.0.1:{self.link.port}"
+        return standin
+
+    def renew(self) -> None:
+        """Put a new incarnation in its place."""
+        self.past.append(self.standin)
+        self.standin = self._new()
+
+
+class Fleet:
+    """All processes and stand-ins of one run."""
+
+    def __init__(self, folder: Path, gateways: int, services: dict[str, int]) -> None:
+        self.store = PublishedStore()
+        self.peer_port = free_port()
+        self.gateways: list[Gateway] = []
+        for number in range(gateways):
+            self.gateways.append(Gateway(self, number, folder))
+        memory = EngineMemory()
+        names = [name for name, count in services.items() for _ in range(count)]
+        self.endpoints = [SoakEndpoint(n, s, memory) for n, s in enumerate(names)]
+        self.config_version = 0
+        self._nursery: trio.Nursery | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start everything and wait until the gateways are ready."""
+        self._nursery = nursery
+        await nursery.start(self.store.serve)
+        for endpoint in self.endpoints:
+            await nursery.start(endpoint.link.serve, free_port())
+            await self.start_endpoint(endpoint)
+        self.accept_configuration()
+        for gateway in self.gateways:
+            await nursery.start(gateway.store_link.serve, free_port())
+            gateway.start()
+
+    async def start_endpoint(self, endpoint: SoakEndpoint) -> None:
+        """Start an endpoint's stand-in and list it."""
+        await self._nursery.start(endpoint.standin.serve)
+        self.list_endpoint(endpoint, "ready")
+
+    def list_endpoint(self, endpoint: SoakEndpoint, state: str) -> None:
+        """Write an endpoint's entry."""
+        standin = endpoint.standin
+        if state != "ready":
+            endpoint.left_at.setdefault(standin.identity, trio.current_time())
+        self.store.put("servers", standin.identity, standin.entry(state))
+
+    def unlist_endpoint(self, endpoint: SoakEndpoint) -> None:
+        """Remove an endpoint's entry."""
+        identity = endpoint.standin.identity
+        endpoint.left_at.setdefault(identity, trio.current_time())
+        self.store.remove("servers", identity)
+
+    def accept_configuration(self) -> int:
+        """Accept one more version, with a route named after it."""
+        self.config_version += 1
+        routes = [("once", "desk", "unsafe"), ("again", "desk", "safe")]
+        routes.append(("stream", "model", "streaming"))
+        names = range(1, self.config_version + 1)
+        routes += [(f"v{number}", "desk", "safe") for number in names]
+        self.store.put("config", "main", self._configuration(routes))
+        return self.config_version
+
+    def standins(self) -> list[PublishedEndpoint]:
+        """Return all incarnations of all endpoints."""
+        return [s for e in self.endpoints for s in (*e.past, e.standin)]
+
+    def heal(self) -> None:
+        """End all faults of links and of the store."""
+        for link in (
+            *(gateway.store_link for gateway in self.gateways),
+            *(endpoint.link for endpoint in self.endpoints),
+        ):
+            if link.fault is not LinkFault.NONE:
+                link.set_fault(LinkFault.NONE)
+
+    def close(self) -> None:
+        """End the processes that this run started."""
+        for gateway in self.gateways:
+            gateway.close()
+
+    def _configuration(self, routes) -> dict:
+        engine = {
+            "slots": 24,
+            "kv_capacity_tokens": 34_000,
+            "kv_token_bytes": 327_680,
+            "link_mbps": 20_000.0,
+            "moves": True,
+            "backups": True,
+            "handle_ttl_s": 5.0,
+        }
+        return {
+            "version": self.config_version,
+            "routes": [
+                {
+                    "name": name,
+                    "host": HOST,
+                    "path_prefix": f"/{name}/",
+                    "kind": kind,
+                    "service": service,
+                    "timeout_ms": 8_000 if kind == "streaming" else 800,
+                    "target_latency_ms": 150,
+                    "max_attempts": 2 if kind == "safe" else 1,
+                }
+                for name, service, kind in routes
+            ],
+            "services": [
+                {"name": "desk", "max_connections": 500},
+                {"name": "model", "max_connections": 500, "engine": engine},
+            ],
+            "limits": {"idle_timeout_ms": 5_000},
+            "tenants": [
+                {"name": name, "api_keys": [key]} for key, name in ACCOUNTS.items()
+            ],
+        }
--- a/src/piershore/__main__.py
+++ b/src/piershore/__main__.py
@@ -1,8 +1,12 @@
-"""Entry for `python -m piershore`."""
+"""`python -m piershore`."""
 
 from __future__ import annotations
 
-from piershore.commands.main import run
+from piershore.early_signals import ignore_early_hangup
+
+ignore_early_hangup()
+
+from piershore.commands.main import run  # noqa: E402
 
 if __name__ == "__main__":
     run()
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -99,10 +99,12 @@
         self._log.start()
         try:
             async with trio.open_nursery() as nursery:
+                stop = trio.Event()
+                await nursery.start(self._watch_signals, stop)
                 await nursery.start(self.serve)
                 gc.collect()
                 gc.freeze()
-                await self._wait_for_stop()
+                await stop.wait()
                 await self.leave()
                 nursery.cancel_scope.cancel()
         finally:
@@ -257,12 +259,19 @@
             ),
         )
 
-    async def _wait_for_stop(self) -> None:
+    async def _watch_signals(
+        self,
+        stop: trio.Event,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take signals for the whole life: one that comes again must not cut it."""
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*watched) as signals:
+            task_status.started()
             async for number in signals:
                 if number != signal.SIGHUP:
-                    return
+                    stop.set()
+                    continue
                 self._log.write(
                     SettingsChanged(False, "settings are read at the next start"),
                     is_failure=True,
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -36,6 +36,7 @@
         self.request = request
         self.headers = {k.decode(): v.decode() for k, v in request.headers}
         self.body = body
+        self.at = trio.current_time()
 
     @property
     def identity(self) -> str:
@@ -72,6 +73,7 @@
         self._running: dict[str, trio.CancelScope] = {}
         self._scope = trio.CancelScope()
         self.port = 0
+        self.listed_as = lambda: self.address
 
     @property
     def address(self) -> str:
@@ -82,7 +84,7 @@
         """Return what it writes of itself into the store."""
         return {
             "service": self.service,
-            "address": self.address,
+            "address": self.listed_as(),
             "zone": "ikeja",
             "version": "v1",
             "slots": 6,
@@ -156,10 +158,15 @@
         if "token-usage" in arrival.headers:
             await self._stream(arrival)
             return True
-        self.runs[arrival.identity] += 1
+        self.note_run(arrival)
         await self.respond(arrival, 200, self.body(arrival))
         return True
 
+    def note_run(self, arrival: Arrival) -> None:
+        """Count a run; one that goes on from a copy is the same run."""
+        counter = self.continued if "kv-from" in arrival.headers else self.runs
+        counter[arrival.identity] += 1
+
     def body(self, arrival: Arrival) -> bytes:
         """Return the answer's body."""
         return BODY % (self.identity.encode(), arrival.identity.encode())
@@ -191,10 +198,8 @@
             if not self._take_copy(came_from):
                 await self.respond(arrival, 503, b"", ("Not-Executed", "1"))
                 return
-            self.continued[arrival.identity] += 1
             first = int(arrival.headers.get("last-event-id", "0")) + 1
-        else:
-            self.runs[arrival.identity] += 1
+        self.note_run(arrival)
         if (backup := arrival.headers.get("kv-backup")) is not None:
             self._memory.copies[f"{backup}/{arrival.identity}"] = backup
         headers = self.head(arrival, ("Content-Type", "text/event-stream"))
@@ -244,7 +249,7 @@
 
 @fault("fails")
 async def _fails(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await endpoint.respond(arrival, 500, b"failed")
     return True
 
@@ -257,41 +262,41 @@
 
 @fault("503 without proof")
 async def _unproven(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await endpoint.respond(arrival, 503, b"", seal=False)
     return True
 
 
 @fault("reset")
 async def _reset(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     return False
 
 
 @fault("silent")
 async def _silent(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await trio.sleep(30)
     return False
 
 
 @fault("garbage")
 async def _garbage(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await arrival.stream.send_all(b"\x00\x01 not an answer\r\n\r\n")
     return False
 
 
 @fault("no seal")
 async def _no_seal(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await endpoint.respond(arrival, 200, endpoint.body(arrival), seal=False)
     return True
 
 
 @fault("encoded")
 async def _encoded(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     encoding = ("Content-Encoding", "gzip")
     await endpoint.respond(arrival, 200, b"zipped", encoding)
     return True
@@ -299,7 +304,7 @@
 
 @fault("short body")
 async def _short(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     headers = endpoint.head(arrival, ("Content-Length", "100"))
     data = arrival.connection.send(h11.Response(status_code=200, headers=headers))
     await arrival.stream.send_all(data + b"only this")
@@ -308,7 +313,7 @@
 
 @fault("surplus answer")
 async def _surplus(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await endpoint.respond(arrival, 200, endpoint.body(arrival))
     await arrival.stream.send_all(_foreign(endpoint))
     return True
@@ -316,7 +321,7 @@
 
 @fault("late foreign answer")
 async def _foreign_first(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await arrival.stream.send_all(_foreign(endpoint))
     await endpoint.respond(arrival, 200, endpoint.body(arrival))
     return True
@@ -324,7 +329,7 @@
 
 @fault("unframed")
 async def _unframed(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await arrival.stream.send_all(_plain_head(endpoint, arrival))
     await arrival.stream.send_all(endpoint.body(arrival))
     await arrival.stream.send_eof()
@@ -333,7 +338,7 @@
 
 @fault("unframed and reset")
 async def _unframed_reset(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     await arrival.stream.send_all(_plain_head(endpoint, arrival) + b"half")
     linger_none = b"\x01\x00\x00\x00\x00\x00\x00\x00"
     option = trio.socket.SO_LINGER
@@ -351,7 +356,7 @@
 
 @fault("breaks inside an event")
 async def _half_event(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
-    endpoint.runs[arrival.identity] += 1
+    endpoint.note_run(arrival)
     headers = endpoint.head(arrival, ("Transfer-Encoding", "chunked"))
     data = arrival.connection.send(h11.Response(status_code=200, headers=headers))
     whole = b"id: 1\ndata: token-1\n\nid: 2\ndata: tok"
