--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -7,6 +7,17 @@
 
 from piershore.core.routes.route import RequestKind
 
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses that tell a caller that nothing ran; an endpoint that gives one without
+saying so itself proves nothing."""
+
 
 class AttemptOutcome(StrEnum):
     """What is known of one attempt.
--- /dev/null
+++ b/src/piershore/ingress/attempt_log.py
@@ -0,0 +1,62 @@
+"""What is noted of each attempt: log lines, counters and the endpoint's health."""
+
+from __future__ import annotations
+
+import trio
+
+from piershore.core.attempts.attempt_outcome import AttemptOutcome
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.placement import Candidate
+from piershore.ingress.exceptions import AttemptFailedError
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import AttemptEnded, AttemptStarted, EndpointEjected
+
+
+def note_attempt(
+    state: GatewayState,
+    exchange: Exchange,
+    candidate: Candidate,
+    number: int,
+    size: GenerationSize | None = None,
+) -> None:
+    """Log the choice of an endpoint with what it was made by."""
+    state.log.write(
+        AttemptStarted(
+            request=exchange.identity,
+            endpoint=candidate.endpoint.identity,
+            route=exchange.route.name,
+            attempt=number,
+            cost=candidate.cost,
+            known_requests=candidate.load.requests,
+            known_tokens=candidate.load.projected_tokens,
+            config_version=exchange.configuration.version,
+            prompt_tokens=size.prompt_tokens if size else 0,
+            hinted_tokens=size.hinted_tokens if size else None,
+            most_tokens=size.max_output_tokens if size else 0,
+        )
+    )
+
+
+def note_failure(
+    state: GatewayState,
+    exchange: Exchange,
+    endpoint: Endpoint,
+    error: AttemptFailedError,
+    seconds: float,
+) -> None:
+    """Count and log a failed attempt, and judge the endpoint by it."""
+    ingress_metrics.ATTEMPTS.labels(error.outcome).inc()
+    state.log.write(
+        AttemptEnded(
+            exchange.identity, endpoint.identity, error.outcome, error.message, seconds
+        ),
+        is_failure=True,
+    )
+    if error.outcome is AttemptOutcome.REJECTED:
+        return
+    if state.health.note_failure(endpoint.identity, trio.current_time()):
+        rate = state.health.failure_rate(endpoint.identity)
+        state.log.write(EndpointEjected(endpoint.identity, rate), is_failure=True)
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -11,23 +11,20 @@
     AttemptOutcome,
     final_status,
     may_try_again,
+    NOT_RUN_STATUSES,
 )
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import PlainWork
 from piershore.core.fleet.placement import Candidate
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
+from piershore.ingress.attempt_log import note_attempt, note_failure
 from piershore.ingress.endpoint_attempt import EndpointAttempt
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import (
-    AttemptEnded,
-    AttemptStarted,
-    EndpointEjected,
-    RequestAnswered,
-)
+from piershore.telemetry.events import RequestAnswered
 
 MOST_PROVEN_UNRUN = 3
 """Attempts that endpoints refused unrun before the caller is told to come back."""
@@ -146,7 +143,7 @@
         attempt = EndpointAttempt(self._state, exchange, endpoint, idle)
         work = PlainWork()
         self._state.fleet_load.add(endpoint.identity, work)
-        self._log_start(candidate)
+        note_attempt(self._state, exchange, candidate, len(self._tried))
         started = trio.current_time()
         try:
             with trio.move_on_after(self._patience()):
@@ -164,7 +161,7 @@
         answer = await attempt.start(self._exchange.order())
         body = await attempt.read_body()
         identity = attempt.endpoint.identity
-        if not answer.is_sound or answer.status in REFUSING_STATUSES:
+        if not answer.is_sound or answer.status in NOT_RUN_STATUSES:
             raise AttemptFailedError(
                 AttemptOutcome.MAYBE_RUN, f"unusable answer, status {answer.status}"
             )
@@ -188,56 +185,8 @@
             PATIENCE_OF_AIM * exchange.route.target_latency, exchange.time_left / 2
         )
 
-    def _log_start(self, candidate: Candidate) -> None:
-        self._state.log.write(
-            AttemptStarted(
-                request=self._exchange.identity,
-                endpoint=candidate.endpoint.identity,
-                route=self._exchange.route.name,
-                attempt=len(self._tried),
-                cost=candidate.cost,
-                known_requests=candidate.load.requests,
-                known_tokens=candidate.load.projected_tokens,
-                config_version=self._exchange.configuration.version,
-            )
-        )
-
     def _note_failure(
         self, endpoint: Endpoint, error: AttemptFailedError, seconds: float
     ) -> None:
         self.outcomes.append(error.outcome)
         note_failure(self._state, self._exchange, endpoint, error, seconds)
-
-
-REFUSING_STATUSES = frozenset(
-    {
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    }
-)
-"""Statuses that tell a caller that nothing ran; an endpoint that gives one without
-saying so itself proves nothing."""
-
-
-def note_failure(
-    state: GatewayState,
-    exchange: Exchange,
-    endpoint: Endpoint,
-    error: AttemptFailedError,
-    seconds: float,
-) -> None:
-    """Count and log a failed attempt, and judge the endpoint by it."""
-    ingress_metrics.ATTEMPTS.labels(error.outcome).inc()
-    state.log.write(
-        AttemptEnded(
-            exchange.identity, endpoint.identity, error.outcome, error.message, seconds
-        ),
-        is_failure=True,
-    )
-    if error.outcome is AttemptOutcome.REJECTED:
-        return
-    if state.health.note_failure(endpoint.identity, trio.current_time()):
-        rate = state.health.failure_rate(endpoint.identity)
-        state.log.write(EndpointEjected(endpoint.identity, rate), is_failure=True)
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -10,11 +10,9 @@
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
-from piershore.errors import PiershoreError
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointChange, EndpointFeed
-from piershore.ingress.store_link import always, NOT_WATCHING_SECONDS, StoreLink
-from piershore.platform.exceptions import WatchGapError
+from piershore.ingress.store_follower import StoreFollower
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import InvalidEntry
 
@@ -28,7 +26,7 @@
 OnDeparture = Callable[[Departure], None]
 
 
-class EndpointFollower:
+class EndpointFollower(StoreFollower):
     """Keeps the directory of endpoints up to date."""
 
     def __init__(
@@ -38,25 +36,16 @@
         watch_seconds: float,
         on_departure: OnDeparture,
     ) -> None:
-        self._state = state
+        super().__init__(state, "endpoints")
         self._feed = feed
         self._watch_seconds = watch_seconds
         self._on_departure = on_departure
-        self._revision: int | None = None
-        self._scope: trio.CancelScope | None = None
-        self._should_watch: Callable[[], bool] = always
-        self.is_known = False
-        self.link = StoreLink("store: endpoints", state.random, state.log)
-
-    async def run(self) -> None:
-        """Follow the store for ever."""
-        while True:
-            with trio.CancelScope() as self._scope:
-                await self._follow()
+        self._is_known = False
 
-    def use_watchers(self, should_watch: Callable[[], bool]) -> None:
-        """Leave the watching to others while `should_watch` is false."""
-        self._should_watch = should_watch
+    @property
+    def is_known(self) -> bool:
+        """Whether a whole list was taken."""
+        return self._is_known
 
     async def sweep(self) -> None:
         """Drop entries that did not come back after an outage, for ever."""
@@ -66,12 +55,6 @@
                 now = trio.current_time()
                 self._depart(self._state.directory.drop_lapsed(now))
 
-    def restart(self) -> None:
-        """Read the whole list again now: a peer's differs."""
-        self._revision = None
-        if self._scope is not None:
-            self._scope.cancel()
-
     def take_from_peer(self, endpoints: Iterable[Endpoint], revision: int) -> None:
         """Take a peer's list while the store can't be read."""
         if revision > self._state.directory.revision:
@@ -86,33 +69,20 @@
         now = trio.current_time()
         self._depart(directory.remove(note.identity, now, after_outage=False))
 
-    async def _follow(self) -> None:
-        while True:
-            if self.is_known and not self._should_watch():
-                self._revision = None
-                await trio.sleep(NOT_WATCHING_SECONDS)
-                continue
-            try:
-                await self._step()
-                self.link.note_success()
-            except WatchGapError:
-                self._revision = None
-            except PiershoreError as error:
-                # A watch that was cut may have missed changes: read all again.
-                self._revision = None
-                await self.link.note_failure(f"{error.code}: {error.message}")
-
-    async def _step(self) -> None:
-        if self._revision is None:
-            endpoints, revision = await self._feed.read()
-            self._take_all(endpoints, revision, after_outage=self._is_after_outage())
-        else:
-            changes, revision = await self._feed.changes(
-                self._revision, self._watch_seconds
-            )
-            self._take_changes(changes)
-            self._state.directory.advance(revision)
-        self._revision = revision
+    async def _read(self) -> int:
+        endpoints, revision = await self._feed.read()
+        self._take_all(endpoints, revision, after_outage=self._is_after_outage())
+        self._log_findings()
+        return revision
+
+    async def _take_changes_after(self, revision: int) -> int:
+        changes, reached = await self._feed.changes(revision, self._watch_seconds)
+        self._take_changes(changes)
+        self._state.directory.advance(reached)
+        self._log_findings()
+        return reached
+
+    def _log_findings(self) -> None:
         for finding in self._feed.take_findings():
             self._state.log.write(InvalidEntry("endpoint", finding), is_failure=True)
 
@@ -125,7 +95,7 @@
         departures = self._state.directory.replace_all(
             endpoints, revision, trio.current_time(), after_outage=after_outage
         )
-        self.is_known = True
+        self._is_known = True
         self._depart(departures)
 
     def _take_changes(self, changes: tuple[EndpointChange, ...]) -> None:
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -63,6 +63,15 @@
         if self.reading_scope is not None:
             self.reading_scope.cancel()
 
+    def settle_at(self, endpoint: Endpoint, backup: Endpoint | None) -> None:
+        """Go on at another endpoint."""
+        self.endpoint = endpoint
+        self.backup = backup
+        self.handover = None
+        self.is_given_up = False
+        self.leg_began_at = float("inf")
+        self.moves += 1
+
     @property
     def has_backup(self) -> bool:
         """Whether its memory is at another endpoint by now."""
--- /dev/null
+++ b/src/piershore/ingress/store_follower.py
@@ -0,0 +1,83 @@
+"""What the followers of the platform's store have in common."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import trio
+
+from piershore.errors import PiershoreError
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.store_link import StoreLink
+from piershore.platform.exceptions import WatchGapError
+
+NOT_WATCHING_SECONDS = 0.1
+"""How often a gateway that leaves the watching to others sees if it still may."""
+
+
+def always() -> bool:
+    """Watch by itself, whoever else does."""
+    return True
+
+
+class StoreFollower(ABC):
+    """Reads a state from the store once, and then its changes."""
+
+    def __init__(self, state: GatewayState, name: str) -> None:
+        self._state = state
+        self._revision: int | None = None
+        self._scope: trio.CancelScope | None = None
+        self._should_watch: Callable[[], bool] = always
+        self.link = StoreLink(f"store: {name}", state.random, state.log)
+
+    @property
+    @abstractmethod
+    def is_known(self) -> bool:
+        """Whether a whole state was taken, from the store or from a peer."""
+
+    async def run(self) -> None:
+        """Follow the store for ever."""
+        while True:
+            with trio.CancelScope() as self._scope:
+                await self._follow()
+
+    def use_watchers(self, should_watch: Callable[[], bool]) -> None:
+        """Leave the watching to others while `should_watch` is false."""
+        self._should_watch = should_watch
+
+    def restart(self) -> None:
+        """Read the whole state again now: a peer's differs."""
+        self._revision = None
+        if self._scope is not None:
+            self._scope.cancel()
+
+    @abstractmethod
+    async def _read(self) -> int:
+        """Take the whole state; return its revision."""
+
+    @abstractmethod
+    async def _take_changes_after(self, revision: int) -> int:
+        """Wait for changes and take them; return the revision reached."""
+
+    async def _follow(self) -> None:
+        while True:
+            if self.is_known and not self._should_watch():
+                self._revision = None
+                await trio.sleep(NOT_WATCHING_SECONDS)
+                continue
+            try:
+                await self._step()
+                self.link.note_success()
+            except WatchGapError:
+                self._revision = None
+            except PiershoreError as error:
+                # A watch that was cut may have missed changes: read all again.
+                self._revision = None
+                await self.link.note_failure(f"{error.code}: {error.message}")
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            self._revision = await self._read()
+        else:
+            self._revision = await self._take_changes_after(self._revision)
--- a/src/piershore/ingress/store_link.py
+++ b/src/piershore/ingress/store_link.py
@@ -13,17 +13,10 @@
 """A watch that was cut is taken up again almost at once."""
 LONGEST_PAUSE_SECONDS = 0.8
 """Well below the shortest bound for a change to be in force, 2 s."""
-NOT_WATCHING_SECONDS = 0.1
-"""How often a gateway that leaves the watching to others sees if it still may."""
 FAILURES_OF_AN_OUTAGE = 2
 """One failure may be a watch that was cut; the second is an outage."""
 
 
-def always() -> bool:
-    """Watch by itself, whoever else does."""
-    return True
-
-
 class StoreLink:
     """Counts failures in a row and paces the calls after them."""
 
--- /dev/null
+++ b/src/piershore/ingress/stream_memory.py
@@ -0,0 +1,74 @@
+"""Where a generation takes memory: at its endpoint and at its backup."""
+
+from __future__ import annotations
+
+from piershore.core.fleet.backup_choice import has_room, wants_backup
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.fleet_load import BackupWork
+from piershore.core.fleet.generation_work import GenerationWork
+from piershore.core.fleet.placement import Candidate
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+
+
+class StreamMemory:
+    """Counts one generation's work and its backup in the load of the fleet."""
+
+    def __init__(
+        self, state: GatewayState, exchange: Exchange, work: GenerationWork
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._backup_work = BackupWork(work)
+        self._endpoint: Endpoint | None = None
+        self._backup: Endpoint | None = None
+        self.work = work
+
+    @property
+    def backup(self) -> Endpoint | None:
+        """Where the memory is copied as it grows."""
+        return self._backup
+
+    def place(self, endpoint: Endpoint | None) -> None:
+        """Count the work at an endpoint, and at no other."""
+        load = self._state.fleet_load
+        if self._endpoint is not None:
+            load.remove(self._endpoint.identity, self.work)
+        if endpoint is not None:
+            load.add(endpoint.identity, self.work)
+            self._state.announce()
+        self._endpoint = endpoint
+
+    def back_up(self, backup: Endpoint | None) -> None:
+        """Count the backup at an endpoint, and at no other."""
+        load = self._state.fleet_load
+        if self._backup is not None:
+            load.remove(self._backup.identity, self._backup_work)
+        if backup is not None:
+            load.add(backup.identity, self._backup_work)
+        self._backup = backup
+
+    def release(self) -> None:
+        """Count nothing any more."""
+        self.place(None)
+        self.back_up(None)
+
+    def choose(self, service: str, excluded: list[str], now: float) -> Candidate | None:
+        """Return the endpoint that suits the generation best."""
+        spec = self._exchange.configuration.services.get(service)
+        placement = self._state.placement
+        if spec is None or spec.engine is None:
+            return placement.for_call(service, now, excluded)
+        return placement.for_generation(service, self.work, spec.engine, now, excluded)
+
+    def choose_backup(self, endpoint: Endpoint, now: float) -> Endpoint | None:
+        """Return where the memory is to be copied as it grows, if it should be."""
+        spec = self._exchange.configuration.services.get(endpoint.service)
+        engine = spec.engine if spec else None
+        load = self._state.fleet_load.at(endpoint.identity)
+        if engine is None or not wants_backup(load, self.work, engine):
+            return None
+        candidate = self.choose(endpoint.service, [endpoint.identity], now)
+        if candidate is None or not has_room(candidate.load, self.work, engine):
+            return None
+        return candidate.endpoint
--- /dev/null
+++ b/src/piershore/ingress/stream_opening.py
@@ -0,0 +1,129 @@
+"""The first endpoint of a stream, perhaps after others refused it."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import trio
+
+from piershore.core.attempts.attempt_outcome import (
+    AttemptOutcome,
+    final_status,
+    NOT_RUN_STATUSES,
+)
+from piershore.core.fleet.placement import Candidate
+from piershore.ingress.attempt_log import note_attempt, note_failure
+from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
+from piershore.ingress.exchange import Exchange
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.stream_memory import StreamMemory
+from piershore.telemetry import ingress_metrics
+
+IDLE_OF_STREAM_SECONDS = 1.0
+"""Longest rest of a connection that a stream takes over; as for calls that run
+only once."""
+MOST_PROVEN_UNRUN = 3
+"""Endpoints that may refuse a stream before its caller is told to come back."""
+COME_BACK_SECONDS = 0.4
+"""When a refused caller may find a place: a short generation's length."""
+
+
+class StreamOpening:
+    """Sends a stream's request until one endpoint answers."""
+
+    def __init__(
+        self, state: GatewayState, exchange: Exchange, memory: StreamMemory
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._memory = memory
+        self._outcomes: list[AttemptOutcome] = []
+        self._is_sending = False
+
+    @property
+    def attempts(self) -> int:
+        """Attempts so far, the one that answered included."""
+        return len(self._outcomes) + 1
+
+    async def open(self) -> EndpointAttempt:
+        """Return the attempt that is answered, or raise `RequestRefusedError`."""
+        exchange = self._exchange
+        service = exchange.route.service_for(exchange.identity)
+        if service is None:
+            raise self.refusal()
+        self._state.allowance(service).note_request(trio.current_time())
+        tried: list[str] = []
+        while True:
+            candidate = self._memory.choose(service, tried, trio.current_time())
+            if candidate is None:
+                raise self.refusal()
+            tried.append(candidate.endpoint.identity)
+            attempt = await self._attempt(candidate, len(tried))
+            if attempt is not None:
+                return attempt
+            self._check_may_go_on(service)
+
+    def refusal(self, *, timed_out: bool = False) -> RequestRefusedError:
+        """Return the final answer when no endpoint gave one."""
+        outcomes = list(self._outcomes)
+        if timed_out and self._is_sending:
+            outcomes.append(AttemptOutcome.TIMED_OUT)
+        status = final_status(tuple(outcomes))
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            code = "endpoints_refused" if outcomes else "no_endpoint"
+            return RequestRefusedError(
+                status, code, "no endpoint took the request", COME_BACK_SECONDS
+            )
+        code = "timed_out" if timed_out else "endpoint_failed"
+        return RequestRefusedError(status, code, "the request may have run")
+
+    def _check_may_go_on(self, service: str) -> None:
+        outcome = self._outcomes[-1]
+        is_last = len(self._outcomes) >= MOST_PROVEN_UNRUN
+        if not outcome.proves_not_run or is_last or not self._state.may_retry(service):
+            raise self.refusal()
+        ingress_metrics.RETRIES.labels(outcome).inc()
+
+    async def _attempt(
+        self, candidate: Candidate, number: int
+    ) -> EndpointAttempt | None:
+        endpoint = candidate.endpoint
+        size = self._memory.work.size
+        note_attempt(self._state, self._exchange, candidate, number, size)
+        started = trio.current_time()
+        backup = self._memory.choose_backup(endpoint, started)
+        attempt = EndpointAttempt(
+            self._state, self._exchange, endpoint, IDLE_OF_STREAM_SECONDS
+        )
+        self._memory.place(endpoint)
+        self._memory.back_up(backup)
+        self._is_sending = True
+        is_open = False
+        try:
+            await self._start(attempt)
+            is_open = True
+            return attempt
+        except AttemptFailedError as error:
+            self._outcomes.append(error.outcome)
+            self._is_sending = False
+            seconds = trio.current_time() - started
+            note_failure(self._state, self._exchange, endpoint, error, seconds)
+            return None
+        finally:
+            if not is_open:
+                self._memory.release()
+                await attempt.close()
+
+    async def _start(self, attempt: EndpointAttempt) -> None:
+        backup = self._memory.backup
+        answer = await attempt.start(
+            self._exchange.order(
+                priority=self._exchange.priority,
+                back_up_at=backup.address if backup else None,
+            )
+        )
+        if not answer.is_sound or answer.status in NOT_RUN_STATUSES:
+            raise AttemptFailedError(
+                AttemptOutcome.MAYBE_RUN, f"unusable answer, status {answer.status}"
+            )
--- /dev/null
+++ b/src/piershore/ingress/stream_relay.py
@@ -0,0 +1,81 @@
+"""The passing on of one endpoint's events."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Iterable
+
+import trio
+
+from piershore.core.streams.delivered_events import MissingEventError
+from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
+from piershore.http1.exceptions import ExchangeBrokenError
+from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.live_stream import LiveStream
+from piershore.ingress.ports import RequestDialect
+
+TOKENS_AN_EVENT = 4
+"""Tokens of one event, when the endpoint doesn't tell; only used for estimates."""
+
+
+class StreamRelay:
+    """Passes whole events on as they come, each once and in order."""
+
+    def __init__(self, dialect: RequestDialect, stream: LiveStream) -> None:
+        self._dialect = dialect
+        self._stream = stream
+
+    async def run(self, attempt: EndpointAttempt) -> str | None:
+        """Pass events on; return None when whole, or why the stream broke."""
+        splitter = EventSplitter()
+        parts = attempt.read_parts()
+        stream = self._stream
+        try:
+            while (part := await self._next_part(parts)) is not None:
+                await self._pass_on(attempt, splitter.feed(part))
+        except ExchangeBrokenError as error:
+            return error.message
+        except MissingEventError as error:
+            return f"an event is missing: {error}"
+        finally:
+            await attempt.close()
+        if stream.is_given_up:
+            return "the endpoint was given up"
+        if stream.handover is not None and stream.handover.run_stopped:
+            return "the run was stopped for a move"
+        if splitter.rest:
+            return "the last event was cut short"
+        return None
+
+    async def _next_part(self, parts: AsyncIterator[bytes]) -> bytes | None:
+        """Wait for the next part; None at the end or when the endpoint is given up.
+
+        Only this wait may be cancelled to go on elsewhere: events that were taken
+        are always sent.
+        """
+        if self._stream.is_given_up:
+            return None
+        with trio.CancelScope() as self._stream.reading_scope:
+            return await anext(parts, None)
+        return None
+
+    async def _pass_on(
+        self, attempt: EndpointAttempt, events: Iterable[StreamEvent]
+    ) -> None:
+        """Send the events that are new; raise `MissingEventError` after them."""
+        taken: list[bytes] = []
+        try:
+            for event in self._stream.delivered.take(events):
+                taken.append(event.data)
+        finally:
+            if taken:
+                now = trio.current_time()
+                self._stream.note_events(len(taken), now, TOKENS_AN_EVENT)
+                await self._send(attempt, b"".join(taken))
+
+    async def _send(self, attempt: EndpointAttempt, data: bytes) -> None:
+        connection = self._stream.exchange.connection
+        if connection.response_started:
+            await connection.send_part(data)
+            return
+        headers = self._dialect.answer_headers(attempt.head)
+        await connection.start_stream(attempt.answer.status, headers, data)
