Refuse at once, while stopping, what may not end in the grace

Ruled out: new connections (the platform stops those after two missed checks). Change: once told to stop, a gateway takes a request only if it is sure to end in time; else it answers 503 at once, unrun, to come back now. Shown by a scenario (a long stream after the stop is refused, a short one and a call are served whole). Also: steps that read the slot record read it in the published form.

--- a/features/ingress_store.feature
+++ b/features/ingress_store.feature
@@ -59,3 +59,4 @@
     When the gateway is told to stop while a stream runs
     Then it is not ready at once
     And the stream ends whole and so does a request sent after the stop
+    And a stream that may not end in time is refused at once, unrun, to come back now
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -629,10 +629,20 @@
             await trio.sleep(0.05)
             context.was_ready = await world.is_ready()
             context.reply = await world.call("once")
+            context.refused = await world.call("stream", size="100,2000")
+            context.short = await world.call("stream", size="100,20")
 
     context.ingress.run(script)
 
 
+@then("a stream that may not end in time is refused at once, unrun, to come back now")
+def check_refused_leaving(context):
+    assert context.refused.status == 503
+    assert 0 < float(context.refused.headers["retry-after"]) < 0.1
+    assert context.short.events == [1, 2, 3, 4, 5]
+    assert context.ingress.runs("model") == 2
+
+
 @then("it is not ready at once")
 def check_unready(context):
     assert not context.was_ready
@@ -640,6 +650,7 @@
 
 @then("the stream ends whole and so does a request sent after the stop")
 def check_stopped_whole(context):
-    check_stream(context, 1)
+    # The other run is that of a short stream sent after the stop.
+    check_stream(context, 2)
     assert context.reply.status == 200
     assert context.reply.headers["connection"] == "close"
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -9,7 +9,9 @@
 from support.world import GATEWAYS, NUMBERS, ONCE_KIND, PLAIN_KIND, SERVICE
 
 from devtools.deployment import wait_until
+from piershore.core.configuration.objects import ObjectKind
 from piershore.core.ownership.minted_key import MintedKey
+from piershore.platform.http_platform_store import SLOT_KIND
 
 LONG_CALL_SECONDS = 1.5
 
@@ -105,9 +107,10 @@
 
     import orjson
 
-    url = f"{world.deployment.url('platform')}/objects/SlotTable/{SERVICE}"
+    platform = world.deployment.url("platform")
+    url = f"{platform}/objects/{SLOT_KIND}/{ObjectKind.SLOTS}:{SERVICE}"
     stored = world.deployment.client.get(url).json()
-    return orjson.loads(base64.b64decode(stored["value"]))
+    return orjson.loads(base64.b64decode(stored["spec"]["value"]))
 
 
 @when("it is sent again at {gateway} after its owner slept through a take-over")
--- a/src/piershore/ingress/caller_service.py
+++ b/src/piershore/ingress/caller_service.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from piershore.core.attempts.leaving import fits_before_stop
 from piershore.core.routes.route import RequestKind, Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -23,6 +24,8 @@
 from piershore.ingress.stream_forwarder import StreamForwarder
 from piershore.telemetry.events import CallerGone
 
+LEAVING_SECONDS = 0.02
+"""When to come back after a refusal by a gateway that stops: at once, elsewhere."""
 UNKNOWN_CONFIGURATION_SECONDS = 0.5
 """When to come back to a gateway that has just started: a read takes some ms."""
 
@@ -99,6 +102,7 @@
             )
         route = self._find_route(configuration, request)
         account = self._find_account(configuration, route, request)
+        self._check_leaving(route, request)
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
@@ -137,6 +141,20 @@
         if not is_done:
             raise trio.BrokenResourceError("the caller has gone")
 
+    def _check_leaving(self, route: Route, request: CallerRequest) -> None:
+        """Refuse at once what this process may not live to finish."""
+        stops_at = self._state.stops_at
+        if stops_at is None:
+            return
+        seconds_left = stops_at - trio.current_time()
+        if not fits_before_stop(route.timeout, request.size, seconds_left):
+            raise RequestRefusedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "leaving",
+                "this gateway stops; another one takes the request now",
+                LEAVING_SECONDS,
+            )
+
     async def _forward(self, exchange: Exchange) -> None:
         if exchange.route.kind is RequestKind.STREAM:
             await self._streams.serve(exchange)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -279,10 +279,10 @@
 
     async def leave(self) -> None:
         """Serve on until nothing is in flight, or the platform would kill us."""
-        self._state.is_leaving = True
-        self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
         now = trio.current_time()
-        with trio.move_on_after(self._settings.stop_grace - STOP_MARGIN_SECONDS):
+        self._state.stops_at = now + self._settings.stop_grace - STOP_MARGIN_SECONDS
+        self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
+        with trio.move_on_at(self._state.stops_at):
             await trio.sleep_until(now + LEAVE_SECONDS)
             while self._state.in_flight:
                 await trio.sleep(0.02)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -29,7 +29,8 @@
     """Beliefs, decisions and connections of one gateway.
 
     `gateways` is how many gateways are thought to live, this one included;
-    `announce` tells peers soon of work that began.
+    `announce` tells peers soon of work that began. `stops_at` is when the process
+    ends at the latest, once it was told to stop.
     """
 
     data_hall: str
@@ -43,7 +44,7 @@
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
-    is_leaving: bool = False
+    stops_at: float | None = None
     gateways: int = 1
     in_flight: int = 0
     announce: Callable[[], None] = _nothing
@@ -54,6 +55,11 @@
             self.data_hall, self.directory, self.fleet_load, self.health, self.random
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.stops_at is not None
+
     def allowance(self, service: str) -> RetryAllowance:
         """Return the retries of a service."""
         if service not in self._allowances:
