Refuse only late while stopping, and close idle connections first

Change: streams are taken for the 2.4 s in which the platform still sends callers here; then idle connections are closed, so that their callers go elsewhere unrefused.

--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from support.ingress_world import configuration, HOST, IngressWorld, route
 
+from piershore.core.attempts.leaving import STILL_SENT_SECONDS
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
 from standins.published_store import PublishedStore, StoreFault
@@ -625,18 +626,25 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(context.reading.read)
             await context.reading.wait_events(5)
+            context.idle = await ClientConnection.open(
+                world.address().host, world.address().port, 1.0
+            )
             nursery.start_soon(daemon.leave)
             await trio.sleep(0.05)
             context.was_ready = await world.is_ready()
             context.reply = await world.call("once")
+            await trio.sleep(STILL_SENT_SECONDS)
             context.refused = await world.call("stream", size="100,2000")
             context.short = await world.call("stream", size="100,20")
+            context.idle_was_closed = not context.idle.is_clean()
+            await context.idle.close()
 
     context.ingress.run(script)
 
 
 @then("a stream that may not end in time is refused at once, unrun, to come back now")
 def check_refused_leaving(context):
+    assert context.idle_was_closed
     assert context.refused.status == 503
     assert 0 < float(context.refused.headers["retry-after"]) < 0.1
     assert context.short.events == [1, 2, 3, 4, 5]
--- a/src/piershore/http1/server_connection.py
+++ b/src/piershore/http1/server_connection.py
@@ -36,6 +36,7 @@
         self._received_any = False
         self._ahead_bytes = 0
         self._response_started = False
+        self._has_bytes = False
         self.must_close = False
 
     @property
@@ -44,20 +45,28 @@
         return self._response_started
 
     async def next_request(self) -> RequestHead | None:
-        """Wait for the next request's head; None when the caller is done.
+        """Read the next request's head; None when the caller is done.
 
         Raise `BadRequestError` when it can't be taken.
         """
-        limits = self._limits()
-        with trio.move_on_after(limits.idle_timeout):
-            if not await self._wait_for_bytes():
-                return None
-            with trio.move_on_after(self._limits().header_timeout):
-                return await self._read_head()
-            raise BadRequestError(
-                HTTPStatus.REQUEST_TIMEOUT, "header_timeout", "the head came too slowly"
-            )
-        return None
+        if not await self.wait_for_bytes():
+            return None
+        with trio.move_on_after(self._limits().header_timeout):
+            return await self._read_head()
+        raise BadRequestError(
+            HTTPStatus.REQUEST_TIMEOUT, "header_timeout", "the head came too slowly"
+        )
+
+    async def wait_for_bytes(self) -> bool:
+        """Wait for a request's first bytes; False when the caller is done or idle.
+
+        Cancelled, it has taken no bytes.
+        """
+        if self._has_bytes:
+            return True
+        with trio.move_on_after(self._limits().idle_timeout):
+            self._has_bytes = await self._receive_first_bytes()
+        return self._has_bytes
 
     async def read_body(self) -> bytes:
         """Read the whole body; raise `BadRequestError` if it is too large."""
@@ -126,6 +135,7 @@
         self._connection.start_next_cycle()
         self._ahead_bytes = 0
         self._response_started = False
+        self._has_bytes = False
         return True
 
     async def close(self) -> None:
@@ -147,7 +157,7 @@
         size = self._limits().header_bytes + HEADER_SLACK_BYTES
         return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
-    async def _wait_for_bytes(self) -> bool:
+    async def _receive_first_bytes(self) -> bool:
         data, closed = self._connection.trailing_data
         if data:
             return True
--- a/src/piershore/ingress/caller_service.py
+++ b/src/piershore/ingress/caller_service.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from piershore.core.attempts.leaving import fits_before_stop
+from piershore.core.attempts.leaving import takes_while_leaving
 from piershore.core.routes.route import RequestKind, Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -39,6 +39,15 @@
         self._state = state
         self._calls = calls
         self._streams = streams
+        self._idle: set[trio.CancelScope] = set()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way.
+
+        Their callers take new ones, which the platform sends to other gateways.
+        """
+        for scope in list(self._idle):
+            scope.cancel()
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it closes."""
@@ -55,6 +64,8 @@
         arrived = trio.current_time()
         try:
             while True:
+                if not await self._wait_for_request(connection):
+                    return
                 head = await connection.next_request()
                 if head is None:
                     return
@@ -70,6 +81,16 @@
         if connection.response_started and connection.must_close:
             await connection.finish_close()
 
+    async def _wait_for_request(self, connection: ServerConnection) -> bool:
+        """Wait on an idle connection; False if it is to be closed."""
+        with trio.CancelScope() as scope:
+            self._idle.add(scope)
+            try:
+                return await connection.wait_for_bytes()
+            finally:
+                self._idle.discard(scope)
+        return False
+
     async def _serve_one(
         self, connection: ServerConnection, head: RequestHead, arrived: float
     ) -> None:
@@ -143,11 +164,12 @@
 
     def _check_leaving(self, route: Route, request: CallerRequest) -> None:
         """Refuse at once what this process may not live to finish."""
-        stops_at = self._state.stops_at
-        if stops_at is None:
+        state, now = self._state, trio.current_time()
+        if state.leaving_since is None:
             return
-        seconds_left = stops_at - trio.current_time()
-        if not fits_before_stop(route.timeout, request.size, seconds_left):
+        seconds = now - state.leaving_since
+        seconds_left = state.stops_at - now
+        if not takes_while_leaving(route.timeout, request.size, seconds, seconds_left):
             raise RequestRefusedError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 "leaving",
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -13,6 +13,7 @@
 import trio
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from piershore.core.attempts.leaving import STILL_SENT_SECONDS
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
 from piershore.core.routes.client_limits import ClientLimits
@@ -280,9 +281,12 @@
     async def leave(self) -> None:
         """Serve on until nothing is in flight, or the platform would kill us."""
         now = trio.current_time()
+        self._state.leaving_since = now
         self._state.stops_at = now + self._settings.stop_grace - STOP_MARGIN_SECONDS
         self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
         with trio.move_on_at(self._state.stops_at):
+            await trio.sleep_until(now + STILL_SENT_SECONDS)
+            self._callers.close_idle()
             await trio.sleep_until(now + LEAVE_SECONDS)
             while self._state.in_flight:
                 await trio.sleep(0.02)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -29,8 +29,8 @@
     """Beliefs, decisions and connections of one gateway.
 
     `gateways` is how many gateways are thought to live, this one included;
-    `announce` tells peers soon of work that began. `stops_at` is when the process
-    ends at the latest, once it was told to stop.
+    `announce` tells peers soon of work that began. `leaving_since` is when the
+    process was told to stop, `stops_at` when it ends at the latest.
     """
 
     data_hall: str
@@ -44,7 +44,8 @@
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
-    stops_at: float | None = None
+    leaving_since: float | None = None
+    stops_at: float = float("inf")
     gateways: int = 1
     in_flight: int = 0
     announce: Callable[[], None] = _nothing
@@ -58,7 +59,7 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the process was told to stop."""
-        return self.stops_at is not None
+        return self.leaving_since is not None
 
     def allowance(self, service: str) -> RetryAllowance:
         """Return the retries of a service."""
