--- a/features/ingress_calls.feature
+++ b/features/ingress_calls.feature
@@ -82,6 +82,11 @@
     Then the endpoint gets none of them as the caller sent it
     And the endpoint gets the account, its own identity and the time that is left
 
+  Scenario: the metrics of a gateway
+    Given endpoints of the desk whose faults are "fails"
+    When a caller sends a "repeatable" request and the metrics are read
+    Then they count the retry, and tell the configuration, the endpoints and the budget
+
   Scenario: an endpoint whose address another one has taken
     Given a gateway before sound endpoints
     When the first desk endpoint is another one than listed
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -9,6 +9,7 @@
 from piershore.core.attempts.leaving import STILL_SENT_SECONDS
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
+from piershore.http1.message import RequestHead
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
@@ -154,6 +155,35 @@
     assert context.later.status == 200
 
 
+@when('a caller sends a "repeatable" request and the metrics are read')
+def read_metrics(context):
+    async def script(world):
+        await world.call("repeatable")
+        # The gauges of the budget are set once a second.
+        await trio.sleep(1.1)
+        port = world.gateways[0][1]._metrics_port
+        address = Address(world.address().host, port)
+        head = RequestHead(b"GET", b"/metrics", ((b"host", b"h"),))
+        context.reply = await world.send_to(address, head, b"")
+
+    context.ingress.has_metrics = True
+    context.ingress.run(script)
+
+
+@then("they count the retry, and tell the configuration, the endpoints and the budget")
+def check_metrics(context):
+    lines = dict(
+        line.rsplit(" ", 1)
+        for line in context.reply.body.decode().splitlines()
+        if not line.startswith("#")
+    )
+    prefix = "piershore_ingress_"
+    assert float(lines[prefix + 'retries_total{outcome="failed_answer"}']) >= 1
+    assert lines[prefix + "config_version"] == "4.0"
+    assert lines[prefix + 'endpoints{stage="ready"}'] == "3.0"
+    assert float(lines[prefix + 'retries_left{service="desk"}']) > 0
+
+
 SYSTEM_HEADERS = {
     "tenant": "other",
     "hold": "h",
--- a/src/piershore/core/attempts/retry_allowance.py
+++ b/src/piershore/core/attempts/retry_allowance.py
@@ -34,12 +34,16 @@
 
     def spend(self, now: float, gateways: int) -> bool:
         """Take one retry if there is one left; `gateways` share the slack."""
-        self._forget(now)
-        if len(self._retries) + 1 > self.allowed(gateways):
+        if self.left(now, gateways) < 1:
             return False
         self._retries.append(now)
         return True
 
+    def left(self, now: float, gateways: int) -> float:
+        """Return how many retries may still be made in the present window."""
+        self._forget(now)
+        return max(0.0, self.allowed(gateways) - len(self._retries))
+
     def allowed(self, gateways: int) -> float:
         """Return how many retries this gateway may make in a window."""
         share = self._limits.slack / max(1, gateways)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -245,6 +245,8 @@
             await trio.sleep(SWEEP_SECONDS)
             await self._state.pool.close_idle()
             ingress_metrics.IN_FLIGHT.set(self._state.in_flight)
+            for service, left in self._state.retries_left():
+                ingress_metrics.RETRIES_LEFT.labels(service).set(left)
 
     async def _serve_readiness(self, stream: trio.SocketStream) -> None:
         status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -67,6 +67,12 @@
             self._allowances[service] = RetryAllowance(self.retry_limits)
         return self._allowances[service]
 
+    def retries_left(self) -> Iterator[tuple[str, float]]:
+        """Yield what is left of the retries of each service that was called."""
+        now = trio.current_time()
+        for service, allowance in self._allowances.items():
+            yield service, allowance.left(now, self.gateways)
+
     def may_retry(self, service: str) -> bool:
         """Take a retry from the budget, if there is one."""
         return self.allowance(service).spend(trio.current_time(), self.gateways)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -67,6 +67,12 @@
     ["stage"],
     registry=REGISTRY,
 )
+RETRIES_LEFT = Gauge(
+    "piershore_ingress_retries_left",
+    "Retries that this gateway may still make in the present window, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
 PEERS = Gauge("piershore_ingress_peers", "Peers heard of late.", registry=REGISTRY)
 IN_FLIGHT = Gauge(
     "piershore_ingress_in_flight", "Requests under way.", registry=REGISTRY
