--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -21,6 +21,7 @@
 BEHAVE = Path(sys.executable).parent / "behave"
 PARALLEL = 3
 FAILING = re.compile(r"^  (features/\S+)\s+(.+)$", re.MULTILINE)
+BROKEN_PROMISE = re.compile(r"BROKEN, logs in \S+\n  (.+)")
 
 
 @dataclass(frozen=True)
@@ -189,7 +190,92 @@
         "if False:",
         "accepted_config",
     ),
+    Mutant(
+        "the expected endpoint isn't named",
+        "platform/headers.py",
+        "        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.identity)))\n",
+        "",
+        "soak",
+    ),
+    Mutant(
+        "what may have run is tried again",
+        "core/attempts/attempt_outcome.py",
+        "    return kind is RequestKind.REPEATABLE\n",
+        "    return True\n",
+        "soak",
+    ),
+    Mutant(
+        "the configuration goes back",
+        "core/routes/current_configuration.py",
+        "        if configuration.version <= self.version:\n",
+        "        if False:\n",
+        "soak",
+    ),
+    Mutant(
+        "503 although it may have run",
+        "core/attempts/attempt_outcome.py",
+        "    if all(outcome.proves_not_run for outcome in outcomes):\n",
+        "    if True:\n",
+        "ingress_calls",
+    ),
+    Mutant(
+        "an answer to another request is taken",
+        "http1/client_connection.py",
+        "            if is_own(head):\n",
+        "            if True:\n",
+        "ingress_calls",
+    ),
+    Mutant(
+        "a caller's leaving isn't seen",
+        "ingress/caller_service.py",
+        "            nursery.start_soon(self._cancel_when_gone, exchange)\n",
+        "",
+        "ingress_calls",
+    ),
+    Mutant(
+        "events are passed on unchecked",
+        "core/streams/delivered_events.py",
+        "            if number <= self._last:\n",
+        "            if False:\n",
+        "ingress_core",
+    ),
+    Mutant(
+        "a stop for a move isn't told from the end",
+        "ingress/stream_relay.py",
+        "        if stream.is_given_up:\n            return",
+        "        if False:\n            return",
+        "ingress_streams",
+    ),
+    Mutant(
+        "an endpoint that leaves gets work",
+        "core/fleet/endpoint_directory.py",
+        " and endpoint.stage is EndpointStage.READY",
+        "",
+        "ingress_store",
+    ),
+    Mutant(
+        "an empty watch advances the revision, and a cut isn't read again",
+        "platform/feeds.py",
+        "    return batch.revision if batch.changes else revision\n",
+        "    return batch.revision\n",
+        "ingress_store",
+        (
+            "ingress/store_follower.py",
+            "missed changes: read all again.\n                self._revision = None\n",
+            "missed changes.\n",
+        ),
+    ),
+    Mutant(
+        "lapsed entries are dropped at once",
+        "core/fleet/endpoint_directory.py",
+        "        if after_outage and endpoint.stage is EndpointStage.READY:\n",
+        "        if False:\n",
+        "ingress_store",
+    ),
 )
+SOAK = "soak"
+"""The name that stands for the soak in place of a feature."""
+SOAK_SEEDS = 6
 
 
 def run(mutant: Mutant) -> tuple[str, str, str]:
@@ -203,8 +289,13 @@
         for change in (first, mutant.second):
             if change is not None and not apply(folder, *change):
                 return mutant.name, mutant.feature, "NOT APPLIED"
+        command = [str(BEHAVE), "--format=progress"]
+        command.append(f"features/{mutant.feature}.feature")
+        if mutant.feature == SOAK:
+            command = [sys.executable, "-m", "devtools.soak"]
+            command.append(f"--seeds={SOAK_SEEDS}")
         done = subprocess.run(
-            [str(BEHAVE), "--format=progress", f"features/{mutant.feature}.feature"],
+            command,
             cwd=folder,
             check=False,
             capture_output=True,
@@ -213,6 +304,9 @@
         )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
+    if mutant.feature == SOAK:
+        broken = BROKEN_PROMISE.search(done.stdout)
+        return mutant.name, SOAK, broken[1][:60] if broken else "MISSED"
     found = FAILING.findall(done.stdout)
     if done.returncode == 0 or not found:
         return mutant.name, mutant.feature, "MISSED"
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -154,6 +154,15 @@
         await trio.sleep(0.05)
 
 
+@fault
+async def old_configuration(troubles: Troubles) -> None:
+    """The store shows an older configuration for a while."""
+    fleet = troubles.fleet
+    fleet.show_configuration(max(1, fleet.config_version - 2))
+    await troubles.last(0.3, 1.0)
+    fleet.show_configuration(fleet.config_version)
+
+
 @fault
 async def endpoint_link(troubles: Troubles) -> None:
     """The link to an endpoint is bad."""
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -181,12 +181,16 @@
     def accept_configuration(self) -> int:
         """Accept one more version, with a route named after it."""
         self.config_version += 1
+        self.show_configuration(self.config_version)
+        return self.config_version
+
+    def show_configuration(self, version: int) -> None:
+        """Let the store hold a version, perhaps an older one than before."""
         routes = [("once", "desk", "unsafe"), ("again", "desk", "safe")]
         routes.append(("stream", "model", "streaming"))
-        names = range(1, self.config_version + 1)
+        names = range(1, version + 1)
         routes += [(f"v{number}", "desk", "safe") for number in names]
-        self.store.put("config", "main", self._configuration(routes))
-        return self.config_version
+        self.store.put("config", "main", self._configuration(version, routes))
 
     def standins(self) -> list[PublishedEndpoint]:
         """Return all incarnations of all endpoints."""
@@ -206,7 +210,7 @@
         for gateway in self.gateways:
             gateway.close()
 
-    def _configuration(self, routes) -> dict:
+    def _configuration(self, version: int, routes) -> dict:
         engine = {
             "slots": 24,
             "kv_capacity_tokens": 34_000,
@@ -217,7 +221,7 @@
             "handle_ttl_s": 5.0,
         }
         return {
-            "version": self.config_version,
+            "version": version,
             "routes": [
                 {
                     "name": name,
