Keep a fault in one evacuation from ending the process

Cause: found on reading the change: moves ran unguarded in the process's nursery, and an answer to a move that can't be read raised there. Change: such an answer is a broken exchange; evacuations are guarded like connections. Shown by a scenario that ended the process before: the stream stays and ends whole.

--- a/features/ingress_streams.feature
+++ b/features/ingress_streams.feature
@@ -27,6 +27,14 @@
     And it went on at another endpoint 1 times
     And engines were asked only during the outage
 
+  @tokens_once_in_order
+  Scenario: the answer to a move can't be read
+    Given 3 engines that garble moves
+    When a stream of 60 events is read and its endpoint says that it leaves midway
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint 0 times
+    And the gateway has logged no fault of its own
+
   @tokens_once_in_order
   Scenario: an endpoint crashes after the memory was copied
     Given 3 engines that crash after the first copy
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import tempfile
+from pathlib import Path
+
 import trio
 from behave import given, then, when
 from support.ingress_world import (
@@ -286,6 +289,10 @@
     context.crash_after_copy = "crash" in habit
     if habit == "a resumable route":
         context.ingress.configuration["routes"][2]["stream_resume"] = True
+    if habit == "garble moves":
+        for endpoint in context.ingress.endpoints:
+            endpoint.move_answer = b"\x00 no answer"
+        context.ingress.log_output, context.log = tempfile.mkstemp()
     if habit == "slow links":
         engine = context.ingress.configuration["services"][1]["engine"]
         engine["link_mbps"] = SLOW_LINK_MBPS
@@ -445,6 +452,14 @@
     assert context.ingress.runs("model") == runs
 
 
+@then("the gateway has logged no fault of its own")
+def check_no_fault(context):
+    _, daemon = context.ingress.gateways[0]
+    lines = Path(context.log).read_bytes() + b"".join(daemon._log._handler.lines)
+    assert b"move_started" in lines
+    assert b"internal_error" not in lines
+
+
 @then("it went on at another endpoint {times:d} times")
 def check_continued(context, times):
     total = sum(e.continued["abc"] for e in context.ingress.endpoints)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -4,7 +4,6 @@
 
 import gc
 import signal
-import traceback
 from collections.abc import Awaitable, Callable
 from functools import partial
 from http import HTTPStatus
@@ -42,7 +41,6 @@
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import (
     EndpointLeft,
-    InternalError,
     ProcessStarted,
     ProcessStopped,
     ProcessStopping,
@@ -205,7 +203,7 @@
         try:
             await handler(stream)
         except Exception as error:
-            self._log_fault(handler.__qualname__, error)
+            self._log.write_fault(handler.__qualname__, error)
 
     async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
         """Run a task for ever, again after a fault of the program."""
@@ -213,13 +211,9 @@
             try:
                 await task()
             except Exception as error:
-                self._log_fault(task.__qualname__, error)
+                self._log.write_fault(task.__qualname__, error)
             await trio.sleep(RESTART_SECONDS)
 
-    def _log_fault(self, task: str, error: Exception) -> None:
-        place = "".join(traceback.format_exception(error)[-6:])
-        self._log.write(InternalError(task, repr(error), place), is_failure=True)
-
     def _reads_store(self) -> bool:
         link = self._endpoints.link
         return not link.is_out and link.is_fresh(WATCH_SECONDS + FRESH_SLACK_SECONDS)
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -89,7 +89,16 @@
         engine = self._engine(source.service)
         if engine is None or not engine.can_move or self._nursery is None:
             return
-        self._nursery.start_soon(self._evacuate, source, streams, engine)
+        self._nursery.start_soon(self._guard, source, streams, engine)
+
+    async def _guard(
+        self, source: Endpoint, streams: list[LiveStream], engine: EngineSpec
+    ) -> None:
+        """Keep a fault in one evacuation from ending the process."""
+        try:
+            await self._evacuate(source, streams, engine)
+        except Exception as error:
+            self._state.log.write_fault("MoveCoordinator", error)
 
     def _engine(self, service: str) -> EngineSpec | None:
         configuration = self._state.configuration.value
--- a/src/piershore/platform/engine_mover.py
+++ b/src/piershore/platform/engine_mover.py
@@ -6,6 +6,7 @@
 
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.http1.message import RequestHead
 from piershore.ingress.ports import GenerationMover, MemoryCopy, MoveResult
 
@@ -33,9 +34,12 @@
         head = await connection.read_head()
         answer = await connection.read_body()
         if head.status == STATUS_OK:
-            found = orjson.loads(answer)
-            return MoveResult(MemoryCopy(source, str(found["handle"])))
-        return _stopped_at_source(source, answer) if is_last else None
+            copied = _copy_at(source, answer)
+            if copied is None:
+                raise ExchangeBrokenError("the answer to a move can't be read")
+            return copied
+        # The source keeps the memory of a run that stopped, and names it.
+        return _copy_at(source, answer) if is_last else None
 
     async def release(self, connection: ClientConnection, copy: MemoryCopy) -> None:
         """Free a copy that won't be used."""
@@ -45,8 +49,8 @@
         await connection.read_body()
 
 
-def _stopped_at_source(source: Address, answer: bytes) -> MoveResult | None:
-    """Return the memory that a source kept when its last copy failed."""
+def _copy_at(source: Address, answer: bytes) -> MoveResult | None:
+    """Return the copy that an answer names, if it names one."""
     try:
         found = orjson.loads(answer)
         return MoveResult(MemoryCopy(source, str(found["handle"])))
--- a/src/piershore/telemetry/event_log.py
+++ b/src/piershore/telemetry/event_log.py
@@ -9,6 +9,7 @@
 import logging as standard_logging
 import os
 import re
+import traceback
 from collections import deque
 from dataclasses import fields
 from datetime import datetime, UTC
@@ -17,7 +18,7 @@
 import trio
 from absl import logging
 
-from piershore.telemetry.events import EventsOmitted, LogEvent
+from piershore.telemetry.events import EventsOmitted, InternalError, LogEvent
 
 LINES_A_SECOND = 300
 """Lines of successful requests; a gateway at its usual load writes some 30."""
@@ -26,6 +27,7 @@
 FLUSH_SECONDS = 0.25
 """Lines are written in batches: each write costs a system call."""
 OUTPUT = 1
+TRACEBACK_LINES = 6
 
 _WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
 
@@ -83,6 +85,11 @@
             record[field_name] = round(value, 4) if type(value) is float else value
         self._logger.info("%s", orjson.dumps(record).decode())
 
+    def write_fault(self, task: str, error: Exception) -> None:
+        """Write a fault of the program, with the end of its traceback."""
+        place = "".join(traceback.format_exception(error)[-TRACEBACK_LINES:])
+        self.write(InternalError(task, repr(error), place), is_failure=True)
+
     async def run(self) -> None:
         """Write the buffer out from time to time."""
         while True:
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -69,6 +69,7 @@
         self.reports = 0
         self.state = "ready"
         self.move_seconds = 0.02
+        self.move_answer: bytes | None = None
         self.pace = PACE_SECONDS
         self.padding = b""
         self._memory = memory
@@ -248,7 +249,8 @@
             scope.cancel()
         handle = f"h-{order['id']}"
         self._memory.copies[f"{self.address}/{handle}"] = order["target_version"]
-        await self.respond(arrival, 200, orjson.dumps({"handle": handle, "made": 1}))
+        answer = orjson.dumps({"handle": handle, "made": 1})
+        await self.respond(arrival, 200, self.move_answer or answer)
 
 
 @fault("fails")
