Drop doubted entries before the time in which they must get no new work

Cause: found on reading: an entry that goes with half of its service is doubted for 2 s and swept each 0.25 s; if it is really gone it got work up to 2.25 s, and 2 s is the bound while the store is sound. Change: doubted for 1.7 s. Shown by a scenario that failed before.

--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -42,6 +42,7 @@
 from piershore.core.streams.event_splitter import EventSplitter
 from piershore.errors import PiershoreError
 from piershore.http1.message import RequestHead
+from piershore.ingress.endpoint_follower import SWEEP_SECONDS
 from piershore.platform.box_settings_file import read_box_settings
 from piershore.platform.endpoint_codec import decode_endpoint
 from piershore.platform.headers import PlatformDialect
@@ -149,6 +150,17 @@
             assert not left & {e.identity for e in directory.of_service("s")}
 
 
+@then("what is doubted is dropped before 2 seconds have passed, sweeps included")
+def check_doubt(context):
+    directory = EndpointDirectory()
+    for number in range(4):
+        directory.put(endpoint(f"i-{number}"))
+    assert not directory.remove("i-0", 10.0, after_outage=True)
+    assert directory.get("i-0") is not None
+    assert directory.drop_lapsed(12.0 - SWEEP_SECONDS)
+    assert directory.get("i-0") is None
+
+
 @then("each event is let through once and in order, whatever the parts")
 def check_delivery(context):
     @checked(st.integers(0, 10_000))
--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -7,8 +7,10 @@
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 
-LAPSE_SECONDS = 2.0
-"""An entry that lapsed in an outage is back this long after the outage's end."""
+LAPSE_SECONDS = 1.7
+"""How long an entry that may only have lapsed is kept. It is back some 2 s after an
+outage's end; one that is really gone must get no new work 2 s after it went, and the
+directory is swept four times a second."""
 
 DEPARTED_KEPT = 512
 """Identities remembered as having left; an identity is never used again."""
