--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -200,6 +200,9 @@
     """An endpoint crashes, and another incarnation comes."""
     endpoint = troubles.random.choice(troubles.fleet.endpoints)
     standin = endpoint.standin
+    if not standin.port:
+        # It is being replaced after another fault.
+        return
     standin.crash()
     await troubles.last(0.3, 1.0)
     await _replace(troubles, endpoint, standin)
