--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -15,8 +15,6 @@
 
 Fault = Callable[["Troubles"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
-START_SECONDS = 2.0
-"""A process that is told to stop so soon after its start may just end."""
 BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 BAD_STORES = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 
@@ -89,7 +87,8 @@
     if not gateway.is_running:
         return
     life = gateway.lives
-    is_starting = trio.current_time() - gateway.started_at < START_SECONDS
+    # One that is told to stop before it has started may just end.
+    is_starting = gateway.is_starting
     gateway.send_signal(signal.SIGCONT)
     gateway.send_signal(signal.SIGTERM)
     code = await gateway.wait_end(GRACE_SECONDS + 2)
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -20,6 +20,7 @@
 GRACE_SECONDS = 4
 HALLS = ("ikeja", "lekki", "apapa")
 DRAIN_SECONDS = 2.0
+START_LINE = '"event":"process_started"'
 
 
 class Gateway:
@@ -37,7 +38,7 @@
         self._process: Popen | None = None
         self.lives = 0
         self.undisturbed_since = 0.0
-        self.started_at = 0.0
+        self._starts_told = 0
 
     @property
     def address(self) -> tuple[str, int]:
@@ -49,6 +50,11 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether the present process has not told yet that it started."""
+        return self._count_starts() == self._starts_told
+
     def disturb(self) -> None:
         """Note that something is being done to it."""
         self.undisturbed_since = trio.current_time()
@@ -57,7 +63,7 @@
         """Start the process."""
         self._settings.write_text(self._settings_text())
         self.lives += 1
-        self.started_at = trio.current_time()
+        self._starts_told = self._count_starts()
         self.disturb()
         with self.log.open("ab") as output:
             self._process = Popen(
@@ -89,6 +95,9 @@
             self._process.kill()
             self._process.wait()
 
+    def _count_starts(self) -> int:
+        return self.log.read_text().count(START_LINE) if self.log.exists() else 0
+
     def _settings_text(self) -> str:
         seeds = ",".join(f"{g.host}:1" for g in self._fleet.gateways[:3])
         port = self._fleet.peer_port
