Answer a request whose time passed while the process stood still

Change: no patience is left then; a stream's time out says 'may have run' only if its request was sent. Shown by three scenarios; two failed before, one way or the other.

--- a/features/ingress_calls.feature
+++ b/features/ingress_calls.feature
@@ -82,6 +82,18 @@
     Then the endpoint gets none of them as the caller sent it
     And the endpoint gets the account, its own identity and the time that is left
 
+  @not_run_means_not_run
+  Scenario Outline: the process stands still past a <kind> request's time
+    Given a gateway before sound endpoints
+    When a caller sends a "<kind>" request and the process stands still
+    Then its status is 503 and it ran 0 times
+
+    Examples:
+      | kind       |
+      | once       |
+      | repeatable |
+      | stream     |
+
   Scenario: the metrics of a gateway
     Given endpoints of the desk whose faults are "fails"
     When a caller sends a "repeatable" request and the metrics are read
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import time
 from pathlib import Path
 
 import trio
@@ -22,6 +23,7 @@
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
+STILL_SECONDS = 0.2
 SLOW_LINK_MBPS = 20_000.0
 LARGE_SIZE = "11000,{}"
 """Prompt tokens that don't get away in a notice's time, so that a backup is made."""
@@ -164,6 +166,24 @@
     assert context.later.status == 200
 
 
+@when('a caller sends a "{kind}" request and the process stands still')
+def stand_still(context, kind):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        dialect = daemon._state.dialect
+        read_request = dialect.read_request
+
+        def read_late(head):
+            time.sleep(STILL_SECONDS)
+            return read_request(head)
+
+        dialect.read_request = read_late
+        headers = [("deadline-ms", "100")]
+        context.reply = await world.call(kind, *headers, request="abc", size="100,40")
+
+    context.ingress.run(script)
+
+
 @when('a caller sends a "repeatable" request and the metrics are read')
 def read_metrics(context):
     async def script(world):
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -181,9 +181,9 @@
         is_repeatable = exchange.route.kind is RequestKind.REPEATABLE
         if not is_repeatable or self._runs + 1 >= exchange.route.max_attempts:
             return float("inf")
-        return min(
-            PATIENCE_OF_AIM * exchange.route.target_latency, exchange.time_left / 2
-        )
+        patience = PATIENCE_OF_AIM * exchange.route.target_latency
+        # No time is left when the process stood still since the request came.
+        return max(0.0, min(patience, exchange.time_left / 2))
 
     def _note_failure(
         self, endpoint: Endpoint, error: AttemptFailedError, seconds: float
--- a/src/piershore/ingress/stream_opening.py
+++ b/src/piershore/ingress/stream_opening.py
@@ -39,7 +39,7 @@
         self._exchange = exchange
         self._memory = memory
         self._outcomes: list[AttemptOutcome] = []
-        self._is_sending = False
+        self._last_attempt: EndpointAttempt | None = None
 
     @property
     def attempts(self) -> int:
@@ -67,7 +67,8 @@
     def refusal(self, *, timed_out: bool = False) -> RequestRefusedError:
         """Return the final answer when no endpoint gave one."""
         outcomes = list(self._outcomes)
-        if timed_out and self._is_sending:
+        last = self._last_attempt
+        if timed_out and last is not None and last.may_have_run:
             outcomes.append(AttemptOutcome.TIMED_OUT)
         status = final_status(tuple(outcomes))
         if status is HTTPStatus.SERVICE_UNAVAILABLE:
@@ -98,7 +99,7 @@
         )
         self._memory.place(endpoint)
         self._memory.back_up(backup)
-        self._is_sending = True
+        self._last_attempt = attempt
         is_open = False
         try:
             await self._start(attempt)
@@ -106,7 +107,6 @@
             return attempt
         except AttemptFailedError as error:
             self._outcomes.append(error.outcome)
-            self._is_sending = False
             seconds = trio.current_time() - started
             note_failure(self._state, self._exchange, endpoint, error, seconds)
             return None
