--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -12,6 +12,10 @@
   Scenario: endpoints in any order of changes
     Then an endpoint that said it leaves is never given again
 
+  @leaving_gets_no_new_work
+  Scenario: a stopped run that its target doesn't take
+    Then it may go back to its source for 1 second after the notice, and no longer
+
   @leaving_gets_no_new_work
   Scenario: half of a service's entries go at once
     Then what is doubted is dropped before 2 seconds have passed, sweeps included
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -43,6 +43,7 @@
 from piershore.errors import PiershoreError
 from piershore.http1.message import RequestHead
 from piershore.ingress.endpoint_follower import SWEEP_SECONDS
+from piershore.ingress.live_stream import Handover
 from piershore.platform.box_settings_file import read_box_settings
 from piershore.platform.endpoint_codec import decode_endpoint
 from piershore.platform.headers import PlatformDialect
@@ -150,6 +151,17 @@
             assert not left & {e.identity for e in directory.of_service("s")}
 
 
+@then("it may go back to its source for 1 second after the notice, and no longer")
+def check_places(context):
+    async def check():
+        source, target = endpoint("source"), endpoint("target")
+        handover = Handover(source, target, noticed=10.0)
+        assert handover.places(10.9) == (target, source)
+        assert handover.places(11.1) == (target,)
+
+    trio.run(check)
+
+
 @then("what is doubted is dropped before 2 seconds have passed, sweeps included")
 def check_doubt(context):
     directory = EndpointDirectory()
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -14,6 +14,9 @@
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.ports import MemoryCopy
 
+BACK_AT_SOURCE_SECONDS = 1.0
+"""A source that leaves may get its stopped run back for so long after the notice; it
+must get no new work 2 s after it."""
 BACKUP_SECONDS = 0.8
 """A backup is complete so long after the first event: the copy of a long prompt
 takes up to 0.4 s, and what is new is sent some times a second."""
@@ -25,14 +28,22 @@
 
     `copy` is set once there is one at `target`; `run_stopped` when the source was
     told to stop the run, and `is_settled` when nothing more will be done for it.
+    `noticed` is when the source was known to leave.
     """
 
     source: Endpoint
     target: Endpoint
     copy: MemoryCopy | None = None
+    noticed: float = float("-inf")
     run_stopped: bool = False
     is_settled: trio.Event = field(default_factory=trio.Event)
 
+    def places(self, now: float) -> tuple[Endpoint, ...]:
+        """Return where the stream may go on: a leaving source only for a short time."""
+        if now - self.noticed > BACK_AT_SOURCE_SECONDS:
+            return (self.target,)
+        return self.target, self.source
+
 
 @dataclass
 class LiveStream:
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -154,7 +154,7 @@
         self, stream: LiveStream, source: Endpoint, target: Endpoint, noticed: float
     ) -> bool:
         """Move to one target; False if another may be tried."""
-        handover = stream.handover = Handover(source, target)
+        handover = stream.handover = Handover(source, target, noticed=noticed)
         self._log_start(stream, source, target)
         reservation = _CopyReservation(stream)
         self._state.fleet_load.add(target.identity, reservation)
--- a/src/piershore/ingress/stream_continuation.py
+++ b/src/piershore/ingress/stream_continuation.py
@@ -84,7 +84,7 @@
             return None
         with trio.move_on_after(HANDOVER_SECONDS):
             await handover.is_settled.wait()
-        for endpoint in (handover.target, handover.source):
+        for endpoint in handover.places(trio.current_time()):
             attempt = await self._resume_at(endpoint, handover.copy)
             if attempt is not None:
                 return attempt
