Tell with each choice what the other endpoints were believed to be

Change: placement returns a Choice: the cheapest, the next three, those left out after failures, and the age of the oldest report that the loads rest on; the line has them. Two scenarios in explain.feature failed before (no such fields). The final refusal after attempts stood twice; it is one function now.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -15,3 +15,13 @@
 
   Scenario: lines that aren't whole, and a request that nobody knows
     Then faulty log lines are passed over and an unknown request is told so
+
+  Scenario: a choice is told with what else there was
+    Given the logs of a gateway at which a request was refused by all
+    When the logs are asked for its id
+    Then each choice tells of the endpoints that were not chosen
+
+  Scenario: an endpoint that is left out is named
+    Given the logs of a gateway at which a request came after an ejection
+    When the logs are asked for its id
+    Then its choice names the endpoint that was left out
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -16,6 +16,9 @@
 from piershore.commands.command import ExitCode
 from standins.published_store import StoreFault
 
+LONGEST_VIEW_AGE_SECONDS = 3.0
+"""Reports of a peer count for no longer."""
+
 
 async def refused_by_all(world):
     await world.call("once", request="abc")
@@ -43,11 +46,20 @@
     await world.call("once", request="abc")
 
 
+async def after_ejection(world):
+    _, daemon = world.gateways[0]
+    failing = world.endpoints[0].identity
+    while not daemon._state.health.is_ejected(failing, trio.current_time()):
+        daemon._state.health.note_failure(failing, trio.current_time())
+    await world.call("once", request="abc")
+
+
 FATES = {
     "was refused by all": (refused_by_all, "desk", ["not run"] * 9),
     "may have run": (refused_by_all, "desk", ["reset"]),
     "was moved": (moved, "model", []),
     "was broken off": (broken_off, "model", []),
+    "came after an ejection": (after_ejection, "desk", []),
     "came before any configuration": (too_early, "desk", []),
 }
 
@@ -107,3 +119,21 @@
     assert done.returncode == ExitCode.FAILED
     assert "no line names request abc" in done.stderr
     assert explain("abc", "/no/such/file").returncode == ExitCode.FAILED
+
+
+@then("each choice tells of the endpoints that were not chosen")
+def choice_tells_others(context):
+    choices = [line for line in context.story if line["event"] == "attempt_started"]
+    assert [len(choice["others"]) for choice in choices] == [2, 1, 0], choices
+    for choice in choices:
+        for other in choice["others"]:
+            assert other["endpoint"] != choice["endpoint"]
+            assert other["cost"] + 0.001 >= choice["cost"]
+            assert other["known_requests"] == other["known_tokens"] == 0
+        assert 0 <= choice["view_age"] < LONGEST_VIEW_AGE_SECONDS
+
+
+@then("its choice names the endpoint that was left out")
+def choice_names_ejected(context):
+    choice = next(line for line in context.story if line["event"] == "attempt_started")
+    assert choice["ejected"] == ["i-0"], choice
--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -18,6 +18,9 @@
 """Statuses that tell a caller that nothing ran; an endpoint that gives one without
 saying so itself proves nothing."""
 
+MOST_PROVEN_UNRUN = 3
+"""Endpoints that may refuse a request unrun before its caller is told to come back."""
+
 
 class AttemptOutcome(StrEnum):
     """What is known of one attempt.
--- a/src/piershore/core/fleet/fleet_load.py
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -82,6 +82,10 @@
         for peer in old:
             del self._peers[peer]
 
+    def view_age(self, now: float) -> float:
+        """Return the age of the oldest peer's report that counts, in seconds."""
+        return max((now - at for at, _ in self._peers.values()), default=0.0)
+
     def at(self, identity: str) -> EndpointLoad:
         """Return the load of one endpoint as far as it is known."""
         total = self.own(identity)
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from heapq import nsmallest
 from random import Random
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -27,6 +28,10 @@
 """Spread among equals, so that gateways don't all choose the same endpoint."""
 
 
+MOST_OTHERS = 3
+"""Endpoints told of beside the chosen one, so that a log explains the choice."""
+
+
 @dataclass(frozen=True)
 class Candidate:
     """An endpoint with what it would cost to choose it."""
@@ -36,6 +41,30 @@
     cost: float
 
 
+@dataclass(frozen=True)
+class Choice:
+    """The cheapest endpoint, and why it was none of the others.
+
+    `others` are the next best, `ejected` the identities that were left out;
+    `view_age` is the age of the oldest report that the loads rest on, in seconds.
+    """
+
+    best: Candidate
+    others: tuple[Candidate, ...]
+    ejected: tuple[str, ...]
+    view_age: float
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The endpoint that was chosen."""
+        return self.best.endpoint
+
+    @property
+    def load(self) -> EndpointLoad:
+        """Its load before the choice."""
+        return self.best.load
+
+
 class Placement:
     """Chooses the endpoint that is the least loaded for what a request needs."""
 
@@ -55,7 +84,7 @@
 
     def for_call(
         self, service: str, now: float, excluded: Collection[str] = ()
-    ) -> Candidate | None:
+    ) -> Choice | None:
         """Return the endpoint for a plain request, or None if there is none."""
         return self._cheapest(service, now, excluded, self._call_cost)
 
@@ -66,7 +95,7 @@
         engine: EngineSpec,
         now: float,
         excluded: Collection[str] = (),
-    ) -> Candidate | None:
+    ) -> Choice | None:
         """Return the endpoint for a generation, or None if there is none."""
 
         def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
@@ -74,19 +103,26 @@
 
         return self._cheapest(service, now, excluded, cost)
 
-    def _cheapest(self, service, now, excluded, cost) -> Candidate | None:
+    def _cheapest(self, service, now, excluded, cost) -> Choice | None:
         """Return the cheapest candidate; ejected endpoints only if all are."""
-        candidates = [
-            self._candidate(endpoint, cost)
+        endpoints = [
+            endpoint
             for endpoint in self._directory.of_service(service)
             if endpoint.identity not in excluded
         ]
         sound = [
-            candidate
-            for candidate in candidates
-            if not self._health.is_ejected(candidate.endpoint.identity, now)
+            endpoint
+            for endpoint in endpoints
+            if not self._health.is_ejected(endpoint.identity, now)
         ]
-        return min(sound or candidates, key=lambda c: c.cost, default=None)
+        candidates = (self._candidate(e, cost) for e in sound or endpoints)
+        ranked = nsmallest(1 + MOST_OTHERS, candidates, key=lambda c: c.cost)
+        if not ranked:
+            return None
+        best, *others = ranked
+        ejected = {e.identity for e in endpoints} - {e.identity for e in sound}
+        view_age = self._fleet_load.view_age(now)
+        return Choice(best, tuple(others), tuple(sorted(ejected)), view_age)
 
     def _candidate(self, endpoint: Endpoint, cost) -> Candidate:
         load = self._fleet_load.at(endpoint.identity)
--- a/src/piershore/ingress/attempt_log.py
+++ b/src/piershore/ingress/attempt_log.py
@@ -7,18 +7,26 @@
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.generation_work import GenerationSize
-from piershore.core.fleet.placement import Candidate
+from piershore.core.fleet.placement import Candidate, Choice
 from piershore.ingress.exceptions import AttemptFailedError
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import AttemptEnded, AttemptStarted, EndpointEjected
+from piershore.telemetry.events import (
+    AttemptEnded,
+    AttemptStarted,
+    EndpointEjected,
+    EndpointView,
+)
+
+COST_DIGITS = 3
+"""Digits of costs in logs; ties are decided by less than that."""
 
 
 def note_attempt(
     state: GatewayState,
     exchange: Exchange,
-    candidate: Candidate,
+    choice: Choice,
     number: int,
     size: GenerationSize | None = None,
 ) -> None:
@@ -26,16 +34,19 @@
     state.log.write(
         AttemptStarted(
             request=exchange.identity,
-            endpoint=candidate.endpoint.identity,
+            endpoint=choice.endpoint.identity,
             route=exchange.route.name,
             attempt=number,
-            cost=candidate.cost,
-            known_requests=candidate.load.requests,
-            known_tokens=candidate.load.projected_tokens,
+            cost=choice.best.cost,
+            known_requests=choice.load.requests,
+            known_tokens=choice.load.projected_tokens,
             config_version=exchange.configuration.version,
             prompt_tokens=size.prompt_tokens if size else 0,
             hinted_tokens=size.hinted_tokens if size else None,
             most_tokens=size.max_output_tokens if size else 0,
+            view_age=choice.view_age,
+            others=tuple(map(_view, choice.others)),
+            ejected=choice.ejected,
         )
     )
 
@@ -60,3 +71,12 @@
     if state.health.note_failure(endpoint.identity, trio.current_time()):
         rate = state.health.failure_rate(endpoint.identity)
         state.log.write(EndpointEjected(endpoint.identity, rate), is_failure=True)
+
+
+def _view(candidate: Candidate) -> EndpointView:
+    return EndpointView(
+        candidate.endpoint.identity,
+        round(candidate.cost, COST_DIGITS),
+        candidate.load.requests,
+        candidate.load.projected_tokens,
+    )
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -9,25 +9,24 @@
 
 from piershore.core.attempts.attempt_outcome import (
     AttemptOutcome,
-    final_status,
     may_try_again,
+    MOST_PROVEN_UNRUN,
     NOT_RUN_STATUSES,
 )
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import PlainWork
-from piershore.core.fleet.placement import Candidate
+from piershore.core.fleet.placement import Choice
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
 from piershore.ingress.attempt_log import note_attempt, note_failure
 from piershore.ingress.endpoint_attempt import EndpointAttempt
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
 from piershore.ingress.exchange import Exchange
+from piershore.ingress.final_refusal import final_refusal
 from piershore.ingress.gateway_state import GatewayState
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import RequestAnswered
 
-MOST_PROVEN_UNRUN = 3
-"""Attempts that endpoints refused unrun before the caller is told to come back."""
 IDLE_OF_ONCE_SECONDS = 1.0
 """Longest rest of a connection for what may run only once: a connection that the
 endpoint has closed leaves it open whether the request ran."""
@@ -96,12 +95,12 @@
         self._state.allowance(service).note_request(trio.current_time())
         while True:
             now = trio.current_time()
-            candidate = self._state.placement.for_call(service, now, self._tried)
-            if candidate is None and self._tried and self._runs == 0:
-                candidate = self._state.placement.for_call(service, now)
-            if candidate is None:
+            choice = self._state.placement.for_call(service, now, self._tried)
+            if choice is None and self._tried and self._runs == 0:
+                choice = self._state.placement.for_call(service, now)
+            if choice is None:
                 return self._failed_answer
-            answer = await self._attempt(candidate)
+            answer = await self._attempt(choice)
             if answer is not None:
                 return answer
             if not self._may_go_on(service):
@@ -112,14 +111,7 @@
         outcomes = list(self.outcomes)
         if self._runs > sum(not outcome.proves_not_run for outcome in outcomes):
             outcomes.append(AttemptOutcome.TIMED_OUT)
-        status = final_status(tuple(outcomes))
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
-            code = "no_endpoint" if not outcomes else "endpoints_refused"
-            return RequestRefusedError(
-                status, code, "no endpoint took the request", COME_BACK_SECONDS
-            )
-        code = "timed_out" if timed_out else "endpoint_failed"
-        return RequestRefusedError(status, code, "the request may have run")
+        return final_refusal(outcomes, COME_BACK_SECONDS, timed_out=timed_out)
 
     def _may_go_on(self, service: str) -> bool:
         outcome = self.outcomes[-1]
@@ -134,16 +126,16 @@
         ingress_metrics.RETRIES.labels(outcome).inc()
         return True
 
-    async def _attempt(self, candidate: Candidate) -> WholeAnswer | None:
+    async def _attempt(self, choice: Choice) -> WholeAnswer | None:
         exchange = self._exchange
-        endpoint = candidate.endpoint
+        endpoint = choice.endpoint
         self._tried.append(endpoint.identity)
         is_repeatable = exchange.route.kind is RequestKind.REPEATABLE
         idle = IDLE_OF_REPEATABLE_SECONDS if is_repeatable else IDLE_OF_ONCE_SECONDS
         attempt = EndpointAttempt(self._state, exchange, endpoint, idle)
         work = PlainWork()
         self._state.fleet_load.add(endpoint.identity, work)
-        note_attempt(self._state, exchange, candidate, len(self._tried))
+        note_attempt(self._state, exchange, choice, len(self._tried))
         started = trio.current_time()
         try:
             with trio.move_on_after(self._patience()):
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -217,14 +217,14 @@
     def _choose(
         self, stream: LiveStream, source: Endpoint, engine: EngineSpec, tried
     ) -> Endpoint | None:
-        candidate = self._state.placement.for_generation(
+        choice = self._state.placement.for_generation(
             source.service,
             stream.work,
             engine,
             trio.current_time(),
             (source.identity, *tried),
         )
-        return candidate.endpoint if candidate else None
+        return choice.endpoint if choice else None
 
     async def _stop_and_move(
         self, stream: LiveStream, handover: Handover, noticed: float
--- a/src/piershore/ingress/stream_continuation.py
+++ b/src/piershore/ingress/stream_continuation.py
@@ -62,11 +62,11 @@
         service = exchange.route.service_for(exchange.identity)
         tried = [self._stream.endpoint.identity]
         while service is not None and len(tried) <= MOST_RUNS_ANEW:
-            candidate = self._memory.choose(service, tried, trio.current_time())
-            if candidate is None or not self._state.may_retry(service):
+            choice = self._memory.choose(service, tried, trio.current_time())
+            if choice is None or not self._state.may_retry(service):
                 break
-            endpoint = candidate.endpoint
-            note_attempt(self._state, exchange, candidate, len(tried) + 1)
+            endpoint = choice.endpoint
+            note_attempt(self._state, exchange, choice, len(tried) + 1)
             attempt = await self._resume_at(endpoint, None)
             if attempt is not None:
                 return attempt
--- a/src/piershore/ingress/stream_memory.py
+++ b/src/piershore/ingress/stream_memory.py
@@ -6,7 +6,7 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_work import GenerationWork
-from piershore.core.fleet.placement import Candidate
+from piershore.core.fleet.placement import Choice
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
@@ -53,7 +53,7 @@
         self.place(None)
         self.back_up(None)
 
-    def choose(self, service: str, excluded: list[str], now: float) -> Candidate | None:
+    def choose(self, service: str, excluded: list[str], now: float) -> Choice | None:
         """Return the endpoint that suits the generation best."""
         spec = self._exchange.configuration.services.get(service)
         placement = self._state.placement
@@ -68,7 +68,7 @@
         load = self._state.fleet_load.at(endpoint.identity)
         if engine is None or not wants_backup(load, self.work, engine):
             return None
-        candidate = self.choose(endpoint.service, [endpoint.identity], now)
-        if candidate is None or not has_room(candidate.load, self.work, engine):
+        choice = self.choose(endpoint.service, [endpoint.identity], now)
+        if choice is None or not has_room(choice.load, self.work, engine):
             return None
-        return candidate.endpoint
+        return choice.endpoint
--- a/src/piershore/ingress/stream_opening.py
+++ b/src/piershore/ingress/stream_opening.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
-
 import trio
 
 from piershore.core.attempts.attempt_outcome import (
     AttemptOutcome,
-    final_status,
+    MOST_PROVEN_UNRUN,
     NOT_RUN_STATUSES,
 )
-from piershore.core.fleet.placement import Candidate
+from piershore.core.fleet.placement import Choice
 from piershore.ingress.attempt_log import note_attempt, note_failure
 from piershore.ingress.endpoint_attempt import EndpointAttempt
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
 from piershore.ingress.exchange import Exchange
+from piershore.ingress.final_refusal import final_refusal
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.stream_memory import StreamMemory
 from piershore.telemetry import ingress_metrics
@@ -23,8 +22,6 @@
 IDLE_OF_STREAM_SECONDS = 1.0
 """Longest rest of a connection that a stream takes over; as for calls that run
 only once."""
-MOST_PROVEN_UNRUN = 3
-"""Endpoints that may refuse a stream before its caller is told to come back."""
 COME_BACK_SECONDS = 0.4
 """When a refused caller may find a place: a short generation's length."""
 
@@ -55,11 +52,11 @@
         self._state.allowance(service).note_request(trio.current_time())
         tried: list[str] = []
         while True:
-            candidate = self._memory.choose(service, tried, trio.current_time())
-            if candidate is None:
+            choice = self._memory.choose(service, tried, trio.current_time())
+            if choice is None:
                 raise self.refusal()
-            tried.append(candidate.endpoint.identity)
-            attempt = await self._attempt(candidate, len(tried))
+            tried.append(choice.endpoint.identity)
+            attempt = await self._attempt(choice, len(tried))
             if attempt is not None:
                 return attempt
             self._check_may_go_on(service)
@@ -70,14 +67,7 @@
         last = self._last_attempt
         if timed_out and last is not None and last.may_have_run:
             outcomes.append(AttemptOutcome.TIMED_OUT)
-        status = final_status(tuple(outcomes))
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
-            code = "endpoints_refused" if outcomes else "no_endpoint"
-            return RequestRefusedError(
-                status, code, "no endpoint took the request", COME_BACK_SECONDS
-            )
-        code = "timed_out" if timed_out else "endpoint_failed"
-        return RequestRefusedError(status, code, "the request may have run")
+        return final_refusal(outcomes, COME_BACK_SECONDS, timed_out=timed_out)
 
     def _check_may_go_on(self, service: str) -> None:
         outcome = self._outcomes[-1]
@@ -86,12 +76,10 @@
             raise self.refusal()
         ingress_metrics.RETRIES.labels(outcome).inc()
 
-    async def _attempt(
-        self, candidate: Candidate, number: int
-    ) -> EndpointAttempt | None:
-        endpoint = candidate.endpoint
+    async def _attempt(self, choice: Choice, number: int) -> EndpointAttempt | None:
+        endpoint = choice.endpoint
         size = self._memory.work.size
-        note_attempt(self._state, self._exchange, candidate, number, size)
+        note_attempt(self._state, self._exchange, choice, number, size)
         started = trio.current_time()
         backup = self._memory.choose_backup(endpoint, started)
         attempt = EndpointAttempt(
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -95,9 +95,23 @@
     failure_rate: float
 
 
+@dataclass(frozen=True)
+class EndpointView:
+    """What was believed of an endpoint that was not chosen."""
+
+    endpoint: str
+    cost: float
+    known_requests: int
+    known_tokens: int
+
+
 @dataclass(frozen=True)
 class AttemptStarted(LogEvent):
-    """An endpoint was chosen; costs compare it with what else there was."""
+    """An endpoint was chosen; costs compare it with what else there was.
+
+    `others` are the next best ones, `ejected` those that were left out; `view_age`
+    is the age of the oldest report of a peer that the loads rest on.
+    """
 
     request: str
     endpoint: str
@@ -110,6 +124,9 @@
     prompt_tokens: int = 0
     hinted_tokens: int | None = None
     most_tokens: int = 0
+    view_age: float = 0.0
+    others: tuple[EndpointView, ...] = ()
+    ejected: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/piershore/telemetry/request_story.py
+++ b/src/piershore/telemetry/request_story.py
@@ -123,5 +123,10 @@
 
 
 def _shown(value: object) -> str:
+    """Return a value as one word; nested records as their values, by commas."""
+    if isinstance(value, list):
+        return "[" + ";".join(map(_shown, value)) + "]"
+    if isinstance(value, dict):
+        return ",".join(f"{name}={_shown(part)}" for name, part in value.items())
     text = str(value)
     return orjson.dumps(text).decode() if " " in text or not text else text
