Don't take a gateway's own standstill for the silence of its agents

Cause: a gateway that was frozen (or starved, or whose machine was) for more than 3 s closed the links to all its agents when it went on: the timer of the silence ran out before the frames that had come meanwhile were read. Shown by a scenario that freezes a gateway for 4 s: link_closed for all four agents, failed before.

--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import time
+
 from behave import then, when
 
 from devtools.caller import token_fault
 from devtools.deployment import wait_until
 from piershore.core.routing.aperture import choose_aperture
+from piershore.gateway.agent_link import SILENCE_SECONDS
+
+STILL_MARGIN_SECONDS = 1.0
+"""By how much longer than a silence the gateway stands still."""
 
 
 def serving_number(world):
@@ -130,6 +136,20 @@
     when(name + " {moment}")(fault_step(name))
 
 
+@when("gateway-1 stands still after {count:d} tokens")
+def freeze_gateway(context, count):
+    go_on_to(context.world, f"after {count}")
+    process = context.world.deployment.process("gateway-1")
+    process.freeze()
+    time.sleep(SILENCE_SECONDS + STILL_MARGIN_SECONDS)
+    process.thaw()
+
+
+@then("gateway-1 has closed no link")
+def check_links_kept(context):
+    assert "link_closed" not in context.world.deployment.process("gateway-1").output
+
+
 @when("gateway-1 is killed after {count:d} tokens")
 def kill_gateway(context, count):
     go_on_to(context.world, f"after {count}")
--- a/features/tokens_once_in_order.feature
+++ b/features/tokens_once_in_order.feature
@@ -27,6 +27,13 @@
     And the caller resumes at gateway-2
     Then both parts together are whole, in order, from one generation
 
+  Scenario: A gateway stands still for longer than an agent may be silent
+    Given a running deployment
+    When a stream of 150 tokens is asked for
+    And gateway-1 stands still after 20 tokens
+    Then the stream is whole, in order, from one generation
+    And gateway-1 has closed no link
+
   Scenario: Two readers resume the same stream
     Given a running deployment
     When a stream of 200 tokens is asked for
--- a/src/piershore/gateway/agent_link.py
+++ b/src/piershore/gateway/agent_link.py
@@ -11,6 +11,7 @@
 from piershore.core.configuration.objects import EndpointStatus
 from piershore.core.ownership.interval import HeldInterval, Interval, Owner
 from piershore.core.routing.endpoint_state import EndpointState, LoadReport
+from piershore.core.standstill import stood_still
 from piershore.gateway.exceptions import LinkLostError
 from piershore.telemetry import metrics
 from piershore.telemetry.logs import state_changed
@@ -200,16 +201,24 @@
         self._heard_at = trio.current_time()
         client.start()
         client.send(GatewayFrame(hello=GatewayHello(gateway=self._gateway)))
-        while not closed.is_set():
-            silence = trio.current_time() - self._heard_at
-            if silence > SILENCE_SECONDS:
-                break
-            with trio.move_on_after(SILENCE_SECONDS - silence + 0.01):
-                await closed.wait()
+        await self._wait_for_silence(closed)
         was_open = self._state.is_open
         self._disconnect()
         return was_open
 
+    async def _wait_for_silence(self, closed: trio.Event) -> None:
+        """Wait until the link is closed, or nothing was heard for too long."""
+        while not closed.is_set():
+            due = self._heard_at + SILENCE_SECONDS
+            with trio.move_on_at(due):
+                await closed.wait()
+            now = trio.current_time()
+            if stood_still(due, now):
+                # Frames that came meanwhile are still to be read.
+                self._heard_at = now
+            elif now >= self._heard_at + SILENCE_SECONDS:
+                return
+
     def _disconnect(self) -> None:
         if self._client is None:
             return
