Judge the silence of an engine by its own pace, and ask it

Change: a stream that pauses for eight times its engine's pace makes the gateway ask for the engine's report. Events that get lost: the generation is moved. No answer: left out for 1 s, kept connections closed; twice in a row: on at the backup, once that can be reached. Calls for copies are apart from the plan now (copy_calls.py), and pool.borrow replaces three like pieces. Leaving out for longer each time: no better. Scenarios: ingress_streams 19 passed; the four new ones that need it fail without (mutants).

--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -239,6 +239,27 @@
         "            if False:\n",
         "ingress_core",
     ),
+    Mutant(
+        "silent endpoints are never given up",
+        "core/streams/silence.py",
+        "        is_given_up = unanswered >= UNANSWERED_BEFORE_GIVEN_UP\n",
+        "        is_given_up = False\n",
+        "ingress_streams",
+    ),
+    Mutant(
+        "reports of silent endpoints aren't read",
+        "core/streams/silence.py",
+        "    if made > stream.last_event + EVENTS_ON_THE_WAY:\n",
+        "    if False:\n",
+        "ingress_streams",
+    ),
+    Mutant(
+        "own standstill taken for an endpoint's silence",
+        "ingress/silence_watch.py",
+        "if stood_still(due, now):",
+        "if False:",
+        "ingress_streams",
+    ),
     Mutant(
         "a stop for a move isn't told from the end",
         "ingress/stream_relay.py",
--- a/features/ingress_streams.feature
+++ b/features/ingress_streams.feature
@@ -66,6 +66,41 @@
     When a stream of 60 events is read and its endpoint crashes midway
     Then all events came once and in order, from 2 runs
 
+  @tokens_once_in_order
+  Scenario: an endpoint goes dark and there is a backup
+    Given 3 engines
+    When a large stream of 300 events is read and its endpoint goes dark midway
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint 1 times
+
+  @tokens_once_in_order
+  Scenario: an endpoint goes dark and the route's streams may be resumed
+    Given 3 engines of a resumable route
+    When a stream of 60 events is read and its endpoint goes dark midway
+    Then all events came once and in order, from 2 runs
+
+  @tokens_once_in_order
+  Scenario: the events of an endpoint get lost on the way
+    Given 3 engines
+    When a stream of 60 events is read and its endpoint makes events that get lost midway
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint 1 times
+
+  @tokens_once_in_order
+  Scenario: an endpoint that works only pauses a stream
+    Given 3 engines
+    When a large stream of 200 events is read and its endpoint pauses for long midway
+    Then all events came once and in order, from 1 run
+    And it went on at another endpoint 0 times
+    And its endpoint was asked at least 1 and at most 4 times
+
+  @tokens_once_in_order
+  Scenario: it was the gateway itself that stood still
+    Given 3 engines
+    When a stream of 60 events is read and its endpoint and the gateway stand still midway
+    Then all events came once and in order, from 1 run
+    And its endpoint was asked at least 0 and at most 0 times
+
   @tokens_once_in_order
   Scenario: a stream breaks inside an event
     Given 1 engine that breaks inside an event
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -20,10 +20,14 @@
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.message import RequestHead
+from standins.published_endpoint import Silence
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
 STILL_SECONDS = 0.2
+STILL_PROCESS_SECONDS = 0.8
+"""Long enough for an endpoint to seem silent, were it not the process itself."""
+SILENT_SECONDS = 2.5
 SLOW_LINK_MBPS = 20_000.0
 LARGE_SIZE = "11000,{}"
 """Prompt tokens that don't get away in a notice's time, so that a backup is made."""
@@ -453,7 +457,37 @@
     reading.running_at().crash()
 
 
+async def fall_silent(world, reading, silence):
+    world.silent = reading.running_at()
+    world.silent.silence = silence
+    # Longer than it takes to be asked, and to be given up.
+    with trio.move_on_after(SILENT_SECONDS):
+        while not any(e.continued["abc"] for e in world.endpoints):
+            await trio.sleep(0.01)
+
+
+async def pause(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.PAUSED)
+    world.silent.silence = None
+
+
+async def lose_events(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.EVENTS_LOST)
+
+
+async def go_dark(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.GONE)
+
+
+async def stand_still_midway(world, reading, crash_after_copy):
+    time.sleep(STILL_PROCESS_SECONDS)
+
+
 DISTURBANCES = {
+    "pauses for long": pause,
+    "makes events that get lost": lose_events,
+    "goes dark": go_dark,
+    "and the gateway stand still": stand_still_midway,
     "says that it leaves": say_leaving,
     "is gone from the list": drop_from_list,
     "leaves, and its target leaves": leave_twice,
@@ -472,6 +506,12 @@
     assert context.ingress.runs("model") == runs
 
 
+@then("its endpoint was asked at least {least:d} and at most {most:d} times")
+def check_questions(context, least, most):
+    asked = sum(e.reports for e in context.ingress.endpoints)
+    assert least <= asked <= most, asked
+
+
 @then("the gateway has logged no fault of its own")
 def check_no_fault(context):
     _, daemon = context.ingress.gateways[0]
--- a/src/piershore/core/fleet/endpoint_health.py
+++ b/src/piershore/core/fleet/endpoint_health.py
@@ -11,6 +11,9 @@
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 8.0
 """Bounds of an ejection, which doubles each time; a restart takes seconds."""
+SILENCE_SECONDS = 1.0
+"""An endpoint that doesn't answer is left out until the next question to it; when it
+is back, requests that can't connect show so before they run."""
 
 
 @dataclass
@@ -51,6 +54,13 @@
         health.ejections += 1
         return True
 
+    def note_silence(self, identity: str, now: float) -> bool:
+        """Leave an endpoint out that doesn't answer; tell whether that is new."""
+        health = self._by_identity.setdefault(identity, _Health())
+        is_new = now >= health.ejected_until
+        health.ejected_until = max(health.ejected_until, now + SILENCE_SECONDS)
+        return is_new
+
     def is_ejected(self, identity: str, now: float) -> bool:
         """Tell whether the endpoint should get no work for now."""
         health = self._by_identity.get(identity)
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -50,7 +50,9 @@
                     connection.close()
                     raise
         except (OSError, trio.TooSlowError) as error:
-            raise NotConnectedError(f"no connection to {host}:{port}") from error
+            message = f"no connection to {host}:{port}"
+            timed_out = isinstance(error, trio.TooSlowError)
+            raise NotConnectedError(message, timed_out=timed_out) from error
         return cls(trio.SocketStream(connection))
 
     def is_clean(self) -> bool:
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import trio
 
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import NotConnectedError
 
 CONNECT_SECONDS = 0.35
 """A connection in one region comes up in a few ms; a lost first packet is sent
@@ -37,6 +41,34 @@
             await connection.close()
         return await ClientConnection.open(address.host, address.port, CONNECT_SECONDS)
 
+    @asynccontextmanager
+    async def borrow(
+        self, address: Address, longest_idle: float
+    ) -> AsyncIterator[ClientConnection]:
+        """Lend a connection for one exchange; it is kept if that ends well.
+
+        Raise `NotConnectedError` if there is none.
+        """
+        connection = await self.take(address, longest_idle)
+        is_done = False
+        try:
+            yield connection
+            is_done = True
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.give_back(address, connection, reusable=is_done)
+
+    async def can_connect(self, address: Address) -> bool:
+        """Tell whether a new connection comes up, and close it."""
+        try:
+            connection = await ClientConnection.open(
+                address.host, address.port, CONNECT_SECONDS
+            )
+        except NotConnectedError:
+            return False
+        await connection.close()
+        return True
+
     async def give_back(
         self, address: Address, connection: ClientConnection, *, reusable: bool
     ) -> None:
--- a/src/piershore/http1/exceptions.py
+++ b/src/piershore/http1/exceptions.py
@@ -19,10 +19,17 @@
 
 
 class NotConnectedError(PiershoreError):
-    """No connection came up, so nothing was sent."""
+    """No connection came up, so nothing was sent.
+
+    `timed_out` when the other side said nothing, not even that it refuses.
+    """
 
     code = "not_connected"
 
+    def __init__(self, message: str, *, timed_out: bool = False) -> None:
+        super().__init__(message)
+        self.timed_out = timed_out
+
 
 class ExchangeBrokenError(PiershoreError):
     """The exchange broke after at least a part of the request was sent."""
--- a/src/piershore/ingress/attempt_log.py
+++ b/src/piershore/ingress/attempt_log.py
@@ -69,8 +69,14 @@
     if error.outcome is AttemptOutcome.REJECTED:
         return
     if state.health.note_failure(endpoint.identity, trio.current_time()):
-        rate = state.health.failure_rate(endpoint.identity)
-        state.log.write(EndpointEjected(endpoint.identity, rate), is_failure=True)
+        note_ejection(state, endpoint, "failures")
+
+
+def note_ejection(state: GatewayState, endpoint: Endpoint, reason: str) -> None:
+    """Log that an endpoint gets no work for a while."""
+    rate = state.health.failure_rate(endpoint.identity)
+    event = EndpointEjected(endpoint.identity, rate, reason)
+    state.log.write(event, is_failure=True)
 
 
 def _view(candidate: Candidate) -> EndpointView:
--- /dev/null
+++ b/src/piershore/ingress/copy_calls.py
@@ -0,0 +1,84 @@
+"""Calls to an engine that copy or stop one of its generations."""
+
+from __future__ import annotations
+
+import trio
+
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.live_stream import Handover
+from piershore.ingress.ports import GenerationMover, MemoryCopy, MoveResult
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import MoveEnded
+
+MOVE_SECONDS = 2.5
+"""Longest wait for one copy; a notice is seldom longer."""
+IDLE_SECONDS = 1.0
+"""Longest rest of a connection that a move takes over."""
+
+
+class CopyCalls:
+    """Copies what there is of a generation, stops it, or frees a copy.
+
+    A call that fails is logged, and told by None.
+    """
+
+    def __init__(self, state: GatewayState, mover: GenerationMover) -> None:
+        self._state = state
+        self._mover = mover
+
+    async def copy(self, request: str, handover: Handover) -> MoveResult | None:
+        """Copy the memory while the generation goes on."""
+        return await self._move(request, handover, is_last=False)
+
+    async def stop(self, request: str, handover: Handover, noticed: float) -> None:
+        """Stop the generation, so that its stream ends and goes on at the target.
+
+        The target reads again what the copy lacks, some tens of tokens: that is
+        faster than waiting until the endpoint's link has copied them as well.
+        """
+        handover.run_stopped = True
+        result = await self._move(request, handover, is_last=True)
+        ended = "moved" if result else "refused"
+        ingress_metrics.MOVES.labels(ended).inc()
+        self._log_end(request, handover, ended, trio.current_time() - noticed)
+
+    async def release(self, request: str, handover: Handover, copy: MemoryCopy) -> None:
+        """Free the copy of a stream that ended meanwhile."""
+        try:
+            async with self._state.pool.borrow(copy.holder, IDLE_SECONDS) as connection:
+                await self._mover.release(connection, copy)
+        except (ExchangeBrokenError, NotConnectedError) as error:
+            self._log_end(request, handover, error.message, 0.0)
+
+    async def _move(
+        self, request: str, handover: Handover, *, is_last: bool
+    ) -> MoveResult | None:
+        source = handover.source.address
+        with trio.move_on_after(MOVE_SECONDS):
+            try:
+                async with self._state.pool.borrow(source, IDLE_SECONDS) as connection:
+                    return await self._mover.move(
+                        connection,
+                        source,
+                        request,
+                        handover.target.address,
+                        is_last=is_last,
+                    )
+            except (ExchangeBrokenError, NotConnectedError) as error:
+                self._log_end(request, handover, error.message, 0.0)
+        return None
+
+    def _log_end(
+        self, request: str, handover: Handover, result: str, seconds: float
+    ) -> None:
+        self._state.log.write(
+            MoveEnded(
+                request,
+                handover.source.identity,
+                handover.target.identity,
+                result,
+                seconds,
+            ),
+            is_failure=result != "moved",
+        )
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -35,6 +35,7 @@
     GenerationMover,
     RequestDialect,
 )
+from piershore.ingress.silence_watch import SilenceWatch
 from piershore.ingress.stream_forwarder import StreamForwarder
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry import ingress_metrics
@@ -139,12 +140,16 @@
             self._endpoints,
             link,
         )
+        silences = SilenceWatch(
+            self._state, self._live, self._moves, self._endpoint_reports
+        )
         await link.start()
         try:
             async with trio.open_nursery() as nursery:
                 self._moves.start(nursery, link)
                 await self._start(nursery, link, documents)
                 nursery.start_soon(self._supervise, outages.run)
+                nursery.start_soon(self._supervise, silences.run)
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
                 )
@@ -245,6 +250,7 @@
         self._moves.evacuate(endpoint)
         if departure.is_gone:
             self._state.health.forget(endpoint.identity)
+            self._state.paces.forget(endpoint.identity)
 
     async def _sweep_connections(self) -> None:
         while True:
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -11,6 +11,7 @@
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
@@ -41,6 +42,7 @@
     configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
+    paces: EndpointPaces = field(default_factory=EndpointPaces)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -50,8 +50,8 @@
     """One stream of a caller; `endpoint` runs it now.
 
     `backup` gets its memory as it grows; `reading_scope` is the wait for the next
-    part from the present endpoint, which is `is_given_up` when the stream shall go
-    on elsewhere.
+    part from the present endpoint, `waiting_since` its begin; the endpoint
+    `is_given_up` when the stream shall go on elsewhere.
     """
 
     exchange: Exchange
@@ -62,6 +62,7 @@
     backup: Endpoint | None = None
     is_given_up: bool = False
     reading_scope: trio.CancelScope | None = None
+    waiting_since: float | None = None
     moves: int = 0
     leg_began_at: float = float("inf")
     last_event_at: float = 0.0
@@ -81,6 +82,7 @@
         self.handover = None
         self.is_given_up = False
         self.leg_began_at = float("inf")
+        self.waiting_since = None
         self.moves += 1
 
     @property
@@ -129,6 +131,9 @@
     def __len__(self) -> int:
         return len(self._streams)
 
+    def __iter__(self) -> Iterator[LiveStream]:
+        return iter(list(self._streams.values()))
+
     def add(self, stream: LiveStream) -> None:
         """Take up a stream."""
         self._streams[id(stream)] = stream
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -7,6 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -17,7 +21,7 @@
     PlannedMove,
 )
 from piershore.core.routes.service_spec import EngineSpec
-from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.ingress.copy_calls import CopyCalls
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import (
     backup_handover,
@@ -28,13 +32,11 @@
 from piershore.ingress.peer_link import PeerLink
 from piershore.ingress.ports import GenerationMover, MoveResult
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import MoveEnded, MoveStarted
+from piershore.telemetry.events import MoveStarted
 
 NOTES_SECONDS = 0.02
 """Time for all gateways to tell each other of their streams: a datagram takes
 about 1 ms, a notice reaches all watches within some ms."""
-MOVE_SECONDS = 2.5
-"""Longest wait for one copy; a notice is seldom longer."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
 ENDS_SOON_TOKENS = 100
@@ -42,8 +44,27 @@
 notice by itself, at some 10 ms a token."""
 COPY_ATTEMPTS = 3
 """Targets that are tried for one stream; each refusal takes a few ms."""
-IDLE_SECONDS = 1.0
-"""Longest rest of a connection that a move takes over."""
+
+
+class MoveReason(StrEnum):
+    """Why generations are moved."""
+
+    ENDPOINT_LEAVES = "endpoint_leaves"
+    EVENTS_LOST = "events_lost"
+
+
+@dataclass(frozen=True)
+class Evacuation:
+    """Generations are moved away from `source` since `noticed`, by trio's clock."""
+
+    source: Endpoint
+    engine: EngineSpec
+    noticed: float
+    reason: MoveReason
+
+    def handover_to(self, target: Endpoint) -> Handover:
+        """Return a move to one target."""
+        return Handover(self.source, target, noticed=self.noticed)
 
 
 class _CopyReservation:
@@ -65,7 +86,7 @@
     ) -> None:
         self._state = state
         self._live = live
-        self._mover = mover
+        self._calls = CopyCalls(state, mover)
         self._nursery: trio.Nursery | None = None
         self._peers: PeerLink | None = None
 
@@ -78,25 +99,28 @@
         """Move all streams away from an endpoint that leaves."""
         streams = [s for s in self._live.at(source.identity) if s.handover is None]
         if streams:
-            self._start(source, streams)
+            self._start(source, streams, MoveReason.ENDPOINT_LEAVES)
 
-    def evacuate_one(self, stream: LiveStream) -> None:
-        """Move a stream that began at, or came to, an endpoint that leaves."""
+    def evacuate_one(
+        self, stream: LiveStream, reason: MoveReason = MoveReason.ENDPOINT_LEAVES
+    ) -> None:
+        """Move one stream, say one that came to an endpoint that leaves."""
         if stream.handover is None:
-            self._start(stream.endpoint, [stream])
+            self._start(stream.endpoint, [stream], reason)
 
-    def _start(self, source: Endpoint, streams: list[LiveStream]) -> None:
+    def _start(
+        self, source: Endpoint, streams: list[LiveStream], reason: MoveReason
+    ) -> None:
         engine = self._engine(source.service)
         if engine is None or not engine.can_move or self._nursery is None:
             return
-        self._nursery.start_soon(self._guard, source, streams, engine)
+        evacuation = Evacuation(source, engine, trio.current_time(), reason)
+        self._nursery.start_soon(self._guard, evacuation, streams)
 
-    async def _guard(
-        self, source: Endpoint, streams: list[LiveStream], engine: EngineSpec
-    ) -> None:
+    async def _guard(self, evacuation: Evacuation, streams: list[LiveStream]) -> None:
         """Keep a fault in one evacuation from ending the process."""
         try:
-            await self._evacuate(source, streams, engine)
+            await self._evacuate(evacuation, streams)
         except Exception as error:
             self._state.log.write_fault("MoveCoordinator", error)
 
@@ -106,67 +130,66 @@
         return spec.engine if spec else None
 
     async def _evacuate(
-        self, source: Endpoint, streams: list[LiveStream], engine: EngineSpec
+        self, evacuation: Evacuation, streams: list[LiveStream]
     ) -> None:
-        noticed = trio.current_time()
         await self._peers.send_now()
         await trio.sleep(NOTES_SECONDS)
-        plan = {move.request: move for move in self._plan(source, engine)}
+        plan = {move.request: move for move in self._plan(evacuation)}
         async with trio.open_nursery() as nursery:
             for stream in streams:
                 planned = plan.get(stream.exchange.identity)
-                nursery.start_soon(self._move, stream, source, engine, planned, noticed)
+                nursery.start_soon(self._move, stream, evacuation, planned)
 
-    def _plan(self, source: Endpoint, engine: EngineSpec) -> tuple[PlannedMove, ...]:
+    def _plan(self, evacuation: Evacuation) -> tuple[PlannedMove, ...]:
+        source = evacuation.source
         notes = {note.request: note for note in self._live.notes(source.identity)}
         notes.update((n.request, n) for n in self._peers.notes_at(source.identity))
-        targets = tuple(self._state.directory.of_service(source.service))
+        others = self._state.directory.of_service(source.service)
+        targets = tuple(t for t in others if t.identity != source.identity)
         loads = {t.identity: self._state.fleet_load.at(t.identity) for t in targets}
-        return plan_evacuation(source, notes.values(), targets, loads, engine)
+        return plan_evacuation(
+            source, notes.values(), targets, loads, evacuation.engine
+        )
 
     async def _move(
-        self,
-        stream: LiveStream,
-        source: Endpoint,
-        engine: EngineSpec,
-        planned: PlannedMove | None,
-        noticed: float,
+        self, stream: LiveStream, evacuation: Evacuation, planned: PlannedMove | None
     ) -> None:
         """Copy the stream's memory, then let it go on at the target."""
         if planned is not None and planned.way is MoveWay.BACKUP and stream.has_backup:
-            self._switch_to_backup(stream, source)
+            self._switch_to_backup(stream, evacuation)
             return
         if planned is not None:
-            await trio.sleep_until(noticed + planned.start)
-        if not await self._wait_for_begin(stream, source):
+            await trio.sleep_until(evacuation.noticed + planned.start)
+        if not await self._wait_for_begin(stream, evacuation.source):
             return
-        target = planned.target if planned else self._choose(stream, source, engine, ())
         tried: list[str] = []
-        while target is not None and self._is_at(stream, source):
+        target = planned.target if planned else self._choose(stream, evacuation, tried)
+        while target is not None and self._is_at(stream, evacuation.source):
             tried.append(target.identity)
-            if await self._move_to(stream, source, target, noticed):
+            if await self._move_to(stream, evacuation, target):
                 return
             if len(tried) >= COPY_ATTEMPTS:
                 return
-            target = self._choose(stream, source, engine, tried)
+            target = self._choose(stream, evacuation, tried)
 
     async def _move_to(
-        self, stream: LiveStream, source: Endpoint, target: Endpoint, noticed: float
+        self, stream: LiveStream, evacuation: Evacuation, target: Endpoint
     ) -> bool:
         """Move to one target; False if another may be tried."""
-        handover = stream.handover = Handover(source, target, noticed=noticed)
-        self._log_start(stream, source, target)
+        handover = stream.handover = evacuation.handover_to(target)
+        self._log_start(stream, evacuation, target)
         reservation = _CopyReservation(stream)
         self._state.fleet_load.add(target.identity, reservation)
         try:
-            copied = await self._copy(stream, source)
+            copied = await self._copy(stream, handover)
             if copied is None:
                 return False
             handover.copy = copied.copy
-            if self._is_at(stream, source):
-                await self._stop_and_move(stream, handover, noticed)
+            request = stream.exchange.identity
+            if self._is_at(stream, handover.source):
+                await self._calls.stop(request, handover, evacuation.noticed)
             elif not self._live.is_live(stream):
-                await self._release(stream, copied)
+                await self._calls.release(request, handover, copied.copy)
             return True
         finally:
             self._state.fleet_load.remove(target.identity, reservation)
@@ -174,32 +197,22 @@
             if handover.copy is None and stream.handover is handover:
                 stream.handover = None
 
-    def _switch_to_backup(self, stream: LiveStream, source: Endpoint) -> None:
+    def _switch_to_backup(self, stream: LiveStream, evacuation: Evacuation) -> None:
         """Let the stream go on where its memory already is."""
         stream.handover = backup_handover(stream)
-        self._log_start(stream, source, stream.backup)
+        self._log_start(stream, evacuation, stream.backup)
         ingress_metrics.MOVES.labels("backup").inc()
         stream.give_up_endpoint()
 
-    async def _copy(self, stream: LiveStream, source: Endpoint) -> MoveResult | None:
+    async def _copy(self, stream: LiveStream, handover: Handover) -> MoveResult | None:
         """Copy what there is while the stream goes on."""
-        self._live.begin_copy(stream, source.identity)
+        self._live.begin_copy(stream, handover.source.identity)
         try:
-            return await self._call(stream, stream.handover, is_last=False)
+            return await self._calls.copy(stream.exchange.identity, handover)
         finally:
             self._live.end_copy(stream)
             await self._peers.send_now()
 
-    async def _release(self, stream: LiveStream, copied: MoveResult) -> None:
-        """Free the copy of a stream that ended meanwhile."""
-        address = copied.copy.holder
-        try:
-            connection = await self._state.pool.take(address, IDLE_SECONDS)
-            await self._mover.release(connection, copied.copy)
-            await self._state.pool.give_back(address, connection, reusable=True)
-        except (ExchangeBrokenError, NotConnectedError) as error:
-            self._log_end(stream, stream.handover, error.message, 0.0)
-
     async def _wait_for_begin(self, stream: LiveStream, source: Endpoint) -> bool:
         """Wait for the first event; False if the stream needn't move."""
         while self._is_at(stream, source):
@@ -215,84 +228,26 @@
         return is_there and self._live.is_live(stream)
 
     def _choose(
-        self, stream: LiveStream, source: Endpoint, engine: EngineSpec, tried
+        self, stream: LiveStream, evacuation: Evacuation, tried: Sequence[str]
     ) -> Endpoint | None:
         choice = self._state.placement.for_generation(
-            source.service,
+            evacuation.source.service,
             stream.work,
-            engine,
+            evacuation.engine,
             trio.current_time(),
-            (source.identity, *tried),
+            (evacuation.source.identity, *tried),
         )
         return choice.endpoint if choice else None
 
-    async def _stop_and_move(
-        self, stream: LiveStream, handover: Handover, noticed: float
-    ) -> None:
-        """Stop the run, so that its stream ends and goes on at the target.
-
-        The target reads again what the copy lacks, some tens of tokens: that is
-        faster than waiting until the endpoint's link has copied them as well.
-        """
-        handover.run_stopped = True
-        result = await self._call(stream, handover, is_last=True)
-        ended = "moved" if result else "refused"
-        ingress_metrics.MOVES.labels(ended).inc()
-        self._log_end(stream, handover, ended, trio.current_time() - noticed)
-
-    async def _call(
-        self, stream: LiveStream, handover: Handover, *, is_last: bool
-    ) -> MoveResult | None:
-        with trio.move_on_after(MOVE_SECONDS):
-            try:
-                return await self._exchange(stream, handover, is_last)
-            except (ExchangeBrokenError, NotConnectedError) as error:
-                self._log_end(stream, handover, error.message, 0.0)
-        return None
-
-    async def _exchange(
-        self, stream: LiveStream, handover: Handover, is_last: bool
-    ) -> MoveResult | None:
-        address = handover.source.address
-        connection = await self._state.pool.take(address, IDLE_SECONDS)
-        is_done = False
-        try:
-            result = await self._mover.move(
-                connection,
-                address,
-                stream.exchange.identity,
-                handover.target.address,
-                is_last=is_last,
-            )
-            is_done = True
-            return result
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._state.pool.give_back(address, connection, reusable=is_done)
-
     def _log_start(
-        self, stream: LiveStream, source: Endpoint, target: Endpoint
+        self, stream: LiveStream, evacuation: Evacuation, target: Endpoint
     ) -> None:
         self._state.log.write(
             MoveStarted(
                 stream.exchange.identity,
-                source.identity,
+                evacuation.source.identity,
                 target.identity,
                 stream.work.held_tokens,
-                "endpoint_leaves",
+                evacuation.reason,
             )
         )
-
-    def _log_end(
-        self, stream: LiveStream, handover: Handover, result: str, seconds: float
-    ) -> None:
-        self._state.log.write(
-            MoveEnded(
-                stream.exchange.identity,
-                handover.source.identity,
-                handover.target.identity,
-                result,
-                seconds,
-            ),
-            is_failure=result != "moved",
-        )
--- a/src/piershore/ingress/outage_watch.py
+++ b/src/piershore/ingress/outage_watch.py
@@ -73,22 +73,13 @@
     async def _ask(self, endpoint: Endpoint) -> None:
         with trio.move_on_after(ANSWER_SECONDS):
             try:
-                if await self._is_leaving(endpoint):
-                    note = DepartureNote(endpoint.identity, is_gone=False)
-                    self._endpoints.note_departed(note)
+                async with self._state.pool.borrow(
+                    endpoint.address, IDLE_SECONDS
+                ) as connection:
+                    report = await self._reports.ask(connection, endpoint.address)
             except (ExchangeBrokenError, NotConnectedError):
                 # Traffic shows what else is wrong with it.
                 return
-
-    async def _is_leaving(self, endpoint: Endpoint) -> bool:
-        connection = await self._state.pool.take(endpoint.address, IDLE_SECONDS)
-        is_done = False
-        try:
-            is_leaving = await self._reports.is_leaving(connection, endpoint.address)
-            is_done = True
-            return is_leaving
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._state.pool.give_back(
-                    endpoint.address, connection, reusable=is_done
-                )
+            if report.is_leaving:
+                note = DepartureNote(endpoint.identity, is_gone=False)
+                self._endpoints.note_departed(note)
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -11,6 +11,7 @@
     AccountRef,
     ServingConfiguration,
 )
+from piershore.core.streams.silence import EndpointReport
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.message import Headers, RequestHead, ResponseHead
 
@@ -137,8 +138,10 @@
     """What endpoints say of themselves when they are asked."""
 
     @abstractmethod
-    async def is_leaving(self, connection: ClientConnection, address: Address) -> bool:
-        """Ask whether an endpoint leaves; raise `ExchangeBrokenError`."""
+    async def ask(
+        self, connection: ClientConnection, address: Address
+    ) -> EndpointReport:
+        """Ask an endpoint for its report; raise `ExchangeBrokenError`."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/piershore/ingress/silence_watch.py
@@ -0,0 +1,195 @@
+"""Streams whose endpoint has fallen silent, judged by the endpoint's own pace."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import trio
+
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.standstill import stood_still
+from piershore.core.streams.silence import (
+    EndpointReport,
+    judge_silence,
+    SilenceVerdict,
+    SilentStream,
+)
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.ingress.attempt_log import note_ejection
+from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.live_stream import LiveStream, LiveStreams
+from piershore.ingress.move_coordinator import MoveCoordinator, MoveReason
+from piershore.ingress.ports import EndpointReports
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import StreamSilent
+
+CHECK_SECONDS = 0.1
+"""Time between two looks at all streams; a look takes some microseconds a stream."""
+SHORTEST_SILENCE_SECONDS = 0.3
+"""Shorter pauses come when prompts are read beside the stream."""
+ANSWER_SECONDS = 0.5
+"""Longest wait for a report, which takes some ms; twice a lost packet's repetition."""
+ASK_AGAIN_SECONDS = 1.0
+"""Time between questions to an endpoint that answers: each has a price."""
+IDLE_SECONDS = 1.0
+"""Longest rest of a connection that a question takes over."""
+
+
+@dataclass
+class _Inquiry:
+    """The questions to one endpoint; the next may be asked at `next_at`."""
+
+    is_asking: bool = False
+    unanswered: int = 0
+    next_at: float = float("-inf")
+
+
+class SilenceWatch:
+    """Asks endpoints that have fallen silent, and lets their streams go on."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        live: LiveStreams,
+        moves: MoveCoordinator,
+        reports: EndpointReports,
+    ) -> None:
+        self._state = state
+        self._live = live
+        self._moves = moves
+        self._reports = reports
+        self._inquiries: dict[str, _Inquiry] = {}
+        self._awake_since = float("-inf")
+
+    async def run(self) -> None:
+        """Look at all streams from time to time, for ever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                due = trio.current_time() + CHECK_SECONDS
+                await trio.sleep_until(due)
+                now = trio.current_time()
+                if stood_still(due, now):
+                    self._awake_since = now
+                for streams in self._silent_by_endpoint(now):
+                    nursery.start_soon(self._inquire, streams[0].endpoint)
+
+    def _silent_by_endpoint(self, now: float) -> Iterator[list[LiveStream]]:
+        """Yield the silent streams of each endpoint that may be asked now."""
+        silent = defaultdict(list)
+        for stream in self._live:
+            if self._is_silent(stream, now):
+                silent[stream.endpoint.identity].append(stream)
+        for identity in self._inquiries.keys() - silent.keys():
+            if not self._inquiries[identity].is_asking:
+                del self._inquiries[identity]
+        for identity, streams in silent.items():
+            inquiry = self._inquiries.setdefault(identity, _Inquiry())
+            if not inquiry.is_asking and now >= inquiry.next_at:
+                inquiry.is_asking = True
+                yield streams
+
+    def _is_silent(self, stream: LiveStream, now: float) -> bool:
+        if stream.waiting_since is None or not stream.work.has_begun:
+            return False
+        if stream.handover is not None or stream.is_given_up:
+            return False
+        identity = stream.endpoint.identity
+        if self._state.directory.is_leaving(identity):
+            return False
+        limit = self._state.paces.longest_pause(identity)
+        began = max(stream.waiting_since, self._awake_since)
+        return now - began > max(SHORTEST_SILENCE_SECONDS, limit)
+
+    async def _inquire(self, endpoint: Endpoint) -> None:
+        inquiry = self._inquiries[endpoint.identity]
+        asked_at = trio.current_time()
+        try:
+            report = await self._ask(endpoint)
+        finally:
+            inquiry.is_asking = False
+        now = trio.current_time()
+        is_alive = self._state.paces.last_part_at(endpoint.identity) > asked_at
+        if report is not None or is_alive:
+            inquiry.unanswered = 0
+            inquiry.next_at = now + ASK_AGAIN_SECONDS
+        else:
+            inquiry.unanswered += 1
+            await self._leave_out(endpoint, now)
+        for stream in self._live.at(endpoint.identity):
+            if self._is_silent(stream, now):
+                await self._judge(stream, report, inquiry.unanswered)
+
+    async def _leave_out(self, endpoint: Endpoint, now: float) -> None:
+        """Give an endpoint that doesn't answer no new work for now.
+
+        A request on a kept connection would wait there for its whole time; a new
+        connection shows first whether anybody is there.
+        """
+        if self._state.health.note_silence(endpoint.identity, now):
+            note_ejection(self._state, endpoint, "silence")
+        await self._state.pool.drop(endpoint.address)
+
+    async def _ask(self, endpoint: Endpoint) -> EndpointReport | None:
+        """Return the endpoint's report; None if it doesn't answer in time.
+
+        An endpoint that refuses or breaks the exchange is there: its streams break by
+        themselves if it has lost them.
+        """
+        with trio.move_on_after(ANSWER_SECONDS):
+            try:
+                async with self._state.pool.borrow(
+                    endpoint.address, IDLE_SECONDS
+                ) as connection:
+                    return await self._reports.ask(connection, endpoint.address)
+            except NotConnectedError as error:
+                return None if error.timed_out else NOTHING_TOLD
+            except ExchangeBrokenError:
+                return NOTHING_TOLD
+        return None
+
+    async def _judge(
+        self, stream: LiveStream, report: EndpointReport | None, unanswered: int
+    ) -> None:
+        seen = SilentStream(
+            stream.exchange.identity,
+            stream.delivered.last_number or 0,
+            await self._can_go_on_elsewhere(stream),
+        )
+        now = trio.current_time()
+        if not self._is_silent(stream, now):
+            return
+        verdict = judge_silence(seen, report, unanswered)
+        ingress_metrics.SILENCES.labels(verdict).inc()
+        self._state.log.write(
+            StreamSilent(
+                seen.request,
+                stream.endpoint.identity,
+                now - stream.waiting_since,
+                self._state.paces.longest_pause(stream.endpoint.identity),
+                report is not None,
+                verdict,
+                seen.last_event,
+            ),
+            is_failure=verdict is not SilenceVerdict.WAIT,
+        )
+        if verdict is SilenceVerdict.MOVE:
+            self._moves.evacuate_one(stream, MoveReason.EVENTS_LOST)
+        elif verdict is SilenceVerdict.GIVE_UP:
+            stream.give_up_endpoint()
+
+    async def _can_go_on_elsewhere(self, stream: LiveStream) -> bool:
+        """Tell whether the stream has another place that can be reached.
+
+        A cut that hides its endpoint may hide its backup too, and may heal.
+        """
+        if stream.exchange.route.is_resumable:
+            return True
+        if not stream.has_backup:
+            return False
+        return await self._state.pool.can_connect(stream.backup.address)
+
+
+NOTHING_TOLD = EndpointReport(is_leaving=False, made_events={})
+"""An endpoint that is there, but told nothing of its generations."""
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -93,7 +93,7 @@
 
         Raise `AttemptFailedError` when it can't go on.
         """
-        relay = StreamRelay(self._state.dialect, stream)
+        relay = StreamRelay(self._state, stream)
         while (reason := await relay.run(attempt)) is not None:
             way = StreamContinuation(self._state, self._moves, memory, stream)
             attempt = await way.find()
--- a/src/piershore/ingress/stream_relay.py
+++ b/src/piershore/ingress/stream_relay.py
@@ -10,8 +10,8 @@
 from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream
-from piershore.ingress.ports import RequestDialect
 
 TOKENS_AN_EVENT = 4
 """Tokens of one event, when the endpoint doesn't tell; only used for estimates."""
@@ -20,8 +20,8 @@
 class StreamRelay:
     """Passes whole events on as they come, each once and in order."""
 
-    def __init__(self, dialect: RequestDialect, stream: LiveStream) -> None:
-        self._dialect = dialect
+    def __init__(self, state: GatewayState, stream: LiveStream) -> None:
+        self._state = state
         self._stream = stream
 
     async def run(self, attempt: EndpointAttempt) -> str | None:
@@ -52,11 +52,16 @@
         Only this wait may be cancelled to go on elsewhere: events that were taken
         are always sent.
         """
-        if self._stream.is_given_up:
+        stream = self._stream
+        if stream.is_given_up:
             return None
-        with trio.CancelScope() as self._stream.reading_scope:
-            return await anext(parts, None)
-        return None
+        stream.waiting_since = trio.current_time()
+        try:
+            with trio.CancelScope() as stream.reading_scope:
+                return await anext(parts, None)
+            return None
+        finally:
+            stream.waiting_since = None
 
     async def _pass_on(
         self, attempt: EndpointAttempt, events: Iterable[StreamEvent]
@@ -68,14 +73,20 @@
                 taken.append(event.data)
         finally:
             if taken:
-                now = trio.current_time()
-                self._stream.note_events(len(taken), now, TOKENS_AN_EVENT)
+                self._note_events(attempt, len(taken))
                 await self._send(attempt, b"".join(taken))
 
+    def _note_events(self, attempt: EndpointAttempt, count: int) -> None:
+        stream, now = self._stream, trio.current_time()
+        is_first = stream.leg_began_at == float("inf")
+        gap = None if is_first else now - stream.last_event_at
+        self._state.paces.note_part(attempt.endpoint.identity, gap, now)
+        stream.note_events(count, now, TOKENS_AN_EVENT)
+
     async def _send(self, attempt: EndpointAttempt, data: bytes) -> None:
         connection = self._stream.exchange.connection
         if connection.response_started:
             await connection.send_part(data)
             return
-        headers = self._dialect.answer_headers(attempt.head)
+        headers = self._state.dialect.answer_headers(attempt.head)
         await connection.start_stream(attempt.answer.status, headers, data)
--- a/src/piershore/platform/engine_reports.py
+++ b/src/piershore/platform/engine_reports.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import orjson
 
 from piershore.core.fleet.endpoint import Address
+from piershore.core.streams.silence import EndpointReport
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.http1.message import RequestHead
@@ -17,18 +20,28 @@
 class EngineReports(EndpointReports):
     """Asks for an engine's report, which takes no place in its batch."""
 
-    async def is_leaving(self, connection: ClientConnection, address: Address) -> bool:
-        """Ask whether the engine leaves."""
+    async def ask(
+        self, connection: ClientConnection, address: Address
+    ) -> EndpointReport:
+        """Ask an engine; raise `ExchangeBrokenError` if it tells nothing proper."""
         headers = ((b"host", str(address).encode()),)
         await connection.send(RequestHead(b"GET", b"/report", headers), b"")
         head = await connection.read_head()
         body = await connection.read_body()
         if head.status != STATUS_OK:
-            return False
+            raise ExchangeBrokenError(f"no report, status {head.status}")
         try:
-            report = orjson.loads(body)
-            # Time until it goes; only told once that is known.
-            leaves_in = report.get("leaves_ms")
-            return report.get("state") == LEAVING_STATE or bool(leaves_in)
-        except (orjson.JSONDecodeError, AttributeError) as error:
-            raise ExchangeBrokenError(f"not a report: {error}") from error
+            return _decode(orjson.loads(body))
+        except (ValueError, AttributeError, TypeError, LookupError) as error:
+            raise ExchangeBrokenError(f"not a report: {error!r}") from error
+
+
+def _decode(report: dict[str, Any]) -> EndpointReport:
+    # Time until it goes; only told once that is known.
+    leaves_in = report.get("leaves_ms")
+    # Each run: request, tokens in memory, events made, priority.
+    runs = report.get("runs") or ()
+    return EndpointReport(
+        is_leaving=report.get("state") == LEAVING_STATE or bool(leaves_in),
+        made_events={str(run[0]): int(run[2]) for run in runs},
+    )
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -89,10 +89,13 @@
 
 @dataclass(frozen=True)
 class EndpointEjected(LogEvent):
-    """An endpoint failed several times in a row and is left out for a while."""
+    """An endpoint is left out for a while: it failed several times in a row, or it
+    fell silent and did not answer a question.
+    """
 
     endpoint: str
     failure_rate: float
+    reason: str
 
 
 @dataclass(frozen=True)
@@ -194,6 +197,23 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class StreamSilent(LogEvent):
+    """No event came for longer than the endpoint's pace allows (`longest_pause`).
+
+    `answered` tells whether the endpoint answered when it was asked, `verdict` what
+    is done with the stream.
+    """
+
+    request: str
+    endpoint: str
+    seconds: float
+    longest_pause: float
+    answered: bool
+    verdict: str
+    last_event: int
+
+
 @dataclass(frozen=True)
 class MoveStarted(LogEvent):
     """A generation's memory is being copied to another endpoint."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -33,6 +33,12 @@
     ["result"],
     registry=REGISTRY,
 )
+SILENCES = Counter(
+    "piershore_ingress_silences_total",
+    "Streams that paused far longer than their endpoint's pace, by what was done.",
+    ["verdict"],
+    registry=REGISTRY,
+)
 BROKEN_STREAMS = Counter(
     "piershore_ingress_broken_streams_total",
     "Streams ended before they were whole, by reason.",
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import h11
 import orjson
@@ -13,6 +14,19 @@
 PACE_SECONDS = 0.01
 BODY = b'{"from":"%s","request":"%s"}'
 
+
+class Silence(Enum):
+    """Why no event comes from an engine, though its connections stay open.
+
+    `PAUSED`: it makes none for now. `EVENTS_LOST`: it makes them and doesn't send
+    them. `GONE`: it doesn't answer anything any more.
+    """
+
+    PAUSED = "paused"
+    EVENTS_LOST = "events lost"
+    GONE = "gone"
+
+
 Fault = Callable[["PublishedEndpoint", "Arrival"], Awaitable[bool]]
 FAULTS: dict[str, Fault] = {}
 
@@ -72,6 +86,8 @@
         self.move_answer: bytes | None = None
         self.pace = PACE_SECONDS
         self.padding = b""
+        self.silence: Silence | None = None
+        self.made: dict[str, int] = {}
         self._memory = memory
         self._running: dict[str, trio.CancelScope] = {}
         self._scope = trio.CancelScope()
@@ -127,9 +143,7 @@
         if target == b"/kv-move":
             await self._move(arrival)
         elif target == b"/report":
-            self.reports += 1
-            report = {"state": self.state, "runs": len(self._running)}
-            await self.respond(arrival, 200, orjson.dumps(report), seal=False)
+            await self._report(arrival)
         elif target.startswith(b"/kv-handle/"):
             await self.respond(arrival, 200, b"{}")
         else:
@@ -217,6 +231,7 @@
         finally:
             self.open_streams -= 1
             self._running.pop(arrival.identity, None)
+            self.made.pop(arrival.identity, None)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("stopped for a move")
 
@@ -226,8 +241,13 @@
         for number in range(first, most + 1):
             text = b"token-%d%s" % (number, self.padding)
             event = b"id: %d\ndata: %s\n\n" % (number, text)
-            await stream.send_all(data + connection.send(h11.Data(event)))
-            data = b""
+            while self.silence in (Silence.PAUSED, Silence.GONE):
+                await trio.sleep(self.pace)
+            self.made[arrival.identity] = number
+            data += connection.send(h11.Data(event))
+            if self.silence is not Silence.EVENTS_LOST:
+                await stream.send_all(data)
+                data = b""
             await trio.sleep(self.pace)
         await stream.send_all(data + connection.send(h11.EndOfMessage()))
 
@@ -238,6 +258,14 @@
         self._memory.used.add(name)
         return True
 
+    async def _report(self, arrival: Arrival) -> None:
+        self.reports += 1
+        if self.silence is Silence.GONE:
+            await trio.sleep_forever()
+        runs = [[identity, 0, made, 5] for identity, made in self.made.items()]
+        report = {"state": self.state, "runs": runs}
+        await self.respond(arrival, 200, orjson.dumps(report), seal=False)
+
     async def _move(self, arrival: Arrival) -> None:
         order = orjson.loads(arrival.body)
         scope = self._running.get(order["id"])
