Take requests on a link only once its agent has told which keys it may run

Cause: a link counted as open from the agent's greeting on. Until the first heartbeat, the next frame, the gateway knew none of the agent's intervals: a key that it had run got 503 no_owner with an unknown outcome.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -59,3 +59,9 @@
       | event             | outcome |
       | is killed midway  | unknown |
       | is gone before    | not_run |
+
+  Scenario: An agent that is back takes keys only once it has told which are its own
+    Given a link whose agent has greeted and told nothing else yet
+    Then the link takes no requests yet
+    When the agent's first heartbeat comes
+    Then the link takes requests for the keys that the agent may run
--- a/src/piershore/gateway/agent_link.py
+++ b/src/piershore/gateway/agent_link.py
@@ -230,6 +230,7 @@
         self._state.is_open = False
         self._opened = trio.Event()
         self._intervals = ()
+        self._cursor = None
         requests, self._requests = self._requests, {}
         for request in requests.values():
             request.lose()
@@ -262,6 +263,12 @@
         self._incarnation = hello.incarnation
         self._complete_to = hello.complete_to
         self._cursor = BatchCursor(self._config, hello.complete_to)
+
+    def _open(self) -> None:
+        """Take requests, once the agent has told what it may run.
+
+        Before its first heartbeat it would seem to own no keys at all.
+        """
         self._state.is_open = True
         self._opened.set()
         metrics.LINKS.inc()
@@ -286,3 +293,5 @@
             )
             for held in beat.intervals
         )
+        if self._cursor is not None and not self._state.is_open:
+            self._open()
