--- a/features/ingress_store.feature
+++ b/features/ingress_store.feature
@@ -25,6 +25,11 @@
     When the store goes back to an older configuration
     Then the newer one stays in force
 
+  Scenario: endpoints that change one shortly after the other
+    Given a gateway before sound endpoints
+    When 4 endpoints change 5 ms apart
+    Then the gateway knows all of it, and no call came sooner than 30 ms after a change
+
   Scenario: a gateway that starts while the store is out
     Given 2 gateways before sound endpoints
     When the store goes out and a third gateway starts
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -18,6 +18,10 @@
 
 DOUBT_SECONDS = 3.0
 """An entry that goes this soon after an outage may only have lapsed in it."""
+TOGETHER_SECONDS = 0.03
+"""Pause after changes, so that those of one moment (engines that leave together) share
+a call. Each has a price and each change wakes all watchers; the shortest notice of an
+engine is fifty times longer."""
 FEW_ENDPOINTS = 2
 """Endpoints of a service that go at once without notice, and half of them all,
 are taken to have lapsed: endpoints are replaced a few at a time."""
@@ -80,6 +84,8 @@
         self._take_changes(changes)
         self._state.directory.advance(reached)
         self._log_findings()
+        if changes:
+            await trio.sleep(TOGETHER_SECONDS)
         return reached
 
     def _log_findings(self) -> None:
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -96,6 +96,7 @@
         self.faults = Faults()
         self.counts = Counts()
         self.calls = 0
+        self.watch_times: list[tuple[str, float]] = []
         self.is_deaf = False
         self.port = 0
         self._revision = 1
@@ -211,6 +212,7 @@
             return self._write(call, kind, rest)
         self.counts.reads += 1
         if "watch" in call.query:
+            self.watch_times.append((kind, trio.current_time()))
             return await self._watch(kind, call.query)
         if rest:
             item = self._readable()[0].get(kind, {}).get(rest[0])
