Refuse a long generation at once when no engine has memory for it

Change: a generation of more than 100 tokens is refused when even the best engine would hold over 0.9 of its memory now or 1.25 at the expected ends; Retry-After is the mean time that its generations still need, 1 to 5 s, spread by a quarter. Scenario 'no engine has memory' failed before.

--- a/features/ingress_streams.feature
+++ b/features/ingress_streams.feature
@@ -117,3 +117,10 @@
     Given 2 engines that refuse
     When a stream of 30 events is read
     Then the status is 503 with a time to come back, from 0 runs
+
+  @not_run_means_not_run
+  Scenario: no engine has memory for a long generation
+    Given 2 engines
+    When streams are asked for while a peer tells that the engines are full
+    Then the long one is refused at once with a time to come back, and has not run
+    And the short one is whole
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import time
+from itertools import pairwise
 from pathlib import Path
 
 import trio
@@ -18,13 +19,16 @@
 
 from piershore.core.attempts.leaving import STILL_SENT_SECONDS
 from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.message import RequestHead
+from piershore.ingress.endpoint_follower import TOGETHER_SECONDS
 from standins.published_endpoint import Silence
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
 STILL_SECONDS = 0.2
+FULL = EndpointLoad(requests=9, held_tokens=33_000, projected_tokens=36_000)
 STILL_PROCESS_SECONDS = 0.8
 """Long enough for an endpoint to seem silent, were it not the process itself."""
 SILENT_SECONDS = 2.5
@@ -550,6 +554,39 @@
     assert context.ingress.runs("model") == 0
 
 
+@when("streams are asked for while a peer tells that the engines are full")
+def ask_crowded(context):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        loads = {engine.identity: FULL for engine in world.endpoints}
+        now = trio.current_time()
+        daemon._state.fleet_load.take_report("10.0.0.9", loads, now)
+        context.reading = Reading(world, 200, SMALL_SIZE)
+        await context.reading.read()
+        context.long_runs = world.runs("model")
+        context.seconds = trio.current_time() - now
+        context.short = Reading(world, 10, SMALL_SIZE)
+        await context.short.read()
+
+    context.ingress.run(script)
+
+
+@then("the long one is refused at once with a time to come back, and has not run")
+def check_crowded(context):
+    reply = context.reading.reply
+    assert reply.status == 503
+    assert b"engines_crowded" in reply.body
+    assert 0.5 < float(reply.headers["retry-after"]) < 7
+    assert context.seconds < 1
+    assert context.long_runs == 0
+
+
+@then("the short one is whole")
+def check_short(context):
+    assert context.short.reply.events == list(range(1, 11))
+    assert context.short.reply.is_whole
+
+
 @when("a caller leaves a stream midway")
 def leave_stream(context):
     async def script(world):
@@ -603,6 +640,37 @@
     assert context.reply.status == 200, vars(context.reply)
 
 
+@when("{count:d} endpoints change {apart:d} ms apart")
+def change_endpoints(context, count, apart):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        changed = world.endpoints[:count]
+        context.changed_at = []
+        for endpoint in changed:
+            world.list_endpoint(endpoint, "draining")
+            context.changed_at.append(trio.current_time())
+            await trio.sleep(apart / 1_000)
+        directory = daemon._state.directory
+        with trio.fail_after(5):
+            while not all(directory.is_leaving(e.identity) for e in changed):
+                await trio.sleep(0.005)
+        await trio.sleep(0.1)
+        context.calls = [
+            at for kind, at in world.store.watch_times if kind == "servers"
+        ]
+
+    context.ingress.run(script)
+
+
+@then("the gateway knows all of it, and no call came sooner than 30 ms after a change")
+def check_calls_together(context):
+    first = context.changed_at[0]
+    later = [at for at in context.calls if at > first]
+    assert later[0] - first >= TOGETHER_SECONDS, later
+    gaps = [after - before for before, after in pairwise(later)]
+    assert all(gap >= TOGETHER_SECONDS for gap in gaps), gaps
+
+
 @when("the store is {fault} for the second and a route is added")
 def cut_second(context, fault):
     async def script(world):
--- a/src/piershore/ingress/stream_memory.py
+++ b/src/piershore/ingress/stream_memory.py
@@ -5,6 +5,7 @@
 from piershore.core.fleet.backup_choice import has_room, wants_backup
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import BackupWork
+from piershore.core.fleet.generation_admission import has_memory
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import Choice
 from piershore.ingress.exchange import Exchange
@@ -61,6 +62,13 @@
             return placement.for_call(service, now, excluded)
         return placement.for_generation(service, self.work, spec.engine, now, excluded)
 
+    def fits(self, choice: Choice) -> bool:
+        """Tell whether the chosen endpoint has memory for the generation."""
+        spec = self._exchange.configuration.services.get(choice.endpoint.service)
+        if spec is None or spec.engine is None:
+            return True
+        return has_memory(choice.load, self.work, spec.engine)
+
     def choose_backup(self, endpoint: Endpoint, now: float) -> Endpoint | None:
         """Return where the memory is to be copied as it grows, if it should be."""
         spec = self._exchange.configuration.services.get(endpoint.service)
--- a/src/piershore/ingress/stream_opening.py
+++ b/src/piershore/ingress/stream_opening.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 import trio
 
 from piershore.core.attempts.attempt_outcome import (
@@ -9,6 +11,7 @@
     MOST_PROVEN_UNRUN,
     NOT_RUN_STATUSES,
 )
+from piershore.core.fleet.generation_admission import come_back_seconds
 from piershore.core.fleet.placement import Choice
 from piershore.ingress.attempt_log import note_attempt, note_failure
 from piershore.ingress.endpoint_attempt import EndpointAttempt
@@ -22,6 +25,8 @@
 IDLE_OF_STREAM_SECONDS = 1.0
 """Longest rest of a connection that a stream takes over; as for calls that run
 only once."""
+COME_BACK_SPREAD = (0.75, 1.25)
+"""Parts of the projected time after which crowded callers come back."""
 COME_BACK_SECONDS = 0.4
 """When a refused caller may find a place: a short generation's length."""
 
@@ -55,6 +60,8 @@
             choice = self._memory.choose(service, tried, trio.current_time())
             if choice is None:
                 raise self.refusal()
+            if not self._memory.fits(choice):
+                raise self._crowded(choice)
             tried.append(choice.endpoint.identity)
             attempt = await self._attempt(choice, len(tried))
             if attempt is not None:
@@ -69,6 +76,21 @@
             outcomes.append(AttemptOutcome.TIMED_OUT)
         return final_refusal(outcomes, COME_BACK_SECONDS, timed_out=timed_out)
 
+    def _crowded(self, choice: Choice) -> RequestRefusedError:
+        """Return the refusal when not even the best engine has memory left.
+
+        The callers that are refused together come back one after the other.
+        """
+        if any(not outcome.proves_not_run for outcome in self._outcomes):
+            return self.refusal()
+        spread = self._state.random.uniform(*COME_BACK_SPREAD)
+        return RequestRefusedError(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "engines_crowded",
+            "no engine has memory for the request now",
+            spread * come_back_seconds(choice.load),
+        )
+
     def _check_may_go_on(self, service: str) -> None:
         outcome = self._outcomes[-1]
         is_last = len(self._outcomes) >= MOST_PROVEN_UNRUN
