Name placement policies; measure them in a fleet of the product's own engines

Choices also looked at all endpoints: with 3,000 of them some 20 ms. Change: placement policies are a registry (--placement): projected_peak, and the baselines least_in_flight, power_of_two, memory_free_now. make bench plays gateways and engines in virtual time with the product's placement, plans and backups; the engine's model can read prompts piece by piece. A choice compares 64 endpoints at the most. Readiness and metrics have a module of their own.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: setup
 	$(BIN)/python -m devtools.bench --plot docs/measurements.png
+	$(BIN)/python -m devtools.bench.fleet_experiment --plot docs/fleet.png
 
 slopes: setup
 	$(BIN)/python -m devtools.slopes
--- /dev/null
+++ b/devtools/bench/fleet_experiment.py
@@ -0,0 +1,120 @@
+"""`make fleet`: placement policies of several gateways with aged views, in one run."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from pathlib import Path
+from statistics import mean
+
+from tabulate import tabulate
+
+from devtools.bench.fleet_plot import plot_fleet
+from devtools.bench.fleet_simulation import FleetRun, FleetSettings, FleetStream
+from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
+
+SEED = 2_000
+SEEDS = 5
+SECONDS = 120.0
+FIRST_AIM_SECONDS = 1.8
+PAUSE_AIM_SECONDS = 0.18
+FRESH = FleetSettings("projected_peak", SECONDS)
+SITUATIONS = {
+    "fresh views": FRESH,
+    "views 0.5 s old": replace(FRESH, report_interval=1.0, tells_starts=False),
+    "views 2 s old": replace(FRESH, report_interval=4.0, tells_starts=False),
+    "30 gateways, 22 engines": replace(FRESH, gateways=30, engines=22, rate=22.0),
+    "crowded": replace(FRESH, rate=14.0),
+    "reclaimed, moved": replace(FRESH, reclaim_every=3.3),
+    "reclaimed, not moved": replace(FRESH, reclaim_every=3.3, moves=False),
+    "crashes, backups": replace(FRESH, reclaim_every=6.0, notice=0.0),
+    "crashes, no backups": replace(FRESH, reclaim_every=6.0, notice=0.0, moves=False),
+}
+
+
+@dataclass(frozen=True)
+class FleetFigures:
+    """One run: shares of the long streams, preemptions of 1,000 streams."""
+
+    in_aim: float
+    lost: float
+    preempted: float
+    first_p95: float
+
+
+def measure(settings: FleetSettings, seed: int) -> FleetFigures:
+    """Make one run."""
+    streams = FleetRun(settings, seed).run()
+    long = [s for s in streams if s.work.size.max_output_tokens > 1_000]
+    waits = sorted(s.first_at - s.arrived_at for s in streams if s.first_at)
+    return FleetFigures(
+        in_aim=mean(map(_is_in_aim, long)),
+        lost=mean(s.is_lost for s in long),
+        preempted=1_000 * mean(s.preemptions for s in streams),
+        first_p95=waits[int(0.95 * len(waits))],
+    )
+
+
+def _is_in_aim(stream: FleetStream) -> bool:
+    if not stream.is_whole or stream.longest_pause > PAUSE_AIM_SECONDS:
+        return False
+    return stream.first_at - stream.arrived_at <= FIRST_AIM_SECONDS
+
+
+def main() -> None:
+    """Run all situations with all policies and print the table."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--seconds", type=float, default=SECONDS)
+    parser.add_argument("--plot", default="")
+    arguments = parser.parse_args()
+    jobs = [
+        (situation, policy, SEED + seed)
+        for situation in SITUATIONS
+        for policy in PLACEMENT_POLICIES
+        for seed in range(arguments.seeds)
+    ]
+    settings = [
+        replace(SITUATIONS[name], policy=policy, seconds=arguments.seconds)
+        for name, policy, _ in jobs
+    ]
+    with ProcessPoolExecutor() as pool:
+        done = list(pool.map(measure, settings, [seed for *_, seed in jobs]))
+    figures: dict[tuple[str, str], list[FleetFigures]] = {}
+    for (name, policy, _), result in zip(jobs, done, strict=True):
+        figures.setdefault((name, policy), []).append(result)
+    print(tabulate(_rows(figures), HEADERS, tablefmt="github"))
+    if arguments.plot:
+        plot_fleet(Path(arguments.plot), figures)
+
+
+HEADERS = (
+    "situation",
+    "policy",
+    "long streams in aim",
+    "lost",
+    "preempted/1000",
+    "first token p95 s",
+)
+
+
+def _rows(figures):
+    for (name, policy), results in figures.items():
+        yield (
+            name,
+            policy,
+            _spread([r.in_aim for r in results], 3),
+            _spread([r.lost for r in results], 3),
+            _spread([r.preempted for r in results], 1),
+            _spread([r.first_p95 for r in results], 2),
+        )
+
+
+def _spread(values: list[float], digits: int) -> str:
+    low, high = min(values), max(values)
+    return f"{mean(values):.{digits}f} [{low:.{digits}f}..{high:.{digits}f}]"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/devtools/bench/fleet_simulation.py
@@ -0,0 +1,440 @@
+"""Several gateways with aged views before several engines, in virtual time.
+
+The gateways choose, plan moves and take each other's loads by the product's own code;
+the engines are the stand-in's step function. Copies of one engine queue on its link.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from piershore.core.fleet.backup_choice import has_room, wants_backup
+from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.evacuation_plan import (
+    MoveWay,
+    plan_evacuation,
+    PlannedMove,
+    StreamNote,
+)
+from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
+from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.core.fleet.output_lengths import OutputLengths
+from piershore.core.fleet.placement import Placement
+from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
+from piershore.core.routes.service_spec import EngineSpec
+from standins.engine_model import EngineModel, EngineSettings
+
+SERVICE = "model"
+HALLS = ("north", "south", "west")
+ENGINE = EngineSpec(
+    slots=24,
+    memory_tokens=34_000,
+    token_bytes=327_680,
+    link_bytes_per_second=5.9e9,
+    can_move=True,
+    can_back_up=True,
+)
+STEPS = EngineSettings(
+    capacity_tokens=ENGINE.memory_tokens,
+    most_batched=ENGINE.slots,
+    step_base=0.007,
+    step_per_sequence=0.00012,
+    step_per_context_token=0.000000004,
+    prefill_per_token=0.0000714,
+    prefill_chunk=112,
+)
+"""As the users' sheets tell of their engines: 7 ms a step, 14 prompt tokens a ms,
+prompts read piece by piece between the tokens of others."""
+NETWORK_SECONDS = 0.001
+BACKUP_DELAY_SECONDS = 0.8
+"""A backup is complete so long after the first token."""
+REPLACED_AFTER_SECONDS = 4.0
+"""Another engine comes so long after one was told to leave or has crashed."""
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
+
+    Every `reclaim_every` an engine is told to leave and is gone after `notice`; a
+    notice of 0 is a crash.
+    """
+
+    policy: str
+    seconds: float
+    gateways: int = 6
+    engines: int = 7
+    rate: float = 6.0
+    report_interval: float = 0.1
+    tells_starts: bool = True
+    moves: bool = True
+    reclaim_every: float = 0.0
+    notice: float = 1.8
+
+
+@dataclass
+class FleetStream:
+    """One generation, and what its caller saw; times in virtual seconds."""
+
+    identity: str
+    gateway: SimulatedGateway
+    work: GenerationWork
+    length: int
+    arrived_at: float
+    engine: SimulatedEngine | None = None
+    backup: SimulatedEngine | None = None
+    backup_work: BackupWork | None = None
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_pause: float = 0.0
+    preemptions: int = 0
+    moves: int = 0
+    is_whole: bool = False
+    is_lost: bool = False
+
+
+class SimulatedEngine:
+    """An engine with the streams that it runs."""
+
+    def __init__(self, number: int) -> None:
+        self.endpoint = Endpoint(
+            f"i-{number}",
+            SERVICE,
+            Address("10.0.0.1", number + 1),
+            HALLS[number % len(HALLS)],
+            ENGINE.slots,
+            EndpointStage.READY,
+        )
+        self.model = EngineModel(STEPS)
+        self.streams: dict[str, FleetStream] = {}
+        self.is_gone = False
+        self.is_stepping = False
+
+    def submit(self, stream: FleetStream, held_tokens: int, length: int) -> None:
+        """Run a generation, or what is left of it, from `held_tokens` of memory."""
+        self.streams[stream.identity] = stream
+        self.model.submit(stream.identity, stream.identity, held_tokens, length, 1)
+
+
+class SimulatedGateway:
+    """A gateway's view and choices."""
+
+    def __init__(self, number: int, policy: str, seed: int) -> None:
+        self.name = f"gateway-{number}"
+        self.directory = EndpointDirectory()
+        self.loads = FleetLoad()
+        self.lengths = OutputLengths()
+        self.streams: dict[str, FleetStream] = {}
+        self.placement = Placement(
+            HALLS[number % len(HALLS)],
+            self.directory,
+            self.loads,
+            EndpointHealth(),
+            Random(seed + number),
+            PLACEMENT_POLICIES[policy](),
+        )
+
+    def notes_at(self, engine: SimulatedEngine) -> Iterator[StreamNote]:
+        """Yield what this gateway tells of its streams at an engine that leaves."""
+        for stream in self.streams.values():
+            if stream.engine is engine:
+                yield StreamNote(
+                    stream.identity,
+                    stream.work.held_tokens,
+                    stream.work.has_begun,
+                    stream.backup is not None,
+                )
+
+
+@dataclass(order=True)
+class _Event:
+    at: float
+    order: int
+    action: Callable[[], None] = field(compare=False)
+
+
+class FleetRun:
+    """One run; `streams` are all that arrived."""
+
+    def __init__(self, settings: FleetSettings, seed: int) -> None:
+        self._settings = settings
+        self._random = Random(seed)
+        self._events: list[_Event] = []
+        self._order = count()
+        self._numbers = count(settings.engines)
+        self._now = 0.0
+        self.streams: list[FleetStream] = []
+        self._engines: dict[str, SimulatedEngine] = {}
+        self._gateways = [
+            SimulatedGateway(number, settings.policy, seed)
+            for number in range(settings.gateways)
+        ]
+        for number in range(settings.engines):
+            self._add_engine(number)
+
+    def run(self) -> list[FleetStream]:
+        """Play until the time is over and all streams have ended."""
+        settings = self._settings
+        for place, gateway in enumerate(self._gateways):
+            offset = settings.report_interval * place / len(self._gateways)
+            self._at(offset, self._report_later, gateway)
+        self._at(self._random.expovariate(settings.rate), self._arrive)
+        if settings.reclaim_every:
+            self._at(settings.reclaim_every, self._reclaim)
+        while self._events:
+            event = heappop(self._events)
+            self._now = event.at
+            event.action()
+        return self.streams
+
+    def _at(self, seconds: float, action: Callable[..., None], *arguments) -> None:
+        """Do something so many seconds from now."""
+        event = _Event(
+            self._now + seconds, next(self._order), lambda: action(*arguments)
+        )
+        heappush(self._events, event)
+
+    @property
+    def _is_over(self) -> bool:
+        return self._now >= self._settings.seconds
+
+    def _add_engine(self, number: int) -> None:
+        engine = SimulatedEngine(number)
+        self._engines[engine.endpoint.identity] = engine
+        for gateway in self._gateways:
+            gateway.directory.put(engine.endpoint)
+
+    def _report_later(self, gateway: SimulatedGateway) -> None:
+        self._report(gateway)
+        if not self._is_over:
+            self._at(self._settings.report_interval, self._report_later, gateway)
+
+    def _report(self, gateway: SimulatedGateway) -> None:
+        """Tell the peers; what they get is as old as the network is slow."""
+        loads = gateway.loads.own_loads()
+        for peer in self._gateways:
+            if peer is not gateway:
+                self._at(
+                    NETWORK_SECONDS, peer.loads.take_report, gateway.name, loads, 0.0
+                )
+
+    def _arrive(self) -> None:
+        if self._is_over:
+            return
+        self._at(self._random.expovariate(self._settings.rate), self._arrive)
+        gateway = self._random.choice(self._gateways)
+        stream = self._new_stream(gateway)
+        self.streams.append(stream)
+        gateway.streams[stream.identity] = stream
+        self._place(stream)
+
+    def _new_stream(self, gateway: SimulatedGateway) -> FleetStream:
+        """Return a long review or a short check, as the users' callers send them."""
+        random = self._random
+        is_long = random.random() < LONG_SHARE
+        median, most = (LONG_MEDIAN, LONG_MOST) if is_long else (SHORT_MEDIAN, 40)
+        length = min(most, 1 + int(median * random.lognormvariate(0, LENGTH_SPREAD)))
+        guess = max(1, int(length * random.lognormvariate(0, GUESS_SPREAD)))
+        prompt = min(6_000, int(PROMPT_MEDIAN * random.lognormvariate(0, 0.4)))
+        size = GenerationSize(prompt, most, guess)
+        expected = gateway.lengths.expected(str(is_long), size)
+        work = GenerationWork(size, expected)
+        identity = f"s-{len(self.streams)}"
+        return FleetStream(identity, gateway, work, length, self._now)
+
+    def _place(self, stream: FleetStream) -> None:
+        gateway = stream.gateway
+        choice = gateway.placement.for_generation(
+            SERVICE, stream.work, ENGINE, self._now
+        )
+        if choice is None:
+            self._lose(stream)
+            return
+        self._run_at(
+            stream,
+            self._engines[choice.endpoint.identity],
+            stream.work.size.prompt_tokens,
+            stream.length,
+        )
+        self._back_up(stream, choice.load)
+
+    def _run_at(
+        self, stream: FleetStream, engine: SimulatedEngine, held: int, length: int
+    ) -> None:
+        stream.engine = engine
+        stream.gateway.loads.add(engine.endpoint.identity, stream.work)
+        if self._settings.tells_starts:
+            self._report(stream.gateway)
+        if engine.is_gone:
+            self._lose(stream)
+            return
+        engine.submit(stream, held, length)
+        self._wake(engine)
+
+    def _back_up(self, stream: FleetStream, load) -> None:
+        if not self._settings.moves or not wants_backup(load, stream.work, ENGINE):
+            return
+        gateway = stream.gateway
+        choice = gateway.placement.for_generation(
+            SERVICE, stream.work, ENGINE, self._now, [stream.engine.endpoint.identity]
+        )
+        if choice is None or not has_room(choice.load, stream.work, ENGINE):
+            return
+        stream.backup = self._engines[choice.endpoint.identity]
+        stream.backup_work = BackupWork(stream.work)
+        gateway.loads.add(choice.endpoint.identity, stream.backup_work)
+
+    def _wake(self, engine: SimulatedEngine) -> None:
+        if engine.is_stepping or engine.is_gone or not engine.model.is_busy:
+            return
+        engine.is_stepping = True
+        step = engine.model.step()
+        self._at(step.duration, self._stepped, engine, step)
+
+    def _stepped(self, engine: SimulatedEngine, step) -> None:
+        engine.is_stepping = False
+        if engine.is_gone:
+            return
+        for identity in step.preempted:
+            if identity in engine.streams:
+                engine.streams[identity].preemptions += 1
+        for identity in step.progressed:
+            if identity in engine.streams:
+                self._progress(engine.streams[identity])
+        for identity in step.finished:
+            stream = engine.streams.pop(identity, None)
+            if stream is not None:
+                self._finish(stream)
+        self._wake(engine)
+
+    def _progress(self, stream: FleetStream) -> None:
+        if stream.first_at is None:
+            stream.first_at = self._now
+            stream.work.has_begun = True
+        else:
+            pause = self._now - stream.last_at
+            stream.longest_pause = max(stream.longest_pause, pause)
+        stream.last_at = self._now
+        stream.work.made_tokens += 1
+
+    def _finish(self, stream: FleetStream) -> None:
+        stream.is_whole = True
+        is_long = stream.work.size.max_output_tokens == LONG_MOST
+        stream.gateway.lengths.record(str(is_long), stream.work.made_tokens)
+        self._forget(stream)
+
+    def _lose(self, stream: FleetStream) -> None:
+        stream.is_lost = True
+        self._forget(stream)
+
+    def _forget(self, stream: FleetStream) -> None:
+        gateway = stream.gateway
+        gateway.streams.pop(stream.identity, None)
+        if stream.engine is not None:
+            gateway.loads.remove(stream.engine.endpoint.identity, stream.work)
+        self._drop_backup(stream)
+
+    def _drop_backup(self, stream: FleetStream) -> None:
+        if stream.backup is not None:
+            identity = stream.backup.endpoint.identity
+            stream.gateway.loads.remove(identity, stream.backup_work)
+        stream.backup = stream.backup_work = None
+
+    def _reclaim(self) -> None:
+        """Tell one engine to leave; with a notice of 0 it just crashes."""
+        if self._is_over:
+            return
+        settings = self._settings
+        self._at(settings.reclaim_every, self._reclaim)
+        engine = self._random.choice(list(self._engines.values()))
+        self._at(REPLACED_AFTER_SECONDS, self._add_engine, next(self._numbers))
+        if settings.notice:
+            for gateway in self._gateways:
+                gateway.directory.mark_leaving(engine.endpoint.identity)
+            if settings.moves:
+                self._at(2 * NETWORK_SECONDS, self._evacuate, engine)
+        self._at(settings.notice, self._go, engine)
+
+    def _evacuate(self, engine: SimulatedEngine) -> None:
+        """Begin the moves of the plan that each gateway makes for its own streams."""
+        notes = [note for g in self._gateways for note in g.notes_at(engine)]
+        for gateway in self._gateways:
+            targets = tuple(gateway.directory.of_service(SERVICE))
+            loads = {t.identity: gateway.loads.at(t.identity) for t in targets}
+            for move in plan_evacuation(engine.endpoint, notes, targets, loads, ENGINE):
+                stream = gateway.streams.get(move.request)
+                if stream is not None:
+                    self._start_move(stream, engine, move)
+
+    def _start_move(
+        self, stream: FleetStream, source: SimulatedEngine, move: PlannedMove
+    ) -> None:
+        if move.way is MoveWay.BACKUP and stream.backup is not None:
+            self._move(stream, source, stream.backup)
+            return
+        target = self._engines.get(move.target.identity)
+        if target is None:
+            return
+        is_near = target.endpoint.data_hall == source.endpoint.data_hall
+        seconds = ENGINE.copy_seconds(stream.work.held_tokens, within_hall=is_near)
+        self._at(move.start + seconds, self._move, stream, source, target)
+
+    def _move(
+        self, stream: FleetStream, source: SimulatedEngine, target: SimulatedEngine
+    ) -> None:
+        """Go on at the target, if the stream still runs at the source."""
+        if source.streams.get(stream.identity) is not stream or source.is_gone:
+            return
+        if stream.first_at is None or target.is_gone:
+            return
+        source.streams.pop(stream.identity)
+        source.model.cancel(stream.identity)
+        self._go_on(stream, target)
+
+    def _go_on(self, stream: FleetStream, target: SimulatedEngine) -> None:
+        stream.gateway.loads.remove(stream.engine.endpoint.identity, stream.work)
+        self._drop_backup(stream)
+        stream.moves += 1
+        left = stream.length - stream.work.made_tokens
+        # The target has the copy; the model reads only what it lacks.
+        target.model._prefixes[stream.identity[: STEPS.prefix_characters]] = (
+            stream.work.held_tokens
+        )
+        self._run_at(stream, target, stream.work.held_tokens, max(1, left))
+
+    def _go(self, engine: SimulatedEngine) -> None:
+        """Lose the engine, and what it still runs and has no backup."""
+        engine.is_gone = True
+        identity = engine.endpoint.identity
+        del self._engines[identity]
+        for gateway in self._gateways:
+            gateway.directory.remove(identity, self._now, after_outage=False)
+            for stream in gateway.streams.values():
+                if stream.backup is engine:
+                    self._drop_backup(stream)
+        for stream in list(engine.streams.values()):
+            self._leave_crashed(stream)
+
+    def _leave_crashed(self, stream: FleetStream) -> None:
+        is_copied = (
+            stream.first_at is not None
+            and self._now - stream.first_at > BACKUP_DELAY_SECONDS
+        )
+        if stream.backup is not None and is_copied and not stream.backup.is_gone:
+            self._go_on(stream, stream.backup)
+        else:
+            self._lose(stream)
+
+
+LONG_SHARE = 0.42
+LONG_MEDIAN, LONG_MOST = 700, 2_216
+SHORT_MEDIAN = 9
+LENGTH_SPREAD, GUESS_SPREAD = 0.84, 1.2
+PROMPT_MEDIAN = 2_600
+"""The mix of the users' sheets: lengths in tokens, spreads of their logarithms."""
--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -24,6 +24,21 @@
 METRICS_PORT = flags.DEFINE_integer(
     "metrics_port", None, "port on which a gateway of the platform serves its metrics"
 )
+PLACEMENT = flags.DEFINE_enum(
+    "placement",
+    "projected_peak",
+    ["projected_peak", "least_in_flight", "power_of_two", "memory_free_now"],
+    "how a gateway of the platform ranks engines; all but the first are baselines",
+)
 UNDO = flags.DEFINE_bool("undo", False, "end a drain instead")
 
-NAMES = ("config", "gateway", "key", "output", "version", "undo", "metrics_port")
+NAMES = (
+    "config",
+    "gateway",
+    "key",
+    "output",
+    "version",
+    "undo",
+    "metrics_port",
+    "placement",
+)
--- a/src/piershore/core/fleet/fleet_load.py
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -39,6 +39,17 @@
         )
 
 
+class CopyWork:
+    """The place and the memory that a generation takes where it will go on."""
+
+    def __init__(self, work: Work) -> None:
+        self._work = work
+
+    def load(self) -> EndpointLoad:
+        """Return the load that the generation will be there."""
+        return self._work.load()
+
+
 class FleetLoad:
     """Own work by endpoint and the loads that peers report.
 
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -13,6 +13,7 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
+from piershore.core.fleet.placement_policy import PlacementPolicy
 from piershore.core.routes.service_spec import EngineSpec
 
 REMOTE_HALL_COST = 0.02
@@ -21,13 +22,13 @@
 """How many endpoints' worth of load a failing endpoint seems to have."""
 WARM_UP_COST = 0.25
 """Cost of an endpoint that is still slow after its start."""
-UNREAD_COST_TOKENS = 6_000.0
-"""Prompt tokens waiting to be read that count as a full endpoint: 0.4 s of reading,
-a quarter of the shortest first-token aim seen."""
 TIE_COST = 0.005
 """Spread among equals, so that gateways don't all choose the same endpoint."""
 
 
+MOST_COMPARED = 64
+"""Endpoints that a choice looks at: the best of so many picked at random is among the
+best in 60 of all, gateways don't crowd at one, and the time doesn't grow further."""
 MOST_OTHERS = 3
 """Endpoints told of beside the chosen one, so that a log explains the choice."""
 
@@ -75,18 +76,20 @@
         fleet_load: FleetLoad,
         health: EndpointHealth,
         random: Random,
+        policy: PlacementPolicy,
     ) -> None:
         self._data_hall = data_hall
         self._directory = directory
         self._fleet_load = fleet_load
         self._health = health
         self._random = random
+        self._policy = policy
 
     def for_call(
         self, service: str, now: float, excluded: Collection[str] = ()
     ) -> Choice | None:
         """Return the endpoint for a plain request, or None if there is none."""
-        return self._cheapest(service, now, excluded, self._call_cost)
+        return self._cheapest(service, now, excluded, self._call_cost, _all)
 
     def for_generation(
         self,
@@ -99,23 +102,26 @@
         """Return the endpoint for a generation, or None if there is none."""
 
         def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
-            return generation_cost(load, work, engine)
+            return self._policy.cost(load, work, engine)
 
-        return self._cheapest(service, now, excluded, cost)
+        return self._cheapest(service, now, excluded, cost, self._policy.sample)
 
-    def _cheapest(self, service, now, excluded, cost) -> Choice | None:
+    def _cheapest(self, service, now, excluded, cost, sample) -> Choice | None:
         """Return the cheapest candidate; ejected endpoints only if all are."""
         endpoints = [
             endpoint
             for endpoint in self._directory.of_service(service)
             if endpoint.identity not in excluded
         ]
+        if len(endpoints) > MOST_COMPARED:
+            endpoints = self._random.sample(endpoints, MOST_COMPARED)
         sound = [
             endpoint
             for endpoint in endpoints
             if not self._health.is_ejected(endpoint.identity, now)
         ]
-        candidates = (self._candidate(e, cost) for e in sound or endpoints)
+        sampled = sample(sound or endpoints, self._random)
+        candidates = (self._candidate(endpoint, cost) for endpoint in sampled)
         ranked = nsmallest(1 + MOST_OTHERS, candidates, key=lambda c: c.cost)
         if not ranked:
             return None
@@ -139,12 +145,5 @@
         return load.requests / max(1, endpoint.slots)
 
 
-def generation_cost(
-    load: EndpointLoad, work: GenerationWork, engine: EngineSpec
-) -> float:
-    """Return how full an engine would be, by memory, batch and unread prompts."""
-    wanted = work.held_tokens + work.remaining_tokens
-    memory = (load.projected_tokens + wanted) / engine.memory_tokens
-    batch = (load.requests + 1) / engine.slots
-    unread = load.unread_tokens / UNREAD_COST_TOKENS
-    return memory + 0.5 * batch + unread
+def _all(endpoints: list[Endpoint], random: Random) -> list[Endpoint]:
+    return endpoints
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -6,18 +6,14 @@
 import signal
 from collections.abc import Awaitable, Callable
 from functools import partial
-from http import HTTPStatus
 from random import Random
 
 import trio
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from piershore.core.attempts.leaving import STILL_SENT_SECONDS
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
-from piershore.core.routes.client_limits import ClientLimits
-from piershore.http1.exceptions import BadRequestError
-from piershore.http1.server_connection import ServerConnection
+from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
 from piershore.ingress.call_forwarder import CallForwarder
 from piershore.ingress.caller_service import CallerService
 from piershore.ingress.configuration_follower import ConfigurationFollower
@@ -36,6 +32,7 @@
     RequestDialect,
 )
 from piershore.ingress.silence_watch import SilenceWatch
+from piershore.ingress.status_service import StatusService
 from piershore.ingress.stream_forwarder import StreamForwarder
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry import ingress_metrics
@@ -75,11 +72,17 @@
         endpoint_feed: EndpointFeed,
         endpoint_reports: EndpointReports,
         metrics_port: int | None = None,
+        placement_policy: str = DEFAULT_PLACEMENT,
     ) -> None:
         self._settings = settings
         self._log = EventLog(settings.name)
         self._state = GatewayState(
-            settings.data_hall, dialect, settings.retry_limits, self._log, Random()
+            settings.data_hall,
+            dialect,
+            settings.retry_limits,
+            self._log,
+            Random(),
+            placement_policy,
         )
         self._live = LiveStreams()
         self._moves = MoveCoordinator(self._state, self._live, mover)
@@ -95,6 +98,7 @@
             self._state, endpoint_feed, WATCH_SECONDS, self._on_departure
         )
         self._endpoint_reports = endpoint_reports
+        self._status = StatusService(self._is_ready)
         self._metrics_port = metrics_port
         self._peers: PeerLink | None = None
 
@@ -171,14 +175,14 @@
             nursery,
             settings.ready_address.host,
             settings.ready_address.port,
-            self._serve_readiness,
+            self._status.serve_readiness,
         )
         await self._listen(
             nursery, settings.host, settings.peer_ports[0], documents.serve
         )
         if self._metrics_port is not None:
             await self._listen(
-                nursery, settings.host, self._metrics_port, self._serve_metrics
+                nursery, settings.host, self._metrics_port, self._status.serve_metrics
             )
         for task in (
             self._configuration.run,
@@ -260,20 +264,6 @@
             for service, left in self._state.retries_left():
                 ingress_metrics.RETRIES_LEFT.labels(service).set(left)
 
-    async def _serve_readiness(self, stream: trio.SocketStream) -> None:
-        status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
-        await _serve_text(stream, lambda: (status, b"", b"text/plain"))
-
-    async def _serve_metrics(self, stream: trio.SocketStream) -> None:
-        await _serve_text(
-            stream,
-            lambda: (
-                HTTPStatus.OK,
-                generate_latest(ingress_metrics.REGISTRY),
-                CONTENT_TYPE_LATEST.encode(),
-            ),
-        )
-
     async def _watch_signals(
         self,
         stop: trio.Event,
@@ -304,20 +294,3 @@
             await trio.sleep_until(now + LEAVE_SECONDS)
             while self._state.in_flight:
                 await trio.sleep(0.02)
-
-
-async def _serve_text(stream, answer) -> None:
-    """Answer GET requests on one connection."""
-    connection = ServerConnection(stream, ClientLimits)
-    try:
-        while await connection.next_request() is not None:
-            await connection.read_body()
-            status, body, content_type = answer()
-            await connection.respond(status, ((b"content-type", content_type),), body)
-            if not connection.start_next():
-                return
-    except (BadRequestError, trio.BrokenResourceError):
-        return  # Whoever asks will ask again.
-    finally:
-        with trio.CancelScope(shield=True):
-            await connection.close()
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -15,6 +15,10 @@
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
+from piershore.core.fleet.placement_policy import (
+    DEFAULT_PLACEMENT,
+    PLACEMENT_POLICIES,
+)
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.ports import RequestDialect
@@ -39,6 +43,7 @@
     retry_limits: RetryLimits
     log: EventLog
     random: Random
+    placement_policy: str = DEFAULT_PLACEMENT
     configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
@@ -55,7 +60,12 @@
 
     def __post_init__(self) -> None:
         self.placement = Placement(
-            self.data_hall, self.directory, self.fleet_load, self.health, self.random
+            self.data_hall,
+            self.directory,
+            self.fleet_load,
+            self.health,
+            self.random,
+            PLACEMENT_POLICIES[self.placement_policy](),
         )
 
     @property
--- a/src/piershore/platform/gateway.py
+++ b/src/piershore/platform/gateway.py
@@ -12,7 +12,7 @@
 from piershore.platform.headers import PlatformDialect
 
 
-def run_gateway(metrics_port: int | None) -> None:
+def run_gateway(metrics_port: int | None, placement_policy: str) -> None:
     """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings."""
     settings = load_box_settings()
     daemon = IngressDaemon(
@@ -23,5 +23,6 @@
         StoredEndpointFeed(settings.store_address),
         EngineReports(),
         metrics_port,
+        placement_policy,
     )
     trio.run(daemon.run)
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -13,7 +13,11 @@
 
 @dataclass(frozen=True)
 class EngineSettings:
-    """Sizes in tokens, times in seconds."""
+    """Sizes in tokens, times in seconds.
+
+    `prefill_chunk` is how much of the waiting prompts one step reads at the most;
+    without one, a prompt is read as a whole in the step that admits it.
+    """
 
     capacity_tokens: int = 16_384
     most_batched: int = 256
@@ -21,6 +25,7 @@
     step_per_sequence: float = 0.0006
     step_per_context_token: float = 0.0000004
     prefill_per_token: float = 0.00005
+    prefill_chunk: int | None = None
     prefixes_kept: int = 64
     prefix_characters: int = 256
 
@@ -36,6 +41,7 @@
     prefix: str
     order: int
     generated: int = 0
+    unread: int = 0
 
     @property
     def held(self) -> int:
@@ -98,16 +104,18 @@
 
     def step(self) -> EngineStep:
         """Make one step."""
-        prefill = self._admit()
+        self._admit()
+        prefill = self._read_prompts()
         preempted = self._make_room()
         settings = self.settings
         duration = settings.step_base + prefill * settings.prefill_per_token
         duration += len(self.running) * settings.step_per_sequence
         duration += self.used_tokens * settings.step_per_context_token
         batch = len(self.running)
-        for generation in self.running:
+        decoding = [g for g in self.running if not g.unread]
+        for generation in decoding:
             generation.generated += 1
-        progressed = tuple(g.identity for g in self.running)
+        progressed = tuple(g.identity for g in decoding)
         finished = [g for g in self.running if g.generated >= g.length]
         self.running = [g for g in self.running if g.generated < g.length]
         return EngineStep(
@@ -118,9 +126,8 @@
             tuple(g.identity for g in preempted),
         )
 
-    def _admit(self) -> int:
+    def _admit(self) -> None:
         self.waiting.sort(key=lambda g: (-g.priority, g.order))
-        prefill = 0
         used = self.used_tokens
         while self.waiting and len(self.running) < self.settings.most_batched:
             generation = self.waiting[0]
@@ -131,8 +138,18 @@
             self.waiting.pop(0)
             self.running.append(generation)
             used += needed
-            prefill += self._prefill_tokens(generation)
-        return prefill
+            generation.unread = self._prefill_tokens(generation)
+
+    def _read_prompts(self) -> int:
+        """Read prompts in the order of admission; return how many tokens."""
+        left = self.settings.prefill_chunk or sum(g.unread for g in self.running)
+        total = 0
+        for generation in self.running:
+            read = min(left, generation.unread)
+            generation.unread -= read
+            left -= read
+            total += read
+        return total
 
     def _prefill_tokens(self, generation: EngineGeneration) -> int:
         cached = self._prefixes.get(generation.prefix, 0)
