Keep the cost of a gateway flat as the fleet grows

Each report worked out the fingerprint of all endpoints anew, each start was told to all peers, each gateway passed each departure on to all, and plans ranked all targets. Change: the fingerprint is kept until a change; beyond 60 peers starts wait for the next report and departures are told by those who saw them; plans look at 48 targets, picked by a hash.

--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -53,3 +53,31 @@
 
   Scenario: an endpoint that fails several times in a row
     Then it is ejected for a while that doubles, and back after a success
+
+  Scenario: peers' loads in any order of reports
+    Then the load of an endpoint is the sum of the newest reports that count
+
+  Scenario: a choice in a large fleet
+    Then a choice among 80 endpoints with 100 peers adds up no peer's report
+
+  Scenario Outline: a fleet of <gateways> gateways in which nothing is wrong
+    Then with <gateways> gateways each counts all others as living, at any time
+
+    Examples:
+      | gateways |
+      | 6        |
+      | 30       |
+      | 100      |
+      | 300      |
+
+  Scenario: placement policies by name
+    Then each policy of the setting ranks engines by what its name says
+
+  Scenario: choices and plans in a fleet of 3000 endpoints
+    Then a choice looks at 64 of them, a plan at 48, the same ones at all gateways
+
+  Scenario: starts in a large fleet
+    Then with 60 peers each start is told at once, and with 61 it waits for a report
+
+  Scenario: what stands for a list of endpoints
+    Then it is the same from any order, another after each change, and worked out once
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -5,15 +5,18 @@
 import os
 from dataclasses import replace
 from random import Random
+from unittest.mock import patch
 
 import orjson
 import trio
+from absl import flags
 from behave import then, when
 from hypothesis import given as given_data
 from hypothesis import settings
 from hypothesis import strategies as st
 from support.ingress_world import configuration
 
+from piershore.commands.options import PLACEMENT
 from piershore.core.attempts.attempt_outcome import (
     AttemptOutcome,
     final_status,
@@ -26,13 +29,27 @@
     EndpointHealth,
     FAILURES_BEFORE_EJECTION,
 )
-from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
 from piershore.core.fleet.evacuation_plan import (
+    choose_targets,
     COPY_BUDGET_SECONDS,
     plan_evacuation,
     StreamNote,
 )
+from piershore.core.fleet.fleet_load import FleetLoad
+from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.peer_report import PeerReport
+from piershore.core.fleet.peer_table import PeerTable
+from piershore.core.fleet.placement import Placement
+from piershore.core.fleet.placement_policy import (
+    DEFAULT_PLACEMENT,
+    PLACEMENT_POLICIES,
+)
+from piershore.core.fleet.report_pace import (
+    is_small_fleet,
+    report_interval,
+    silent_after,
+)
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.route import RequestKind
@@ -356,3 +373,172 @@
     assert lengths == [1, 2, 4]
     health.note_success("i")
     assert not health.note_failure("i", now)
+
+
+IDENTITIES = ("i-0", "i-1", "i-2")
+LOADS = st.builds(EndpointLoad, *[st.integers(0, 3)] * 4)
+REPORTS = st.dictionaries(st.sampled_from(IDENTITIES), LOADS)
+HISTORY = st.lists(st.tuples(st.sampled_from("abc"), REPORTS, st.booleans()))
+
+
+@then("the load of an endpoint is the sum of the newest reports that count")
+def check_sums(context):
+    @given_data(HISTORY)
+    def check(history):
+        loads, newest = FleetLoad(), {}
+        for now, (peer, report, forget) in enumerate(history):
+            loads.take_report(peer, report, float(now))
+            newest[peer] = (now, report)
+            if forget:
+                loads.forget_peers(now - 1)
+                newest = {p: kept for p, kept in newest.items() if kept[0] >= now - 1}
+        for identity in IDENTITIES:
+            told = [r[identity] for _, r in newest.values() if identity in r]
+            assert loads.at(identity) == sum(told, NO_LOAD)
+
+    check()
+
+
+class OnceReadLoads(dict):
+    """A report that may be read once, when it is taken."""
+
+    def get(self, *arguments):
+        raise AssertionError("a report was looked up again")
+
+    __getitem__ = __contains__ = get
+
+
+@then(
+    "a choice among {endpoints:d} endpoints with {peers:d} peers adds up no peer's report"
+)
+def check_choice_cost(context, endpoints, peers):
+    directory, loads = EndpointDirectory(), FleetLoad()
+    for endpoint in fleet_of(endpoints):
+        directory.put(endpoint)
+    for number in range(peers):
+        report = {f"i-{number % endpoints}": EndpointLoad(1, 100, 200, 0)}
+        loads.take_report(f"peer-{number}", OnceReadLoads(report), 0.0)
+    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
+    placement = Placement(
+        "ikeja", directory, loads, EndpointHealth(), Random(1), policy
+    )
+    work = GenerationWork(GenerationSize(100, 100), 50)
+    choice = placement.for_generation("model", work, ENGINE, 0.0)
+    assert choice.load.requests == 1
+
+
+LOST_REPORTS = 0.02
+"""Part of the datagrams that a busy network loses."""
+
+
+def peer_reports(host, number):
+    return PeerReport(host, "ikeja", "life", number, 0, 0, 0, True, False, (), {}, {})
+
+
+@then("with {gateways:d} gateways each counts all others as living, at any time")
+def check_all_living(context, gateways):
+    hosts = [f"10.0.0.{number}" for number in range(gateways)]
+    table = PeerTable(hosts[0], hosts, 0.0)
+    interval = report_interval(gateways - 1)
+    random = Random(gateways)
+    for number in range(1, 40):
+        for host in hosts[1:]:
+            is_lost = number > 1 and random.random() < LOST_REPORTS
+            if not is_lost:
+                table.take(peer_reports(host, number), number * interval)
+        assert len(table.living((number + 0.9) * interval)) == gateways - 1
+    later = (number + 1) * interval + silent_after(gateways - 1)
+    assert not table.living(later)
+
+
+MANY_SHORT = EndpointLoad(requests=9, held_tokens=900, projected_tokens=1_000)
+FEW_LONG = EndpointLoad(requests=2, held_tokens=5_000, projected_tokens=20_000)
+GROWING = EndpointLoad(requests=9, held_tokens=800, projected_tokens=30_000)
+POLICY_PREFERS = {
+    "projected_peak": (MANY_SHORT, FEW_LONG),
+    "least_in_flight": (FEW_LONG, MANY_SHORT),
+    "power_of_two": (FEW_LONG, MANY_SHORT),
+    "memory_free_now": (GROWING, MANY_SHORT),
+}
+
+
+@then("each policy of the setting ranks engines by what its name says")
+def check_policies(context):
+    work = GenerationWork(GenerationSize(100, 100), 50)
+    assert PLACEMENT_POLICIES.keys() == POLICY_PREFERS.keys()
+    assert tuple(flags.FLAGS[PLACEMENT.name].parser.enum_values) == tuple(
+        PLACEMENT_POLICIES
+    )
+    for name, (better, worse) in POLICY_PREFERS.items():
+        policy = PLACEMENT_POLICIES[name]()
+        costs = [policy.cost(load, work, ENGINE) for load in (better, worse)]
+        assert costs[0] < costs[1], name
+    two = PLACEMENT_POLICIES["power_of_two"]().sample(range(9), Random(1))
+    assert len(set(two)) == 2
+
+
+def fleet_of(count):
+    for number in range(count):
+        address = Address("10.0.0.1", number + 1)
+        yield Endpoint(
+            f"i-{number}", "model", address, "ikeja", 24, EndpointStage.READY
+        )
+
+
+class CountedLoads(FleetLoad):
+    """Counts how often a load is looked up."""
+
+    def __init__(self):
+        super().__init__()
+        self.lookups = 0
+
+    def at(self, identity):
+        self.lookups += 1
+        return super().at(identity)
+
+
+@then("a choice looks at 64 of them, a plan at 48, the same ones at all gateways")
+def check_large_fleet(context):
+    endpoints = list(fleet_of(3_000))
+    directory, loads = EndpointDirectory(), CountedLoads()
+    for endpoint in endpoints:
+        directory.put(endpoint)
+    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
+    placement = Placement(
+        "ikeja", directory, loads, EndpointHealth(), Random(1), policy
+    )
+    work = GenerationWork(GenerationSize(100, 100), 50)
+    assert placement.for_generation("model", work, ENGINE, 0.0) is not None
+    assert loads.lookups == 64
+    source = endpoints[0]
+    targets = choose_targets(source, endpoints)
+    assert len(targets) == 48
+    assert source not in targets
+    assert targets == choose_targets(source, reversed(endpoints))
+
+
+@then("with 60 peers each start is told at once, and with 61 it waits for a report")
+def check_starts(context):
+    assert is_small_fleet(60)
+    assert not is_small_fleet(61)
+
+
+@then("it is the same from any order, another after each change, and worked out once")
+def check_fingerprint(context):
+    endpoints = list(fleet_of(5))
+    one, other = EndpointDirectory(), EndpointDirectory()
+    seen = set()
+    for endpoint in endpoints:
+        one.put(endpoint)
+        seen.add(one.fingerprint)
+    for endpoint in reversed(endpoints):
+        other.put(endpoint)
+    assert one.fingerprint == other.fingerprint
+    one.mark_leaving("i-0")
+    seen.add(one.fingerprint)
+    one.remove("i-1", 0.0, after_outage=False)
+    seen.add(one.fingerprint)
+    assert len(seen) == len(endpoints) + 2
+    one.put(endpoints[2])
+    with patch.object(EndpointDirectory, "__iter__", side_effect=AssertionError):
+        assert one.fingerprint in seen
--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+from piershore.core.hashing import stable_hash
 
 LAPSE_SECONDS = 1.7
 """How long an entry that may only have lapsed is kept. It is back some 2 s after an
@@ -15,6 +16,9 @@
 DEPARTED_KEPT = 512
 """Identities remembered as having left; an identity is never used again."""
 
+FINGERPRINT_UNUSED_BITS = 16
+"""Of 64: the rest is a whole number in any reader of JSON."""
+
 
 @dataclass(frozen=True)
 class Departure:
@@ -39,6 +43,18 @@
         self._leaving: dict[str, None] = {}
         self._doubtful: dict[str, float] = {}
         self._revision = 0
+        self._fingerprint: int | None = None
+
+    @property
+    def fingerprint(self) -> int:
+        """A number that is the same where the same endpoints are known.
+
+        It goes with each report to peers, and is worked out again after a change.
+        """
+        if self._fingerprint is None:
+            parts = sorted(f"{e.identity}={e.stage}" for e in self)
+            self._fingerprint = stable_hash(*parts) >> FINGERPRINT_UNUSED_BITS
+        return self._fingerprint
 
     @property
     def revision(self) -> int:
@@ -97,6 +113,8 @@
             endpoint = replace(endpoint, stage=EndpointStage.LEAVING)
         previous = self._endpoints.get(endpoint.identity)
         self._endpoints[endpoint.identity] = endpoint
+        if previous != endpoint:
+            self._fingerprint = None
         if endpoint.stage is EndpointStage.READY:
             return []
         if endpoint.identity in self._leaving:
@@ -131,6 +149,7 @@
     def _drop(self, identity: str) -> list[Departure]:
         self._doubtful.pop(identity, None)
         endpoint = self._endpoints.pop(identity)
+        self._fingerprint = None
         if endpoint.stage is EndpointStage.LEAVING:
             self._remember_leaving(identity)
         return [Departure(endpoint, is_gone=True)]
--- a/src/piershore/core/fleet/evacuation_plan.py
+++ b/src/piershore/core/fleet/evacuation_plan.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import partial
+from heapq import nsmallest
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
@@ -24,6 +25,9 @@
 REMOTE_TOKENS = (0, 4_000, 8_000, 16_000, 64_000)
 """By how many tokens a target in another data hall must be emptier to be taken, from
 an even spread to the shortest copies."""
+MOST_TARGETS = 48
+"""Targets that a plan looks at; in a large fleet they are picked by a hash, the same
+ones at all gateways. A source has some 10 streams."""
 ROUNDING_TOKENS = 1_000
 """Loads are compared in such steps, since gateways' views differ a little."""
 
@@ -58,6 +62,14 @@
     way: MoveWay = MoveWay.COPY
 
 
+def choose_targets(source: Endpoint, others: Iterable[Endpoint]) -> list[Endpoint]:
+    """Return the endpoints where generations of `source` may go on."""
+    targets = [target for target in others if target.identity != source.identity]
+    if len(targets) <= MOST_TARGETS:
+        return targets
+    return nsmallest(MOST_TARGETS, targets, key=partial(_tie, source))
+
+
 def plan_evacuation(
     source: Endpoint,
     notes: Iterable[StreamNote],
@@ -121,13 +133,16 @@
         is_full = tokens + note.held_tokens > FULL_SHARE * self._engine.memory_tokens
         if self._is_remote(target):
             tokens += self._remote_tokens
-        tie = stable_hash(self._source.identity, target.identity)
-        return is_full, tokens // ROUNDING_TOKENS, tie
+        return is_full, tokens // ROUNDING_TOKENS, _tie(self._source, target)
 
     def _is_remote(self, target: Endpoint) -> bool:
         return target.data_hall != self._source.data_hall
 
 
+def _tie(source: Endpoint, target: Endpoint) -> int:
+    return stable_hash(source.identity, target.identity)
+
+
 def _copy_order(note: StreamNote) -> tuple:
     """Return what sorts streams: those first that have no other way out."""
     return note.has_backup, not note.has_begun, note.held_tokens, note.request
--- a/src/piershore/core/fleet/report_pace.py
+++ b/src/piershore/core/fleet/report_pace.py
@@ -15,6 +15,17 @@
 counted twice when it is back."""
 
 
+MOST_OF_SMALL_FLEET = 60
+"""Peers up to which all tell all of everything. In a larger fleet two gateways seldom
+choose the same endpoint between two reports, and telling all would cost each gateway a
+datagram for each start anywhere."""
+
+
+def is_small_fleet(peers: int) -> bool:
+    """Tell whether peers hear of each start at once, and pass departures on."""
+    return peers <= MOST_OF_SMALL_FLEET
+
+
 def report_interval(peers: int) -> float:
     """Return the seconds between regular reports to each of `peers` peers."""
     return max(SHORTEST_INTERVAL_SECONDS, peers / REPORTS_A_SECOND)
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -14,12 +14,13 @@
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import (
+    choose_targets,
     MoveWay,
     plan_evacuation,
     PlannedMove,
 )
+from piershore.core.fleet.fleet_load import CopyWork
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.ingress.copy_calls import CopyCalls
 from piershore.ingress.gateway_state import GatewayState
@@ -67,17 +68,6 @@
         return Handover(self.source, target, noticed=self.noticed)
 
 
-class _CopyReservation:
-    """Memory that a move takes at its target."""
-
-    def __init__(self, stream: LiveStream) -> None:
-        self._stream = stream
-
-    def load(self) -> EndpointLoad:
-        """Return the load that the stream will be."""
-        return self._stream.work.load()
-
-
 class MoveCoordinator:
     """Moves this gateway's streams by the plan that all gateways make."""
 
@@ -145,7 +135,7 @@
         notes = {note.request: note for note in self._live.notes(source.identity)}
         notes.update((n.request, n) for n in self._peers.notes_at(source.identity))
         others = self._state.directory.of_service(source.service)
-        targets = tuple(t for t in others if t.identity != source.identity)
+        targets = choose_targets(source, others)
         loads = {t.identity: self._state.fleet_load.at(t.identity) for t in targets}
         return plan_evacuation(
             source, notes.values(), targets, loads, evacuation.engine
@@ -178,7 +168,7 @@
         """Move to one target; False if another may be tried."""
         handover = stream.handover = evacuation.handover_to(target)
         self._log_start(stream, evacuation, target)
-        reservation = _CopyReservation(stream)
+        reservation = CopyWork(stream.work)
         self._state.fleet_load.add(target.identity, reservation)
         try:
             copied = await self._copy(stream, handover)
--- a/src/piershore/ingress/peer_documents.py
+++ b/src/piershore/ingress/peer_documents.py
@@ -21,7 +21,7 @@
 from piershore.ingress.configuration_follower import ConfigurationFollower
 from piershore.ingress.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.peer_link import directory_fingerprint, PeerLink
+from piershore.ingress.peer_link import PeerLink
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry.events import DependencyLost
 
@@ -109,7 +109,7 @@
 
     def _ahead_in_endpoints(self, now: float) -> Peer | None:
         """Return a peer with a newer list of endpoints that differs from ours."""
-        own = directory_fingerprint(self._state)
+        own = self._state.directory.fingerprint
         revision = self._state.directory.revision
         ahead = [
             peer
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -14,9 +14,12 @@
     PeerReport,
 )
 from piershore.core.fleet.peer_table import PeerTable
-from piershore.core.fleet.report_pace import report_interval, silent_after
+from piershore.core.fleet.report_pace import (
+    is_small_fleet,
+    report_interval,
+    silent_after,
+)
 from piershore.core.fleet.watchers import WatcherView, watches_store
-from piershore.core.hashing import stable_hash
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
@@ -56,6 +59,7 @@
         self._reads_store = reads_store
         self._on_departed = on_departed
         self._departed: dict[DepartureNote, float] = {}
+        self._heard: dict[DepartureNote, float] = {}
         self._wake = trio.Event()
         seeds = [seed.host for seed in settings.seeds]
         self.table = PeerTable(settings.host, seeds, trio.current_time())
@@ -101,10 +105,16 @@
 
     def announce(self) -> None:
         """Send a report soon: work began that others should reckon with."""
-        self._wake.set()
+        if is_small_fleet(len(self._living)):
+            self._wake.set()
 
     def note_departed(self, note: DepartureNote) -> None:
-        """Tell peers that an endpoint leaves or is gone."""
+        """Tell peers that an endpoint leaves or is gone.
+
+        In a large fleet those tell who saw it themselves: several watch the store.
+        """
+        if note in self._heard:
+            return
         self._departed[note] = trio.current_time() + DEPARTED_SECONDS
         self._wake.set()
 
@@ -139,7 +149,7 @@
             number=self._number,
             config_version=state.configuration.version,
             endpoint_revision=state.directory.revision,
-            fingerprint=directory_fingerprint(state),
+            fingerprint=state.directory.fingerprint,
             reads_store=self._reads_store(),
             is_leaving=state.is_leaving,
             members=self.table.members(now) if self._tells_members(now) else (),
@@ -153,11 +163,9 @@
         return has_changed or self._number % MEMBERS_EVERY == 0
 
     def _lately_departed(self, now: float) -> Iterator[DepartureNote]:
-        for note, until in list(self._departed.items()):
-            if until < now:
-                del self._departed[note]
-            else:
-                yield note
+        _drop_old(self._departed, now)
+        _drop_old(self._heard, now)
+        yield from self._departed
 
     def living_hosts(self) -> list[str]:
         """Return the hosts of the peers that were heard lately and stay."""
@@ -185,8 +193,11 @@
             return
         self._state.fleet_load.take_report(report.host, report.loads, now)
         for note in report.departed:
-            if note not in self._departed:
-                self._on_departed(note)
+            if note in self._departed or note in self._heard:
+                continue
+            if not is_small_fleet(len(self._living)):
+                self._heard[note] = now + DEPARTED_SECONDS
+            self._on_departed(note)
 
     def _note_living(self, now: float) -> None:
         living = {peer.host for peer in self.table.living(now)}
@@ -203,7 +214,6 @@
         self._state.fleet_load.forget_peers(now - counts_for)
 
 
-def directory_fingerprint(state: GatewayState) -> int:
-    """Return a number that is the same where the same endpoints are known."""
-    parts = sorted(f"{e.identity}={e.stage}" for e in state.directory)
-    return stable_hash(*parts) >> 16
+def _drop_old(notes: dict[DepartureNote, float], now: float) -> None:
+    for note in [note for note, until in notes.items() if until < now]:
+        del notes[note]
