--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -66,6 +66,7 @@
             self.health,
             self.random,
             PLACEMENT_POLICIES[self.placement_policy](),
+            self.paces,
         )
 
     @property
