--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -81,6 +81,3 @@
 
   Scenario: what stands for a list of endpoints
     Then it is the same from any order, another after each change, and worked out once
-
-  Scenario: an engine that turns slow
-    Then new generations go elsewhere until it is tried again, and never all
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -11,7 +11,6 @@
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_load import EndpointLoad
-from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement_policy import PlacementPolicy
@@ -21,8 +20,6 @@
 """A share of an endpoint; only decides between endpoints that are about equal."""
 FAILURE_COST = 4.0
 """How many endpoints' worth of load a failing endpoint seems to have."""
-SLOW_COST = 0.5
-"""Cost of an engine for each time the usual gap that its tokens take more."""
 WARM_UP_COST = 0.25
 """Cost of an endpoint that is still slow after its start."""
 TIE_COST = 0.005
@@ -80,7 +77,6 @@
         health: EndpointHealth,
         random: Random,
         policy: PlacementPolicy,
-        paces: EndpointPaces,
     ) -> None:
         self._data_hall = data_hall
         self._directory = directory
@@ -88,7 +84,6 @@
         self._health = health
         self._random = random
         self._policy = policy
-        self._paces = paces
 
     def for_call(
         self, service: str, now: float, excluded: Collection[str] = ()
@@ -106,11 +101,8 @@
     ) -> Choice | None:
         """Return the endpoint for a generation, or None if there is none."""
 
-        slowness = self._paces.slow_endpoints(now)
-
         def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
-            slow = SLOW_COST * slowness.get(endpoint.identity, 0.0)
-            return self._policy.cost(load, work, engine) + slow
+            return self._policy.cost(load, work, engine)
 
         return self._cheapest(service, now, excluded, cost, self._policy.sample)
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -66,7 +66,6 @@
             self.health,
             self.random,
             PLACEMENT_POLICIES[self.placement_policy](),
-            self.paces,
         )
 
     @property
