--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -26,6 +26,7 @@
     "views 2 s old": replace(FRESH, report_interval=4.0, tells_starts=False),
     "30 gateways, 22 engines": replace(FRESH, gateways=30, engines=22, rate=22.0),
     "crowded": replace(FRESH, rate=14.0),
+    "crowded, refused": replace(FRESH, rate=14.0, refuses=True),
     "reclaimed, moved": replace(FRESH, reclaim_every=3.3),
     "reclaimed, not moved": replace(FRESH, reclaim_every=3.3, moves=False),
     "crashes, backups": replace(FRESH, reclaim_every=6.0, notice=0.0),
@@ -35,10 +36,15 @@
 
 @dataclass(frozen=True)
 class FleetFigures:
-    """One run: shares of the long streams, preemptions of 1,000 streams."""
+    """One run: shares of the long streams, preemptions of 1,000 streams.
+
+    A refused caller comes back once, and its times count from then on; `refused` are
+    those that were refused again.
+    """
 
     in_aim: float
     lost: float
+    refused: float
     preempted: float
     first_p95: float
 
@@ -51,6 +57,7 @@
     return FleetFigures(
         in_aim=mean(map(_is_in_aim, long)),
         lost=mean(s.is_lost for s in long),
+        refused=mean(s.refusals > 1 for s in long),
         preempted=1_000 * mean(s.preemptions for s in streams),
         first_p95=waits[int(0.95 * len(waits))],
     )
@@ -68,10 +75,12 @@
     parser.add_argument("--seeds", type=int, default=SEEDS)
     parser.add_argument("--seconds", type=float, default=SECONDS)
     parser.add_argument("--plot", default="")
+    parser.add_argument("--situations", default="")
     arguments = parser.parse_args()
+    wanted = arguments.situations.split(";") if arguments.situations else SITUATIONS
     jobs = [
         (situation, policy, SEED + seed)
-        for situation in SITUATIONS
+        for situation in wanted
         for policy in PLACEMENT_POLICIES
         for seed in range(arguments.seeds)
     ]
@@ -94,6 +103,7 @@
     "policy",
     "long streams in aim",
     "lost",
+    "refused",
     "preempted/1000",
     "first token p95 s",
 )
@@ -106,6 +116,7 @@
             policy,
             _spread([r.in_aim for r in results], 3),
             _spread([r.lost for r in results], 3),
+            _spread([r.refused for r in results], 3),
             _spread([r.preempted for r in results], 1),
             _spread([r.first_p95 for r in results], 2),
         )
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -16,6 +16,7 @@
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import (
     MoveWay,
     plan_evacuation,
@@ -23,6 +24,7 @@
     StreamNote,
 )
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
+from piershore.core.fleet.generation_admission import come_back_seconds, has_memory
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
@@ -74,6 +76,7 @@
     report_interval: float = 0.1
     tells_starts: bool = True
     moves: bool = True
+    refuses: bool = False
     reclaim_every: float = 0.0
     notice: float = 1.8
 
@@ -95,6 +98,7 @@
     longest_pause: float = 0.0
     preemptions: int = 0
     moves: int = 0
+    refusals: int = 0
     is_whole: bool = False
     is_lost: bool = False
 
@@ -256,6 +260,9 @@
         if choice is None:
             self._lose(stream)
             return
+        if self._settings.refuses and not has_memory(choice.load, stream.work, ENGINE):
+            self._refuse(stream, choice.load)
+            return
         self._run_at(
             stream,
             self._engines[choice.endpoint.identity],
@@ -264,6 +271,16 @@
         )
         self._back_up(stream, choice.load)
 
+    def _refuse(self, stream: FleetStream, load: EndpointLoad) -> None:
+        """Send the caller away; it comes back once, and counts from then on."""
+        stream.refusals += 1
+        if stream.refusals > 1:
+            self._forget(stream)
+            return
+        seconds = come_back_seconds(load) * self._random.uniform(0.75, 1.25)
+        stream.arrived_at = self._now + seconds
+        self._at(seconds, self._place, stream)
+
     def _run_at(
         self, stream: FleetStream, engine: SimulatedEngine, held: int, length: int
     ) -> None:
@@ -277,7 +294,7 @@
         engine.submit(stream, held, length)
         self._wake(engine)
 
-    def _back_up(self, stream: FleetStream, load) -> None:
+    def _back_up(self, stream: FleetStream, load: EndpointLoad) -> None:
         if not self._settings.moves or not wants_backup(load, stream.work, ENGINE):
             return
         gateway = stream.gateway
