--- a/features/ingress_store.feature
+++ b/features/ingress_store.feature
@@ -19,6 +19,12 @@
       | reset  |
       | silent |
 
+  @accepted_config_in_force
+  Scenario: a change in a fleet so large that reports are rare
+    Given 2 gateways before sound endpoints
+    When reports come each 10 s and a route is added that the second hears of by peers
+    Then the route is served by the second within 4 s
+
   @accepted_config_in_force
   Scenario: an older configuration comes after a newer one
     Given a gateway before sound endpoints
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -6,6 +6,7 @@
 import time
 from itertools import pairwise
 from pathlib import Path
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
@@ -18,6 +19,7 @@
 )
 
 from piershore.core.attempts.leaving import STILL_SENT_SECONDS
+from piershore.core.fleet import report_pace
 from piershore.core.fleet.endpoint import Address
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.http1.client_connection import ClientConnection
@@ -32,6 +34,7 @@
 STILL_PROCESS_SECONDS = 0.8
 """Long enough for an endpoint to seem silent, were it not the process itself."""
 SILENT_SECONDS = 2.5
+IN_FORCE_SECONDS = 4.0
 SLOW_LINK_MBPS = 20_000.0
 LARGE_SIZE = "11000,{}"
 """Prompt tokens that don't get away in a notice's time, so that a backup is made."""
@@ -671,18 +674,47 @@
     assert all(gap >= TOGETHER_SECONDS for gap in gaps), gaps
 
 
+async def cut_second_from_store(world, fault):
+    """Give the second gateway another store, that does not answer."""
+    _, second = world.gateways[1]
+    cut = PublishedStore()
+    cut.fault = fault
+    await world.nursery.start(cut.serve)
+    for follower in (second._configuration, second._endpoints):
+        follower._feed._client._address = Address("127.0.0.1", cut.port)
+        follower.restart()
+
+
+@when("reports come each 10 s and a route is added that the second hears of by peers")
+def add_in_large_fleet(context):
+    async def script(world):
+        await wait_for_peers(world)
+        await cut_second_from_store(world, StoreFault.BUSY)
+        with (
+            patch.object(report_pace, "REPORTS_A_SECOND", 0.1),
+            patch.object(report_pace, "MOST_OF_SMALL_FLEET", 0),
+        ):
+            # The wait for a report that is under way was a short one.
+            await trio.sleep(0.5)
+            world.store.put("config", "main", with_route(8, "added"))
+            with trio.move_on_after(IN_FORCE_SECONDS):
+                while (await world.call("added", number=1)).status == 404:
+                    await trio.sleep(0.02)
+            context.reply = await world.call("added", number=1)
+
+    context.ingress.run(script)
+
+
+@then("the route is served by the second within 4 s")
+def check_served_soon(context):
+    assert context.reply.status == 200, vars(context.reply)
+
+
 @when("the store is {fault} for the second and a route is added")
 def cut_second(context, fault):
     async def script(world):
         await wait_for_peers(world)
-        # The second gateway's store is another one, that no longer answers.
-        _, second = world.gateways[1]
-        cut = PublishedStore()
-        cut.fault = StoreFault(fault)
-        await world.nursery.start(cut.serve)
-        for follower in (second._configuration, second._endpoints):
-            follower._feed._client._address = Address("127.0.0.1", cut.port)
-            follower.restart()
+        await cut_second_from_store(world, StoreFault(fault))
         world.store.put("config", "main", with_route(8, "added"))
         await wait_served(world, "added", 1)
         context.reply = await world.call("added", number=1)
--- a/src/piershore/ingress/configuration_follower.py
+++ b/src/piershore/ingress/configuration_follower.py
@@ -31,17 +31,17 @@
         """Whether a configuration is in force."""
         return self._document is not None
 
-    def take(self, document: bytes, source: str) -> None:
-        """Put a document in force if it is newer."""
+    def take(self, document: bytes, source: str) -> bool:
+        """Put a document in force if it is newer; tell whether it was."""
         try:
             configuration = self._feed.decode(document)
         except (InvalidObjectError, ValueError) as error:
             self._state.log.write(
                 InvalidEntry("configuration", str(error)), is_failure=True
             )
-            return
+            return False
         if not self._state.configuration.offer(configuration):
-            return
+            return False
         self._document = document
         ingress_metrics.CONFIG_VERSION.set(configuration.version)
         routes = sum(map(len, configuration.routes_by_host.values()))
@@ -49,6 +49,7 @@
             ConfigurationInForce(configuration.version, routes, source),
             is_failure=True,
         )
+        return True
 
     async def _read(self) -> int:
         document, revision = await self._feed.read()
@@ -61,5 +62,5 @@
         return reached
 
     def _take_from_store(self, document: bytes | None) -> None:
-        if document is not None:
-            self.take(document, "store")
+        if document is not None and self.take(document, "store"):
+            self._state.announce(in_any_fleet=True)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -25,7 +25,7 @@
 from piershore.telemetry.event_log import EventLog
 
 
-def _nothing() -> None:
+def _nothing(*, in_any_fleet: bool = False) -> None:
     """Tell nobody: there are no peers yet."""
 
 
@@ -34,8 +34,9 @@
     """Beliefs, decisions and connections of one gateway.
 
     `gateways` is how many gateways are thought to live, this one included;
-    `announce` tells peers soon of work that began. `leaving_since` is when the
-    process was told to stop, `stops_at` when it ends at the latest.
+    `announce` tells peers soon of work that began, or of a configuration.
+    `leaving_since` is when the process was told to stop, `stops_at` when it ends at the
+    latest.
     """
 
     data_hall: str
@@ -55,7 +56,7 @@
     stops_at: float = float("inf")
     gateways: int = 1
     in_flight: int = 0
-    announce: Callable[[], None] = _nothing
+    announce: Callable[..., None] = _nothing
     _allowances: dict[str, RetryAllowance] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -103,9 +103,11 @@
             self._wake = trio.Event()
             await trio.sleep(LEAST_GAP_SECONDS)
 
-    def announce(self) -> None:
-        """Send a report soon: work began that others should reckon with."""
-        if is_small_fleet(len(self._living)):
+    def announce(self, *, in_any_fleet: bool = False) -> None:
+        """Send a report soon, since others should know; in a large fleet only for
+        what can't wait for the next one.
+        """
+        if in_any_fleet or is_small_fleet(len(self._living)):
             self._wake.set()
 
     def note_departed(self, note: DepartureNote) -> None:
