--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -29,6 +29,7 @@
 from standins.published_store import PublishedStore, StoreFault
 
 SMALL_SIZE = "100,{}"
+EVENT_START = b"id: "
 STILL_SECONDS = 0.2
 FULL = EndpointLoad(requests=9, held_tokens=33_000, projected_tokens=36_000)
 STILL_PROCESS_SECONDS = 0.8
@@ -359,6 +360,9 @@
         self._world = world
         self._size = size.format(events * 4)
         self.parts = []
+        self._counted_parts = 0
+        self._seen = 0
+        self._tail = b""
         self.reply = None
         self.pause_after = None
         self.go_on = trio.Event()
@@ -378,7 +382,13 @@
             await self.go_on.wait()
 
     def seen(self):
-        return b"".join(self.parts).count(b"id: ")
+        """Return how many events came; each part is looked at once."""
+        for part in self.parts[self._counted_parts :]:
+            text = self._tail + part
+            self._seen += text.count(EVENT_START)
+            self._tail = text[1 - len(EVENT_START) :]
+        self._counted_parts = len(self.parts)
+        return self._seen
 
     async def wait_events(self, count):
         while self.seen() < count:
