--- a/src/piershore/core/fleet/endpoint_load.py
+++ b/src/piershore/core/fleet/endpoint_load.py
@@ -10,13 +10,16 @@
     """Sums over requests in flight.
 
     `held_tokens` is memory in use now, `projected_tokens` memory at the expected
-    ends, `unread_tokens` prompts whose first token has not come yet.
+    ends, `unread_tokens` prompts whose first token has not come yet, `long_streams`
+    generations that have begun and may still go on for long: a prompt that is read
+    beside them holds them all up.
     """
 
     requests: int = 0
     held_tokens: int = 0
     projected_tokens: int = 0
     unread_tokens: int = 0
+    long_streams: int = 0
 
     def __add__(self, other: EndpointLoad) -> EndpointLoad:
         return EndpointLoad(
@@ -24,6 +27,7 @@
             self.held_tokens + other.held_tokens,
             self.projected_tokens + other.projected_tokens,
             self.unread_tokens + other.unread_tokens,
+            self.long_streams + other.long_streams,
         )
 
     def __sub__(self, other: EndpointLoad) -> EndpointLoad:
@@ -32,6 +36,7 @@
             self.held_tokens - other.held_tokens,
             self.projected_tokens - other.projected_tokens,
             self.unread_tokens - other.unread_tokens,
+            self.long_streams - other.long_streams,
         )
 
 
