--- a/src/piershore/core/fleet/endpoint_load.py
+++ b/src/piershore/core/fleet/endpoint_load.py
@@ -10,16 +10,13 @@
     """Sums over requests in flight.
 
     `held_tokens` is memory in use now, `projected_tokens` memory at the expected
-    ends, `unread_tokens` prompts whose first token has not come yet, `long_streams`
-    generations that have begun and may still go on for long: a prompt that is read
-    beside them holds them all up.
+    ends, `unread_tokens` prompts whose first token has not come yet.
     """
 
     requests: int = 0
     held_tokens: int = 0
     projected_tokens: int = 0
     unread_tokens: int = 0
-    long_streams: int = 0
 
     def __add__(self, other: EndpointLoad) -> EndpointLoad:
         return EndpointLoad(
@@ -27,7 +24,6 @@
             self.held_tokens + other.held_tokens,
             self.projected_tokens + other.projected_tokens,
             self.unread_tokens + other.unread_tokens,
-            self.long_streams + other.long_streams,
         )
 
     def __sub__(self, other: EndpointLoad) -> EndpointLoad:
@@ -36,7 +32,6 @@
             self.held_tokens - other.held_tokens,
             self.projected_tokens - other.projected_tokens,
             self.unread_tokens - other.unread_tokens,
-            self.long_streams - other.long_streams,
         )
 
 
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -71,7 +71,6 @@
                         load.held_tokens,
                         load.projected_tokens,
                         load.unread_tokens,
-                        load.long_streams,
                     ]
                     for identity, load in self.loads.items()
                 },
--- a/src/piershore/core/fleet/placement_policy.py
+++ b/src/piershore/core/fleet/placement_policy.py
@@ -59,9 +59,8 @@
         """Return how full the engine would be."""
         wanted = work.held_tokens + work.remaining_tokens
         memory = (load.projected_tokens + wanted) / engine.memory_tokens
-        held_up = work.size.prompt_tokens * load.long_streams
-        reading = (load.unread_tokens + held_up) / UNREAD_COST_TOKENS
-        return memory + BATCH_COST * _batch_share(load, engine) + reading
+        unread = load.unread_tokens / UNREAD_COST_TOKENS
+        return memory + BATCH_COST * _batch_share(load, engine) + unread
 
 
 @placement_policy("least_in_flight")
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -32,7 +32,6 @@
     GenerationMover,
     RequestDialect,
 )
-from piershore.ingress.settling_watch import SettlingWatch
 from piershore.ingress.silence_watch import SilenceWatch
 from piershore.ingress.status_service import StatusService
 from piershore.ingress.stream_forwarder import StreamForwarder
@@ -151,7 +150,6 @@
         silences = SilenceWatch(
             self._state, self._live, self._moves, self._endpoint_reports
         )
-        settling = SettlingWatch(self._state, self._live, self._moves)
         await link.start()
         try:
             async with trio.open_nursery() as nursery:
@@ -159,7 +157,6 @@
                 await self._start(nursery, link, documents)
                 nursery.start_soon(self._supervise, outages.run)
                 nursery.start_soon(self._supervise, silences.run)
-                nursery.start_soon(self._supervise, settling.run)
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
                 )
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -40,6 +40,9 @@
 about 1 ms, a notice reaches all watches within some ms."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
+ENDS_SOON_TOKENS = 100
+"""A generation that can make at most this many more tokens ends within the
+notice by itself, at some 10 ms a token."""
 COPY_ATTEMPTS = 3
 """Targets that are tried for one stream; each refusal takes a few ms."""
 
@@ -49,7 +52,6 @@
 
     ENDPOINT_LEAVES = "endpoint_leaves"
     EVENTS_LOST = "events_lost"
-    PROMPTS_READ = "prompts_read"
 
 
 @dataclass(frozen=True)
@@ -96,25 +98,6 @@
         if stream.handover is None:
             self._start(stream.endpoint, [stream], reason)
 
-    def settle(self, stream: LiveStream, target: Endpoint) -> None:
-        """Move one stream to an engine that reads few prompts."""
-        engine = self._engine(stream.endpoint.service)
-        if engine is None or self._nursery is None:
-            return
-        evacuation = Evacuation(
-            stream.endpoint, engine, trio.current_time(), MoveReason.PROMPTS_READ
-        )
-        stream.handover = evacuation.handover_to(target)
-        self._nursery.start_soon(self._settle, evacuation, stream, target)
-
-    async def _settle(
-        self, evacuation: Evacuation, stream: LiveStream, target: Endpoint
-    ) -> None:
-        try:
-            await self._move_to(stream, evacuation, target)
-        except Exception as error:
-            self._state.log.write_fault("MoveCoordinator", error)
-
     def _start(
         self, source: Endpoint, streams: list[LiveStream], reason: MoveReason
     ) -> None:
@@ -223,7 +206,7 @@
     async def _wait_for_begin(self, stream: LiveStream, source: Endpoint) -> bool:
         """Wait for the first event; False if the stream needn't move."""
         while self._is_at(stream, source):
-            if not stream.work.is_long:
+            if stream.work.most_remaining_tokens <= ENDS_SOON_TOKENS:
                 return False
             if stream.work.has_begun:
                 return True
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -121,7 +121,6 @@
                 stream.first_seconds,
                 stream.longest_pause,
                 stream.moves,
-                stream.work.made_tokens,
             )
         )
 
