Tell the tokens of each stream in the log; one bound for long generations

The pace of a stream needs its length: a line of an answered request tells its tokens. The same 100 tokens stood in three modules under three names.

--- a/src/piershore/core/fleet/backup_choice.py
+++ b/src/piershore/core/fleet/backup_choice.py
@@ -10,8 +10,6 @@
 """Copies from one endpoint that fit into a short notice."""
 ROOM_SHARE = 0.7
 """A backup goes only where the projected demand leaves this part of the memory."""
-SHORT_TOKENS = 100
-"""A generation of at most this many tokens is over before a backup helps."""
 
 
 def wants_backup(
@@ -22,7 +20,7 @@
     `source_load` is that of its endpoint without it. Copies to another data hall
     are the slower ones, and are reckoned with.
     """
-    if not engine.can_back_up or work.most_remaining_tokens <= SHORT_TOKENS:
+    if not engine.can_back_up or not work.is_long:
         return False
     tokens = source_load.held_tokens + work.held_tokens
     return engine.copy_seconds(tokens, within_hall=False) > EVACUATION_SECONDS
--- a/src/piershore/core/fleet/generation_admission.py
+++ b/src/piershore/core/fleet/generation_admission.py
@@ -17,8 +17,6 @@
 PROJECTED_SHARE = 1.25
 """Part of the memory that may be wanted at the expected ends; they don't come all at
 the same time."""
-SHORT_TOKENS = 100
-"""A generation of at most this many tokens is over before it crowds anybody."""
 TOKEN_SECONDS = 0.01
 """Time for a token in a batch of usual size."""
 SOONEST_SECONDS, LATEST_SECONDS = 1.0, 5.0
@@ -27,7 +25,7 @@
 
 def has_memory(load: EndpointLoad, work: GenerationWork, engine: EngineSpec) -> bool:
     """Tell whether the engine with this load takes one more generation."""
-    if work.most_remaining_tokens <= SHORT_TOKENS:
+    if not work.is_long:
         return True
     held = load.held_tokens + work.held_tokens
     projected = load.projected_tokens + work.held_tokens + work.remaining_tokens
--- a/src/piershore/core/fleet/generation_work.py
+++ b/src/piershore/core/fleet/generation_work.py
@@ -6,6 +6,10 @@
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
 
+LONG_TOKENS = 100
+"""A generation that can make at most this many more tokens ends soon: at some 10 ms a
+token, within the shortest notice and before it crowds anybody."""
+
 
 @dataclass(frozen=True)
 class GenerationSize:
@@ -45,6 +49,11 @@
         """Output that can still come at the most."""
         return max(0, self.size.max_output_tokens - self.made_tokens)
 
+    @property
+    def is_long(self) -> bool:
+        """Whether it may go on for long."""
+        return self.most_remaining_tokens > LONG_TOKENS
+
     def load(self) -> EndpointLoad:
         """Return its part of an endpoint's load."""
         return EndpointLoad(
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -40,9 +40,6 @@
 about 1 ms, a notice reaches all watches within some ms."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
-ENDS_SOON_TOKENS = 100
-"""A generation that can make at most this many more tokens ends within the
-notice by itself, at some 10 ms a token."""
 COPY_ATTEMPTS = 3
 """Targets that are tried for one stream; each refusal takes a few ms."""
 
@@ -206,7 +203,7 @@
     async def _wait_for_begin(self, stream: LiveStream, source: Endpoint) -> bool:
         """Wait for the first event; False if the stream needn't move."""
         while self._is_at(stream, source):
-            if stream.work.most_remaining_tokens <= ENDS_SOON_TOKENS:
+            if not stream.work.is_long:
                 return False
             if stream.work.has_begun:
                 return True
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -121,6 +121,7 @@
                 stream.first_seconds,
                 stream.longest_pause,
                 stream.moves,
+                stream.work.made_tokens,
             )
         )
 
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -167,6 +167,7 @@
     first_seconds: float
     longest_pause: float = 0.0
     moves: int = 0
+    made_tokens: int = 0
 
 
 @dataclass(frozen=True)
