Add a verb that tells which requests were lost or late, when and why

From logs alone: losses by route and cause and by moment, and the pace of each engine's long streams beside the best that engines reach. Answered requests tell the route's aim.

--- a/src/piershore/commands/command.py
+++ b/src/piershore/commands/command.py
@@ -39,6 +39,7 @@
     "agent": "agent_command",
     "ingress": "ingress_command",
     "explain": "explain_command",
+    "losses": "losses_command",
     "validate": "validate_command",
     "template": "object_commands",
     "account": "object_commands",
--- a/src/piershore/commands/explain_command.py
+++ b/src/piershore/commands/explain_command.py
@@ -4,12 +4,13 @@
 
 import os
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import orjson
 
 from piershore.commands.command import Command, command, ExitCode
 from piershore.commands.exceptions import CommandError
+from piershore.commands.log_files import read_texts
 from piershore.commands.options import OUTPUT
 from piershore.telemetry.request_story import read_lines, StoryLine, tell_story
 
@@ -19,8 +20,6 @@
 BAD_EVENTS = frozenset(
     {"attempt_ended", "request_refused", "stream_broken_off", "internal_error"}
 )
-PROGRESS_LINES = 200_000
-"""Lines between two signs of progress on a terminal."""
 
 
 @command("explain")
@@ -36,7 +35,7 @@
         if not arguments:
             raise CommandError(ExitCode.USAGE, "ID is missing")
         request, *files = arguments
-        story = list(tell_story(read_lines(_texts(files)), request))
+        story = list(tell_story(read_lines(read_texts(files)), request))
         if not story:
             raise CommandError(ExitCode.FAILED, f"no line names request {request}")
         if OUTPUT.value == "json":
@@ -49,26 +48,6 @@
         return ExitCode.OK
 
 
-def _texts(files: Sequence[str]) -> Iterator[bytes]:
-    shows_progress = sys.stderr.isatty()
-    if not files:
-        yield from sys.stdin.buffer
-        return
-    count = 0
-    for file in files:
-        try:
-            with open(file, "rb") as stream:
-                for text in stream:
-                    yield text
-                    count += 1
-                    if shows_progress and count % PROGRESS_LINES == 0:
-                        print(f"\r{count:,} lines read", end="", file=sys.stderr)
-        except OSError as error:
-            raise CommandError(ExitCode.FAILED, f"{file}: {error.strerror}") from error
-    if shows_progress and count >= PROGRESS_LINES:
-        print(file=sys.stderr)
-
-
 def _coloured(line: StoryLine) -> str:
     if line.is_context:
         return f"{DIM}{line.as_text()}{PLAIN}"
--- /dev/null
+++ b/src/piershore/commands/log_files.py
@@ -0,0 +1,36 @@
+"""Log files of gateways that a verb reads, or its standard input."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator, Sequence
+
+from piershore.commands.command import ExitCode
+from piershore.commands.exceptions import CommandError
+
+PROGRESS_LINES = 200_000
+"""Lines between two signs of progress on a terminal."""
+
+
+def read_texts(files: Sequence[str]) -> Iterator[bytes]:
+    """Yield the lines of all files, or of the input if none is named.
+
+    Raise `CommandError` for a file that can't be read.
+    """
+    shows_progress = sys.stderr.isatty()
+    if not files:
+        yield from sys.stdin.buffer
+        return
+    count = 0
+    for file in files:
+        try:
+            with open(file, "rb") as stream:
+                for text in stream:
+                    yield text
+                    count += 1
+                    if shows_progress and count % PROGRESS_LINES == 0:
+                        print(f"\r{count:,} lines read", end="", file=sys.stderr)
+        except OSError as error:
+            raise CommandError(ExitCode.FAILED, f"{file}: {error.strerror}") from error
+    if shows_progress and count >= PROGRESS_LINES:
+        print(file=sys.stderr)
--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -30,6 +30,10 @@
     ["projected_peak", "least_in_flight", "power_of_two", "memory_free_now"],
     "how a gateway of the platform ranks engines; all but the first are baselines",
 )
+WINDOW = flags.DEFINE_float("window", 2.0, "seconds of each row by moment", 0.1)
+LONGEST_PAUSE = flags.DEFINE_float(
+    "longest_pause", 0.18, "pause in seconds above which a stream counts as late", 0.0
+)
 UNDO = flags.DEFINE_bool("undo", False, "end a drain instead")
 
 NAMES = (
@@ -41,4 +45,6 @@
     "undo",
     "metrics_port",
     "placement",
+    "window",
+    "longest_pause",
 )
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -70,6 +70,7 @@
                 len(call.outcomes) + 1,
                 exchange.age,
                 exchange.age,
+                aim=exchange.route.target_latency,
             )
         )
         ingress_metrics.WHOLE_SECONDS.labels(exchange.route.kind).observe(exchange.age)
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/stream_forwarder.py
@@ -122,6 +122,7 @@
                 stream.longest_pause,
                 stream.moves,
                 stream.work.made_tokens,
+                exchange.route.target_latency,
             )
         )
 
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -157,7 +157,7 @@
 
 @dataclass(frozen=True)
 class RequestAnswered(LogEvent):
-    """The caller got an endpoint's whole answer."""
+    """The caller got an endpoint's whole answer; `aim` is the route's latency aim."""
 
     request: str
     endpoint: str
@@ -168,6 +168,7 @@
     longest_pause: float = 0.0
     moves: int = 0
     made_tokens: int = 0
+    aim: float | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/piershore/telemetry/loss_review.py
@@ -0,0 +1,239 @@
+"""What was lost or late in a span of logs, by kind of request, moment and cause.
+
+Only requests that a gateway has read stand in logs: what callers could not connect for
+is told by them alone.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import StrEnum
+
+from piershore.telemetry.request_story import LogLine
+
+LONG_TOKENS = 100
+"""Shorter generations say little of an engine's pace."""
+BOUND_SHARE = 0.02
+"""The pace that only this part of the generations beat is taken as an engine's bound:
+the few below it were not timed well."""
+SERVER_ERROR = 500
+
+
+class LossCause(StrEnum):
+    """Why a request was not served, or was served late."""
+
+    GATEWAY_ENDED = "gateway ended"
+    NO_LAST_LINE = "open when the log ends"
+    ENDPOINT_FAILED = "endpoint's own failure"
+    BROKEN_OFF = "stream broken off"
+    CALLER_GONE = "caller gone"
+    LATE_FIRST = "late: first part"
+    LATE_PAUSE = "late: pause"
+    LATE_WHOLE = "late: whole answer"
+
+
+@dataclass(frozen=True)
+class Loss:
+    """A request that was not served, or late; `seconds` since the first log line."""
+
+    request: str
+    route: str
+    seconds: float
+    cause: str
+    is_late: bool = False
+
+
+@dataclass(frozen=True)
+class StreamPace:
+    """How fast a whole generation came, its first event not counted."""
+
+    request: str
+    endpoint: str
+    tokens: int
+    token_seconds: float
+    moves: int
+
+
+@dataclass
+class _Request:
+    """The lines of one request at one box."""
+
+    lines: list[LogLine] = field(default_factory=list)
+
+    @property
+    def route(self) -> str:
+        """The route of its attempts, if it had any."""
+        names = (line.fields.get("route") for line in self.lines)
+        return str(next(filter(None, names), "-"))
+
+    def last(self, *events: str) -> LogLine | None:
+        """Return the last line of these events."""
+        found = (line for line in reversed(self.lines) if line.event in events)
+        return next(found, None)
+
+
+@dataclass(frozen=True)
+class LossReview:
+    """All requests of a span of logs, with what was lost and how fast streams came.
+
+    `omitted` lines were left out by the gateways' budget.
+    """
+
+    requests: int
+    losses: tuple[Loss, ...]
+    paces: tuple[StreamPace, ...]
+    omitted: int
+
+    @property
+    def bound(self) -> float:
+        """Return the seconds a token that engines reach when nothing disturbs them."""
+        paces = sorted(pace.token_seconds for pace in self.paces)
+        return paces[int(BOUND_SHARE * len(paces))] if paces else 0.0
+
+    def by_cause(self) -> list[dict[str, object]]:
+        """Return the losses of each route and cause, the most frequent first."""
+        counts = Counter((loss.route, loss.cause) for loss in self.losses)
+        return [
+            {"route": route, "cause": cause, "requests": count}
+            for (route, cause), count in counts.most_common()
+        ]
+
+    def by_moment(self, window: float) -> list[dict[str, object]]:
+        """Return the losses of each window of seconds."""
+        rows: dict[int, Counter[str]] = defaultdict(Counter)
+        for loss in self.losses:
+            rows[int(loss.seconds // window)][loss.cause] += 1
+        return [
+            {
+                "from_second": number * window,
+                "requests": causes.total(),
+                "causes": ", ".join(f"{c}: {n}" for c, n in causes.most_common()),
+            }
+            for number, causes in sorted(rows.items())
+        ]
+
+    def by_engine(self) -> list[dict[str, object]]:
+        """Return the pace of long streams by the engine where they ended."""
+        groups: dict[str, list[StreamPace]] = defaultdict(list)
+        for pace in self.paces:
+            groups[pace.endpoint].append(pace)
+        rows = [_pace_row(name, group, self.bound) for name, group in groups.items()]
+        rows.sort(key=lambda row: -row["ms_a_token"])
+        if self.paces:
+            rows.append(_pace_row("all", self.paces, self.bound))
+            rows.append(_pace_row("longest tenth", self._longest_tenth(), self.bound))
+        return rows
+
+    def _longest_tenth(self) -> list[StreamPace]:
+        ordered = sorted(self.paces, key=lambda pace: -pace.tokens)
+        return ordered[: max(1, len(ordered) // 10)]
+
+
+def review_losses(lines: Iterable[LogLine], longest_pause: float) -> LossReview:
+    """Review logs; a stream whose pause is above `longest_pause` seconds is late."""
+    ordered = sorted(lines, key=lambda line: line.at)
+    if not ordered:
+        return LossReview(0, (), (), 0)
+    began = ordered[0].at
+    requests = _group(ordered)
+    ends = _ends_of_boxes(ordered)
+    losses: list[Loss] = []
+    for (box, name), request in requests.items():
+        first = request.lines[0].at
+        cause = _cause(request, ends.get(box, ()), longest_pause)
+        if cause:
+            seconds = (first - began).total_seconds()
+            is_late = cause.startswith("late")
+            losses.append(Loss(name, request.route, seconds, cause, is_late))
+    paces = tuple(pace for r in requests.values() for pace in _paces(r))
+    omitted = sum(
+        int(line.fields.get("count", 0))
+        for line in ordered
+        if line.event == "events_omitted"
+    )
+    return LossReview(len(requests), tuple(losses), paces, omitted)
+
+
+def _group(lines: Iterable[LogLine]) -> dict[tuple[str, str], _Request]:
+    requests: dict[tuple[str, str], _Request] = defaultdict(_Request)
+    for line in lines:
+        if line.request:
+            requests[line.box, line.request].lines.append(line)
+    return requests
+
+
+def _ends_of_boxes(lines: Iterable[LogLine]) -> dict[str, list[datetime]]:
+    """Return when processes of each box started again: the one before had ended."""
+    ends: dict[str, list[datetime]] = defaultdict(list)
+    for line in lines:
+        if line.event == "process_started":
+            ends[line.box].append(line.at)
+    return ends
+
+
+def _cause(
+    request: _Request, starts: Iterable[datetime], longest_pause: float
+) -> str | None:
+    """Return why a request was lost or late; None if it was neither."""
+    answered = request.last("request_answered")
+    if answered is not None:
+        return _cause_of_answer(answered, longest_pause)
+    refused = request.last("request_refused")
+    if refused is not None:
+        return f"refused: {refused.fields.get('status')} {refused.fields.get('code')}"
+    if request.last("stream_broken_off") is not None:
+        return LossCause.BROKEN_OFF
+    if request.last("caller_gone") is not None:
+        return LossCause.CALLER_GONE
+    last = request.lines[-1].at
+    has_ended = any(start > last for start in starts)
+    return LossCause.GATEWAY_ENDED if has_ended else LossCause.NO_LAST_LINE
+
+
+def _cause_of_answer(answered: LogLine, longest_pause: float) -> LossCause | None:
+    fields = answered.fields
+    if int(fields.get("status", 0)) >= SERVER_ERROR:
+        return LossCause.ENDPOINT_FAILED
+    aim = float(fields.get("aim") or float("inf"))
+    is_stream = int(fields.get("made_tokens", 0)) > 0
+    if float(fields.get("first_seconds", 0.0)) > aim:
+        return LossCause.LATE_FIRST if is_stream else LossCause.LATE_WHOLE
+    if float(fields.get("longest_pause", 0.0)) > longest_pause:
+        return LossCause.LATE_PAUSE
+    return None
+
+
+def _paces(request: _Request) -> Iterator[StreamPace]:
+    answered = request.last("request_answered")
+    if answered is None:
+        return
+    fields = answered.fields
+    tokens = int(fields.get("made_tokens", 0))
+    if tokens > LONG_TOKENS:
+        seconds = float(fields["seconds"]) - float(fields["first_seconds"])
+        yield StreamPace(
+            answered.request,
+            str(fields.get("endpoint")),
+            tokens,
+            seconds / tokens,
+            int(fields.get("moves", 0)),
+        )
+
+
+def _pace_row(
+    name: str, paces: Iterable[StreamPace], bound: float
+) -> dict[str, object]:
+    paces = list(paces)
+    tokens = sum(pace.tokens for pace in paces)
+    mean = sum(pace.token_seconds * pace.tokens for pace in paces) / tokens
+    return {
+        "engine": name,
+        "streams": len(paces),
+        "tokens": tokens,
+        "ms_a_token": round(1_000 * mean, 2),
+        "of_bound": round(mean / bound, 2) if bound else 0.0,
+        "moves": sum(pace.moves for pace in paces),
+    }
--- a/src/piershore/telemetry/request_story.py
+++ b/src/piershore/telemetry/request_story.py
@@ -24,6 +24,7 @@
         "events_omitted",
     }
 )
+LINE_START = b'{"time"'
 HIDDEN_FIELDS = frozenset({"time", "box", "event", "request"})
 
 
@@ -73,21 +74,28 @@
 def read_lines(texts: Iterable[bytes]) -> Iterator[LogLine]:
     """Decode log lines; what isn't one, or has a prefix before it, is passed over."""
     for text in texts:
-        start = text.find(b'{"time"')
-        if start < 0:
-            continue
-        try:
-            record = orjson.loads(text[start:])
-            yield LogLine(
-                datetime.fromisoformat(record["time"]),
-                str(record["box"]),
-                str(record["event"]),
-                str(record.get("request", "")),
-                {k: v for k, v in record.items() if k not in HIDDEN_FIELDS},
-            )
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
-            # A line that was cut by a kill; the others still tell.
-            continue
+        start = text.find(LINE_START)
+        while start >= 0:
+            line = _decode(text[start:])
+            if line is not None:
+                yield line
+                break
+            # A line that was cut by a kill may have a whole one behind it.
+            start = text.find(LINE_START, start + 1)
+
+
+def _decode(text: bytes) -> LogLine | None:
+    try:
+        record = orjson.loads(text)
+        return LogLine(
+            datetime.fromisoformat(record["time"]),
+            str(record["box"]),
+            str(record["event"]),
+            str(record.get("request", "")),
+            {k: v for k, v in record.items() if k not in HIDDEN_FIELDS},
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return None
 
 
 def tell_story(lines: Iterable[LogLine], request: str) -> Iterator[StoryLine]:
