--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -6,6 +6,8 @@
 
 from absl import flags
 
+from piershore.core.mechanism import Mechanism
+
 CONFIG = flags.DEFINE_string("config", None, "settings file of the process")
 GATEWAY = flags.DEFINE_string(
     "gateway",
@@ -30,6 +32,9 @@
     ["projected_peak", "least_in_flight", "power_of_two", "memory_free_now"],
     "how a gateway of the platform ranks engines; all but the first are baselines",
 )
+WITHOUT = flags.DEFINE_multi_enum_class(
+    "without", [], Mechanism, "mechanisms that a gateway leaves out, for experiments"
+)
 WINDOW = flags.DEFINE_float("window", 2.0, "seconds of each row by moment", 0.1)
 LONGEST_PAUSE = flags.DEFINE_float(
     "longest_pause", 0.18, "pause in seconds above which a stream counts as late", 0.0
@@ -45,6 +50,7 @@
     "undo",
     "metrics_port",
     "placement",
+    "without",
     "window",
     "longest_pause",
 )
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -14,6 +14,7 @@
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement_policy import PlacementPolicy
+from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
 
 REMOTE_HALL_COST = 0.02
@@ -77,6 +78,7 @@
         health: EndpointHealth,
         random: Random,
         policy: PlacementPolicy,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._data_hall = data_hall
         self._directory = directory
@@ -84,6 +86,10 @@
         self._health = health
         self._random = random
         self._policy = policy
+        self._ejects = Mechanism.EJECTION not in disabled
+        self._failure_cost = _cost(FAILURE_COST, Mechanism.FAILURE_COST, disabled)
+        self._remote_cost = _cost(REMOTE_HALL_COST, Mechanism.HALL_PREFERENCE, disabled)
+        self._warm_up_cost = _cost(WARM_UP_COST, Mechanism.WARM_UP_COST, disabled)
 
     def for_call(
         self, service: str, now: float, excluded: Collection[str] = ()
@@ -118,7 +124,7 @@
         sound = [
             endpoint
             for endpoint in endpoints
-            if not self._health.is_ejected(endpoint.identity, now)
+            if not (self._ejects and self._health.is_ejected(endpoint.identity, now))
         ]
         sampled = sample(sound or endpoints, self._random)
         candidates = (self._candidate(endpoint, cost) for endpoint in sampled)
@@ -133,11 +139,11 @@
     def _candidate(self, endpoint: Endpoint, cost) -> Candidate:
         load = self._fleet_load.at(endpoint.identity)
         total = cost(endpoint, load) + self._random.random() * TIE_COST
-        total += FAILURE_COST * self._health.failure_rate(endpoint.identity)
+        total += self._failure_cost * self._health.failure_rate(endpoint.identity)
         if endpoint.data_hall != self._data_hall:
-            total += REMOTE_HALL_COST
+            total += self._remote_cost
         if endpoint.warm_up > 0:
-            total += WARM_UP_COST
+            total += self._warm_up_cost
         return Candidate(endpoint, load, total)
 
     @staticmethod
@@ -147,3 +153,7 @@
 
 def _all(endpoints: list[Endpoint], random: Random) -> list[Endpoint]:
     return endpoints
+
+
+def _cost(cost: float, mechanism: Mechanism, disabled: frozenset[Mechanism]) -> float:
+    return 0.0 if mechanism in disabled else cost
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -16,6 +16,7 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import PlainWork
 from piershore.core.fleet.placement import Choice
+from piershore.core.mechanism import Mechanism
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
 from piershore.ingress.attempt_log import note_attempt, note_failure
@@ -174,6 +175,8 @@
         is_repeatable = exchange.route.kind is RequestKind.REPEATABLE
         if not is_repeatable or self._runs + 1 >= exchange.route.max_attempts:
             return float("inf")
+        if not self._state.uses(Mechanism.PATIENCE):
+            return float("inf")
         patience = PATIENCE_OF_AIM * exchange.route.target_latency
         # No time is left when the process stood still since the request came.
         return max(0.0, min(patience, exchange.time_left / 2))
--- a/src/piershore/ingress/copy_calls.py
+++ b/src/piershore/ingress/copy_calls.py
@@ -31,7 +31,9 @@
         """Copy the memory while the generation goes on."""
         return await self._move(request, handover, is_last=False)
 
-    async def stop(self, request: str, handover: Handover, noticed: float) -> None:
+    async def stop(
+        self, request: str, handover: Handover, noticed: float
+    ) -> MoveResult | None:
         """Stop the generation, so that its stream ends and goes on at the target.
 
         The target reads again what the copy lacks, some tens of tokens: that is
@@ -42,6 +44,7 @@
         ended = "moved" if result else "refused"
         ingress_metrics.MOVES.labels(ended).inc()
         self._log_end(request, handover, ended, trio.current_time() - noticed)
+        return result
 
     async def release(self, request: str, handover: Handover, copy: MemoryCopy) -> None:
         """Free the copy of a stream that ended meanwhile."""
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -14,6 +14,7 @@
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
+from piershore.core.mechanism import Mechanism
 from piershore.early_port import BACKLOG, take_over
 from piershore.ingress.call_forwarder import CallForwarder
 from piershore.ingress.caller_service import CallerService
@@ -76,6 +77,7 @@
         endpoint_reports: EndpointReports,
         metrics_port: int | None = None,
         placement_policy: str = DEFAULT_PLACEMENT,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._settings = settings
         self._log = EventLog(settings.name)
@@ -86,6 +88,7 @@
             self._log,
             Random(),
             placement_policy,
+            disabled,
         )
         self._live = LiveStreams()
         self._moves = MoveCoordinator(self._state, self._live, mover)
@@ -155,8 +158,10 @@
             async with trio.open_nursery() as nursery:
                 self._moves.start(nursery, link)
                 await self._start(nursery, link, documents)
-                nursery.start_soon(self._supervise, outages.run)
-                nursery.start_soon(self._supervise, silences.run)
+                if self._state.uses(Mechanism.OUTAGE_QUESTIONS):
+                    nursery.start_soon(self._supervise, outages.run)
+                if self._state.uses(Mechanism.SILENCE_QUESTIONS):
+                    nursery.start_soon(self._supervise, silences.run)
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
                 )
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -19,6 +19,7 @@
     DEFAULT_PLACEMENT,
     PLACEMENT_POLICIES,
 )
+from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.ports import RequestDialect
@@ -33,6 +34,7 @@
 class GatewayState:
     """Beliefs, decisions and connections of one gateway.
 
+    `disabled` mechanisms are left out for an experiment;
     `gateways` is how many gateways are thought to live, this one included;
     `announce` tells peers soon of work that began, or of a configuration.
     `leaving_since` is when the process was told to stop, `stops_at` when it ends at the
@@ -45,6 +47,7 @@
     log: EventLog
     random: Random
     placement_policy: str = DEFAULT_PLACEMENT
+    disabled: frozenset[Mechanism] = frozenset()
     configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
@@ -67,8 +70,13 @@
             self.health,
             self.random,
             PLACEMENT_POLICIES[self.placement_policy](),
+            self.disabled,
         )
 
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Tell whether a mechanism is on."""
+        return mechanism not in self.disabled
+
     @property
     def is_leaving(self) -> bool:
         """Whether the process was told to stop."""
@@ -88,4 +96,6 @@
 
     def may_retry(self, service: str) -> bool:
         """Take a retry from the budget, if there is one."""
+        if not self.uses(Mechanism.SECOND_RUNS):
+            return False
         return self.allowance(service).spend(trio.current_time(), self.gateways)
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -21,6 +21,7 @@
     PlannedMove,
 )
 from piershore.core.fleet.fleet_load import CopyWork
+from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.ingress.copy_calls import CopyCalls
 from piershore.ingress.gateway_state import GatewayState
@@ -101,6 +102,8 @@
         engine = self._engine(source.service)
         if engine is None or not engine.can_move or self._nursery is None:
             return
+        if not self._state.uses(Mechanism.MOVES):
+            return
         evacuation = Evacuation(source, engine, trio.current_time(), reason)
         self._nursery.start_soon(self._guard, evacuation, streams)
 
@@ -168,6 +171,8 @@
         reservation = CopyWork(stream.work)
         self._state.fleet_load.add(target.identity, reservation)
         try:
+            if not self._state.uses(Mechanism.FIRST_COPIES):
+                return await self._stop_and_copy(stream, evacuation, handover)
             copied = await self._copy(stream, handover)
             if copied is None:
                 return False
@@ -184,6 +189,16 @@
             if handover.copy is None and stream.handover is handover:
                 stream.handover = None
 
+    async def _stop_and_copy(
+        self, stream: LiveStream, evacuation: Evacuation, handover: Handover
+    ) -> bool:
+        """Move without a copy made before, for an experiment."""
+        result = await self._calls.stop(
+            stream.exchange.identity, handover, evacuation.noticed
+        )
+        handover.copy = result.copy if result else None
+        return True
+
     def _switch_to_backup(self, stream: LiveStream, evacuation: Evacuation) -> None:
         """Let the stream go on where its memory already is."""
         stream.handover = backup_handover(stream)
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -20,6 +20,7 @@
     silent_after,
 )
 from piershore.core.fleet.watchers import WatcherView, watches_store
+from piershore.core.mechanism import Mechanism
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
@@ -122,6 +123,8 @@
 
     def should_watch(self) -> bool:
         """Tell whether this gateway should watch the store by itself."""
+        if not self._state.uses(Mechanism.FEW_WATCHERS):
+            return True
         peers = (
             WatcherView(p.host, p.report.data_hall, p.report.reads_store)
             for p in self.table.living(trio.current_time())
@@ -193,7 +196,8 @@
         now = trio.current_time()
         if not self.table.take(report, now):
             return
-        self._state.fleet_load.take_report(report.host, report.loads, now)
+        if self._state.uses(Mechanism.PEER_LOADS):
+            self._state.fleet_load.take_report(report.host, report.loads, now)
         for note in report.departed:
             if note in self._departed or note in self._heard:
                 continue
--- a/src/piershore/ingress/stream_memory.py
+++ b/src/piershore/ingress/stream_memory.py
@@ -8,6 +8,7 @@
 from piershore.core.fleet.generation_admission import has_memory
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import Choice
+from piershore.core.mechanism import Mechanism
 from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
@@ -64,6 +65,8 @@
 
     def fits(self, choice: Choice) -> bool:
         """Tell whether the chosen endpoint has memory for the generation."""
+        if not self._state.uses(Mechanism.ADMISSION):
+            return True
         spec = self._exchange.configuration.services.get(choice.endpoint.service)
         if spec is None or spec.engine is None:
             return True
@@ -71,6 +74,8 @@
 
     def choose_backup(self, endpoint: Endpoint, now: float) -> Endpoint | None:
         """Return where the memory is to be copied as it grows, if it should be."""
+        if not self._state.uses(Mechanism.BACKUPS):
+            return None
         spec = self._exchange.configuration.services.get(endpoint.service)
         engine = spec.engine if spec else None
         load = self._state.fleet_load.at(endpoint.identity)
--- a/src/piershore/platform/gateway.py
+++ b/src/piershore/platform/gateway.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from piershore.core.mechanism import Mechanism
 from piershore.ingress.daemon import IngressDaemon
 from piershore.platform.box_settings_file import load_box_settings
 from piershore.platform.engine_mover import EngineMover
@@ -12,8 +13,15 @@
 from piershore.platform.headers import PlatformDialect
 
 
-def run_gateway(metrics_port: int | None, placement_policy: str) -> None:
-    """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings."""
+def run_gateway(
+    metrics_port: int | None,
+    placement_policy: str,
+    disabled: frozenset[Mechanism] = frozenset(),
+) -> None:
+    """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings.
+
+    `disabled` mechanisms are left out, for an experiment.
+    """
     settings = load_box_settings()
     daemon = IngressDaemon(
         settings,
@@ -24,5 +32,6 @@
         EngineReports(),
         metrics_port,
         placement_policy,
+        disabled,
     )
     trio.run(daemon.run)
