Let streams and calls outlive connections that go silent for good

A stream whose connection is silent was moved, and then lost: the gateway waited for the end of the stopped run on the silent connection. It now stops reading 0.25 s after the run was stopped; the target makes again what was not received.

Both scenarios fail without their part; the soak plays such silences too.

--- a/devtools/soak/fault_proxy.py
+++ b/devtools/soak/fault_proxy.py
@@ -32,6 +32,8 @@
         self._scopes: set[trio.CancelScope] = set()
         self._changed = trio.Event()
         self._fault = LinkFault.NONE
+        self._opened = 0
+        self._silenced = 0
         self.port = 0
 
     @property
@@ -48,6 +50,10 @@
             for scope in list(self._scopes):
                 scope.cancel()
 
+    def silence_open(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        self._silenced = self._opened
+
     async def serve(self, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
@@ -60,13 +66,15 @@
             self._reset(caller)
             return
         target = None
+        self._opened += 1
+        number = self._opened
         try:
             with trio.CancelScope() as scope:
                 self._scopes.add(scope)
                 target = await trio.open_tcp_stream(*self._target())
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._pump, caller, target, False)
-                    await self._pump(target, caller, True)
+                    nursery.start_soon(self._pump, number, caller, target, False)
+                    await self._pump(number, target, caller, True)
                     nursery.cancel_scope.cancel()
         except* OSError:
             pass
@@ -77,10 +85,10 @@
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
 
-    async def _pump(self, source, sink, is_answer: bool) -> None:
+    async def _pump(self, number: int, source, sink, is_answer: bool) -> None:
         try:
             while data := await source.receive_some(CHUNK_BYTES):
-                await self._hold(is_answer)
+                await self._hold(number, is_answer)
                 await sink.send_all(data)
             await sink.send_eof()
         except trio.BrokenResourceError:
@@ -89,7 +97,9 @@
         except trio.ClosedResourceError:
             return
 
-    async def _hold(self, is_answer: bool) -> None:
+    async def _hold(self, number: int, is_answer: bool) -> None:
+        if number <= self._silenced:
+            await trio.sleep_forever()
         if self._fault is LinkFault.DELAY:
             await trio.sleep(DELAY_SECONDS)
         while self._fault is LinkFault.SILENCE or (
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -15,6 +15,7 @@
 
 Fault = Callable[["Troubles"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
+OF_STORE_SHARE = 0.3
 BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 BAD_STORES = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 
@@ -109,6 +110,18 @@
     troubles.gateway().send_signal(signal.SIGHUP)
 
 
+@fault
+async def silent_connections(troubles: Troubles) -> None:
+    """Open connections to an endpoint, or to the store, go silent for good."""
+    gateway = troubles.gateway()
+    endpoint = troubles.random.choice(troubles.fleet.endpoints)
+    if troubles.random.random() < OF_STORE_SHARE:
+        gateway.store_link.silence_open()
+        gateway.disturb()
+    else:
+        endpoint.link.silence_open()
+
+
 @fault
 async def store_link(troubles: Troubles) -> None:
     """A gateway's link to the store is bad."""
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/call_forwarder.py
@@ -32,8 +32,10 @@
 """Longest rest of a connection for what may run only once: a connection that the
 endpoint has closed leaves it open whether the request ran."""
 IDLE_OF_REPEATABLE_SECONDS = 4.0
-PATIENCE_OF_AIM = 1.6
-"""A repeatable request waits this many latency aims before another endpoint."""
+SILENT_AIMS = 1.6
+"""Latency aims without an answer after which a repeatable request goes to another
+endpoint, and the kept connections to this one may have gone silent: each of up to 8
+would cost one more call its whole time."""
 COME_BACK_SECONDS = 0.25
 """When a refused caller may find a place: calls take some tens of ms."""
 
@@ -150,6 +152,10 @@
             self._runs += attempt.may_have_run
             self._state.fleet_load.remove(endpoint.identity, work)
             await attempt.close()
+            seconds = trio.current_time() - started
+            if attempt.is_unanswered and seconds >= self._silent_seconds:
+                with trio.CancelScope(shield=True):
+                    await self._state.pool.drop(endpoint.address)
 
     async def _exchange_with(self, attempt: EndpointAttempt) -> WholeAnswer | None:
         answer = await attempt.start(self._exchange.order())
@@ -169,6 +175,10 @@
             AttemptOutcome.FAILED_ANSWER, f"the endpoint answered {answer.status}"
         )
 
+    @property
+    def _silent_seconds(self) -> float:
+        return SILENT_AIMS * self._exchange.route.target_latency
+
     def _patience(self) -> float:
         """Return how long to wait for this attempt, in seconds."""
         exchange = self._exchange
@@ -177,7 +187,7 @@
             return float("inf")
         if not self._state.uses(Mechanism.PATIENCE):
             return float("inf")
-        patience = PATIENCE_OF_AIM * exchange.route.target_latency
+        patience = self._silent_seconds
         # No time is left when the process stood still since the request came.
         return max(0.0, min(patience, exchange.time_left / 2))
 
--- a/src/piershore/ingress/endpoint_attempt.py
+++ b/src/piershore/ingress/endpoint_attempt.py
@@ -41,6 +41,11 @@
         self.answer: EndpointAnswer | None = None
         self.may_have_run = False
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the request was sent and no head of an answer has come."""
+        return self.may_have_run and self.head is None
+
     async def start(self, order: ForwardOrder) -> EndpointAnswer:
         """Send the request and read the answer's head.
 
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/move_coordinator.py
@@ -41,6 +41,10 @@
 about 1 ms, a notice reaches all watches within some ms."""
 RETRY_SECONDS = 0.04
 """Pause before asking again for a generation that has not begun."""
+STOPPED_RUN_SECONDS = 0.25
+"""Longest wait for the end of a run that was stopped: it comes within some ms, or 0.2 s
+after a lost packet. On a connection that has gone silent for good it never comes, and
+the stream was lost though its memory had been moved."""
 COPY_ATTEMPTS = 3
 """Targets that are tried for one stream; each refusal takes a few ms."""
 
@@ -180,6 +184,7 @@
             request = stream.exchange.identity
             if self._is_at(stream, handover.source):
                 await self._calls.stop(request, handover, evacuation.noticed)
+                self._nursery.start_soon(self._end_reading, stream, handover)
             elif not self._live.is_live(stream):
                 await self._calls.release(request, handover, copied.copy)
             return True
@@ -189,6 +194,16 @@
             if handover.copy is None and stream.handover is handover:
                 stream.handover = None
 
+    async def _end_reading(self, stream: LiveStream, handover: Handover) -> None:
+        """Stop waiting for the end of a stopped run whose connection is silent.
+
+        What its endpoint made and was not received is made again at the target.
+        """
+        await trio.sleep(STOPPED_RUN_SECONDS)
+        is_waiting = self._is_at(stream, handover.source)
+        if is_waiting and stream.handover is handover and not stream.is_given_up:
+            stream.give_up_endpoint()
+
     async def _stop_and_copy(
         self, stream: LiveStream, evacuation: Evacuation, handover: Handover
     ) -> bool:
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -253,7 +253,7 @@
 
     def _take_copy(self, name: str) -> bool:
         holder = self._memory.copies.get(name)
-        if holder != self.address or name in self._memory.used:
+        if holder != self.listed_as() or name in self._memory.used:
             return False
         self._memory.used.add(name)
         return True
@@ -276,7 +276,7 @@
         if order["last"]:
             scope.cancel()
         handle = f"h-{order['id']}"
-        self._memory.copies[f"{self.address}/{handle}"] = order["target_version"]
+        self._memory.copies[f"{self.listed_as()}/{handle}"] = order["target_version"]
         answer = orjson.dumps({"handle": handle, "made": 1})
         await self.respond(arrival, 200, self.move_answer or answer)
 
