Notice a store that answers nobody within a second, by overdue watches

Watches end at different moments now, 2.4 to 4 s; gateways tell each other when the store last answered and whether an answer is overdue; with one overdue and none for 0.75 s, engines are asked whether they leave. Scenario: an engine that leaves 3.5 s after the store fell silent lost its stream.

--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -81,3 +81,17 @@
 
   Scenario: what stands for a list of endpoints
     Then it is the same from any order, another after each change, and worked out once
+
+  Scenario Outline: whether the store answers nobody: <ages>
+    Then with the gateways' last answers <ages> s ago the store <state>
+
+    Examples:
+      | ages                    | state                |
+      | 0.2, 0.3, 2.5           | does not seem silent |
+      | 0.2 overdue, 3 overdue  | does not seem silent |
+      | 2.9, 3.5, 2.8           | does not seem silent |
+      | 0.9, 1.0 overdue, 1.4   | seems silent         |
+      | 2.4 overdue             | seems silent         |
+
+  Scenario: what gateways tell each other of the store
+    Then a report tells of the store's last answer, also if there was none
--- a/features/ingress_silence.feature
+++ b/features/ingress_silence.feature
@@ -11,6 +11,12 @@
     When the connections go silent for good in the middle of a stream
     Then the stream is whole, each event once and in order
 
+  @tokens_once_in_order @planned_stop_cuts_nothing
+  Scenario: the store answers nobody any more, and an engine leaves
+    Given a gateway before two engines that are reached over links
+    When the store falls silent and the engine of a stream leaves 3.5 s later
+    Then the stream is whole, each event once and in order
+
   @accepted_config_in_force
   Scenario: the connections to the store, at one of two gateways
     Given 2 gateways, the second over a link to the store
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -50,6 +50,7 @@
     report_interval,
     silent_after,
 )
+from piershore.core.fleet.store_silence import seems_silent, StoreSign
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.route import RequestKind
@@ -441,8 +442,13 @@
 """Part of the datagrams that a busy network loses."""
 
 
+NO_SIGN = StoreSign(0.0, False)
+
+
 def peer_reports(host, number):
-    return PeerReport(host, "ikeja", "life", number, 0, 0, 0, True, False, (), {}, {})
+    return PeerReport(
+        host, "ikeja", "life", number, 0, 0, 0, True, False, NO_SIGN, (), {}, {}
+    )
 
 
 @then("with {gateways:d} gateways each counts all others as living, at any time")
@@ -552,3 +558,26 @@
     one.put(endpoints[2])
     with patch.object(EndpointDirectory, "__iter__", side_effect=AssertionError):
         assert one.fingerprint in seen
+
+
+def store_signs(text):
+    """Read signs as "0.2, 4 overdue": seconds since an answer, by gateway."""
+    for word in text.split(","):
+        age, _, mark = word.strip().partition(" ")
+        yield StoreSign(float(age), mark == "overdue")
+
+
+@then("with the gateways' last answers {ages} s ago the store {state}")
+def check_store_state(context, ages, state):
+    expected = {"seems silent": True, "does not seem silent": False}[state]
+    assert seems_silent(store_signs(ages)) is expected
+
+
+@then("a report tells of the store's last answer, also if there was none")
+def check_sign_told(context):
+    for told, read in (
+        ((0.5, True), (0.5, True)),
+        ((float("inf"), False), (3_600.0, False)),
+    ):
+        report = replace(peer_reports("10.0.0.1", 1), store_sign=StoreSign(*told))
+        assert PeerReport.decode(report.encode()).store_sign == StoreSign(*read)
--- a/features/steps/ingress_silence_steps.py
+++ b/features/steps/ingress_silence_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import trio
 from behave import given, then, when
 from ingress_steps import IN_FORCE_SECONDS, Reading, wait_for_peers, with_route
@@ -10,10 +12,14 @@
 from devtools.ports import free_port
 from devtools.soak.fault_proxy import FaultProxy
 from piershore.core.fleet.endpoint import Address
+from piershore.ingress import daemon
+from standins.published_store import StoreFault
 
 EVENTS = 120
 EVENTS_BEFORE = 20
 SIZE = "100,{}"
+SLOW_PACE_SECONDS = 0.05
+SHORT_WATCH_SECONDS = 1.0
 DEADLINE_MS = "400"
 """Short enough for kept connections not to grow too old meanwhile."""
 
@@ -89,6 +95,26 @@
     context.ingress.run(script)
 
 
+@when("the store falls silent and the engine of a stream leaves {seconds:g} s later")
+def silence_the_store(context, seconds):
+    async def script(world):
+        await open_links(world)
+        for endpoint in world.endpoints:
+            endpoint.pace = SLOW_PACE_SECONDS
+        reading = context.reading = Reading(world, EVENTS, SIZE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reading.read)
+            await reading.wait_events(EVENTS_BEFORE)
+            source = reading.running_at()
+            world.store.fault = StoreFault.SILENT
+            source.state = "draining"
+            await trio.sleep(seconds)
+            source.crash()
+
+    with patch.object(daemon, "WATCH_SECONDS", SHORT_WATCH_SECONDS):
+        context.ingress.run(script)
+
+
 @then("the stream is whole, each event once and in order")
 def check_stream(context):
     reply = context.reading.reply
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -9,9 +9,12 @@
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import StreamNote
+from piershore.core.fleet.store_silence import StoreSign
 from piershore.errors import PiershoreError
 
 NOTE_FLAGS = 2
+LONGEST_AGE_SECONDS = 3_600.0
+"""Told for an answer that came so long ago, or never."""
 
 
 class InvalidReportError(PiershoreError):
@@ -32,6 +35,7 @@
 class PeerReport:
     """A gateway's beliefs and work; a new life has another `incarnation`.
 
+    `store_sign` tells of the store's last answer to it;
     `fingerprint` stands for the list of endpoints that it knows, `members` are
     hosts of gateways that it heard of lately, told only now and then, `leaving` are
     its generations at endpoints that leave, `departed` the endpoints that left lately.
@@ -46,6 +50,7 @@
     fingerprint: int
     reads_store: bool
     is_leaving: bool
+    store_sign: StoreSign
     members: tuple[str, ...]
     loads: Mapping[str, EndpointLoad]
     leaving: Mapping[str, tuple[StreamNote, ...]]
@@ -64,6 +69,8 @@
                 self.fingerprint,
                 self.reads_store,
                 self.is_leaving,
+                min(self.store_sign.answer_age, LONGEST_AGE_SECONDS),
+                self.store_sign.is_overdue,
                 self.members,
                 {
                     identity: [
@@ -107,6 +114,7 @@
                 fingerprint,
                 bool(numbers[4]),
                 bool(numbers[5]),
+                StoreSign(float(numbers[6]), bool(numbers[7])),
                 tuple(map(str, members)),
                 {k: EndpointLoad(*map(int, v)) for k, v in loads.items()},
                 {k: tuple(map(_note, notes)) for k, notes in leaving.items()},
--- a/src/piershore/ingress/configuration_follower.py
+++ b/src/piershore/ingress/configuration_follower.py
@@ -16,9 +16,8 @@
     def __init__(
         self, state: GatewayState, feed: ConfigurationFeed, watch_seconds: float
     ) -> None:
-        super().__init__(state, "configuration")
+        super().__init__(state, "configuration", watch_seconds)
         self._feed = feed
-        self._watch_seconds = watch_seconds
         self._document: bytes | None = None
 
     @property
@@ -56,8 +55,8 @@
         self._take_from_store(document)
         return revision
 
-    async def _take_changes_after(self, revision: int) -> int:
-        document, reached = await self._feed.changes(revision, self._watch_seconds)
+    async def _take_changes_after(self, revision: int, wait: float) -> int:
+        document, reached = await self._feed.changes(revision, wait)
         self._take_from_store(document)
         return reached
 
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -14,6 +14,7 @@
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
+from piershore.core.fleet.store_silence import StoreSign
 from piershore.core.mechanism import Mechanism
 from piershore.early_port import BACKLOG, take_over
 from piershore.ingress.call_forwarder import CallForwarder
@@ -134,6 +135,7 @@
             self._settings,
             self._live,
             self._reads_store,
+            self._store_sign,
             self._endpoints.note_departed,
         )
         self._peers = link
@@ -259,6 +261,13 @@
         link = self._endpoints.link
         return not link.is_out and link.is_fresh(WATCH_SECONDS + FRESH_SLACK_SECONDS)
 
+    def _store_sign(self) -> StoreSign:
+        signs = (self._configuration.link.sign(), self._endpoints.link.sign())
+        return StoreSign(
+            min(sign.answer_age for sign in signs),
+            any(sign.is_overdue for sign in signs),
+        )
+
     def _is_ready(self) -> bool:
         return (
             not self._state.is_leaving
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/endpoint_follower.py
@@ -40,9 +40,8 @@
         watch_seconds: float,
         on_departure: OnDeparture,
     ) -> None:
-        super().__init__(state, "endpoints")
+        super().__init__(state, "endpoints", watch_seconds)
         self._feed = feed
-        self._watch_seconds = watch_seconds
         self._on_departure = on_departure
         self._is_known = False
 
@@ -79,8 +78,8 @@
         self._log_findings()
         return revision
 
-    async def _take_changes_after(self, revision: int) -> int:
-        changes, reached = await self._feed.changes(revision, self._watch_seconds)
+    async def _take_changes_after(self, revision: int, wait: float) -> int:
+        changes, reached = await self._feed.changes(revision, wait)
         self._take_changes(changes)
         self._state.directory.advance(reached)
         self._log_findings()
--- a/src/piershore/ingress/outage_watch.py
+++ b/src/piershore/ingress/outage_watch.py
@@ -49,12 +49,18 @@
         """Ask from time to time, for ever, while the store is out for all."""
         while True:
             await trio.sleep(ASK_SECONDS)
-            if not self._endpoints.link.is_out or self._peers.hears_store_reader():
+            if not self._store_is_out():
                 continue
             async with trio.open_nursery() as nursery:
                 for endpoint in list(self._to_ask()):
                     nursery.start_soon(self._ask, endpoint)
 
+    def _store_is_out(self) -> bool:
+        """Tell whether no gateway learns from the store that an engine leaves."""
+        if self._peers.store_seems_silent():
+            return True
+        return self._endpoints.link.is_out and not self._peers.hears_store_reader()
+
     def _to_ask(self) -> Iterator[Endpoint]:
         configuration = self._state.configuration.value
         services = configuration.services if configuration else {}
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -19,6 +19,7 @@
     report_interval,
     silent_after,
 )
+from piershore.core.fleet.store_silence import seems_silent, StoreSign
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.gateway_state import GatewayState
@@ -50,6 +51,7 @@
         settings: BoxSettings,
         live: LiveStreams,
         reads_store: Callable[[], bool],
+        store_sign: Callable[[], StoreSign],
         on_departed: Callable[[DepartureNote], None],
     ) -> None:
         self._state = state
@@ -58,6 +60,7 @@
         self._port = settings.peer_ports[0]
         self._live = live
         self._reads_store = reads_store
+        self._store_sign = store_sign
         self._on_departed = on_departed
         self._departed: dict[DepartureNote, float] = {}
         self._heard: dict[DepartureNote, float] = {}
@@ -157,6 +160,7 @@
             fingerprint=state.directory.fingerprint,
             reads_store=self._reads_store(),
             is_leaving=state.is_leaving,
+            store_sign=self._store_sign(),
             members=self.table.members(now) if self._tells_members(now) else (),
             loads=state.fleet_load.own_loads(),
             leaving=dict(self._leaving_notes()),
@@ -182,6 +186,18 @@
         living = self.table.living(trio.current_time())
         return any(peer.report.reads_store for peer in living)
 
+    def store_seems_silent(self) -> bool:
+        """Tell whether the store answers nobody, as far as is known."""
+        return seems_silent(self._store_signs())
+
+    def _store_signs(self) -> Iterator[StoreSign]:
+        yield self._store_sign()
+        now = trio.current_time()
+        for peer in self.table.living(now):
+            sign = peer.report.store_sign
+            age = sign.answer_age + now - peer.heard_at
+            yield StoreSign(age, sign.is_overdue)
+
     def notes_at(self, identity: str) -> Iterator[StreamNote]:
         """Yield what living peers tell of their generations at an endpoint."""
         for peer in self.table.living(trio.current_time()):
--- a/src/piershore/ingress/store_follower.py
+++ b/src/piershore/ingress/store_follower.py
@@ -14,6 +14,9 @@
 
 NOT_WATCHING_SECONDS = 0.1
 """How often a gateway that leaves the watching to others sees if it still may."""
+WATCH_PARTS = (0.6, 1.0)
+"""Parts of the longest wait that watches take: a change wakes all of them together, and
+they are to end at different moments."""
 
 
 def always() -> bool:
@@ -24,8 +27,9 @@
 class StoreFollower(ABC):
     """Reads a state from the store once, and then its changes."""
 
-    def __init__(self, state: GatewayState, name: str) -> None:
+    def __init__(self, state: GatewayState, name: str, watch_seconds: float) -> None:
         self._state = state
+        self._watch_seconds = watch_seconds
         self._revision: int | None = None
         self._scope: trio.CancelScope | None = None
         self._should_watch: Callable[[], bool] = always
@@ -57,7 +61,7 @@
         """Take the whole state; return its revision."""
 
     @abstractmethod
-    async def _take_changes_after(self, revision: int) -> int:
+    async def _take_changes_after(self, revision: int, wait: float) -> int:
         """Wait for changes and take them; return the revision reached."""
 
     async def _follow(self) -> None:
@@ -77,7 +81,13 @@
                 await self.link.note_failure(f"{error.code}: {error.message}")
 
     async def _step(self) -> None:
-        if self._revision is None:
-            self._revision = await self._read()
-        else:
-            self._revision = await self._take_changes_after(self._revision)
+        try:
+            if self._revision is None:
+                self.link.expect_answer(0.0)
+                self._revision = await self._read()
+                return
+            wait = self._watch_seconds * self._state.random.uniform(*WATCH_PARTS)
+            self.link.expect_answer(wait)
+            self._revision = await self._take_changes_after(self._revision, wait)
+        finally:
+            self.link.expect_nothing()
--- a/src/piershore/ingress/store_link.py
+++ b/src/piershore/ingress/store_link.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from piershore.core.fleet.store_silence import OVERDUE_SECONDS, StoreSign
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import DependencyLost, DependencyRegained
 
@@ -28,6 +29,7 @@
         self._failing_since = 0.0
         self._last_outage = float("-inf")
         self._last_success = float("-inf")
+        self._due_at = float("inf")
 
     @property
     def is_out(self) -> bool:
@@ -46,6 +48,20 @@
         self._failures = 0
         self._last_success = trio.current_time()
 
+    def expect_answer(self, within: float) -> None:
+        """Note a call that is to be answered within so many seconds."""
+        self._due_at = trio.current_time() + within
+
+    def expect_nothing(self) -> None:
+        """Note that no call is under way."""
+        self._due_at = float("inf")
+
+    def sign(self) -> StoreSign:
+        """Return when the last answer came, and whether one is overdue."""
+        now = trio.current_time()
+        is_overdue = now - self._due_at > OVERDUE_SECONDS
+        return StoreSign(now - self._last_success, is_overdue)
+
     def is_fresh(self, longest: float) -> bool:
         """Tell whether a call was answered within the last `longest` seconds."""
         return trio.current_time() - self._last_success < longest
