--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -95,3 +95,16 @@
 
   Scenario: what gateways tell each other of the store
     Then a report tells of the store's last answer, also if there was none
+
+  @not_run_means_not_run
+  Scenario Outline: when a caller that a stopping gateway refuses may come back
+    Given gateways that were told to stop <ago> s ago, with a grace of 8 s
+    When others <others>
+    Then a refused caller is told to come back in <seconds> s
+
+    Examples:
+      | ago      | others  | seconds |
+      | 3.0      | stay    | 0.02    |
+      | 3.0      | stop    | 6.2     |
+      | 3.0, 7.0 | stop    | 2.2     |
+      | 9.5      | stop    | 0.02    |
--- a/features/ingress_start.feature
+++ b/features/ingress_start.feature
@@ -49,3 +49,9 @@
       | no number     |
       | a taken port  |
       | bytes, no text |
+
+  @not_run_means_not_run
+  Scenario: all gateways stop at once, and refuse what may last long
+    Given 2 gateways before sound endpoints
+    When both have been stopping for some seconds and a long stream is asked for
+    Then it is refused with the time at which one is back
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -10,7 +10,7 @@
 import orjson
 import trio
 from absl import flags
-from behave import then, when
+from behave import given, then, when
 from hypothesis import example, settings
 from hypothesis import given as given_data
 from hypothesis import strategies as st
@@ -22,6 +22,7 @@
     final_status,
     may_try_again,
 )
+from piershore.core.attempts.leaving import come_back_seconds
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -581,3 +582,21 @@
     ):
         report = replace(peer_reports("10.0.0.1", 1), store_sign=StoreSign(*told))
         assert PeerReport.decode(report.encode()).store_sign == StoreSign(*read)
+
+
+@given("gateways that were told to stop {ago} s ago, with a grace of {grace:g} s")
+def given_stopping(context, ago, grace):
+    context.stopped = [-float(word) for word in ago.split(",")]
+    context.grace = grace
+
+
+@when("others {others}")
+def given_others(context, others):
+    context.seconds = come_back_seconds(
+        context.stopped, context.grace, 0.0, others_stay=others == "stay"
+    )
+
+
+@then("a refused caller is told to come back in {seconds:g} s")
+def check_come_back(context, seconds):
+    assert abs(context.seconds - seconds) < 1e-6, context.seconds
--- a/features/steps/ingress_start_steps.py
+++ b/features/steps/ingress_start_steps.py
@@ -9,9 +9,11 @@
 
 import trio
 from behave import given, then, when
+from ingress_steps import wait_for_peers
 from support.ingress_world import IngressWorld
 
 from devtools.ports import free_port
+from piershore.core.attempts.leaving import START_SECONDS
 from piershore.core.fleet.endpoint import Address
 from piershore.early_port import open_early, take_over
 from piershore.http1.client_connection import ClientConnection
@@ -176,3 +178,32 @@
     assert take_over(HOST, context.address.port) is None
     if context.holder is not None:
         context.holder.close()
+
+
+STOPPING_SECONDS = 3.0
+
+
+@when("both have been stopping for some seconds and a long stream is asked for")
+def ask_while_stopping(context):
+    async def script(world):
+        await wait_for_peers(world)
+        now = trio.current_time()
+        for settings, served in world.gateways.values():
+            served._state.leaving_since = now - STOPPING_SECONDS
+            served._state.stops_at = now - STOPPING_SECONDS + settings.stop_grace
+        _, first = world.gateways[0]
+        while first._peers.living_hosts():
+            await trio.sleep(0.01)
+        context.grace = world.gateways[0][0].stop_grace
+        context.reply = await world.call("stream", size="100,8000", request="abc")
+
+    context.ingress.run(script)
+
+
+@then("it is refused with the time at which one is back")
+def check_told_return(context):
+    assert context.reply.status == 503, vars(context.reply)
+    told = float(context.reply.headers["retry-after"])
+    expected = context.grace - STOPPING_SECONDS + START_SECONDS
+    assert expected - 1.0 < told <= expected, told
+    assert not context.ingress.runs("model")
--- a/src/piershore/ingress/caller_service.py
+++ b/src/piershore/ingress/caller_service.py
@@ -24,8 +24,6 @@
 from piershore.ingress.stream_forwarder import StreamForwarder
 from piershore.telemetry.events import CallerGone
 
-LEAVING_SECONDS = 0.02
-"""When to come back after a refusal by a gateway that stops: at once, elsewhere."""
 UNKNOWN_CONFIGURATION_SECONDS = 0.5
 """When to come back to a gateway that has just started: a read takes some ms."""
 LOOKS = 2
@@ -176,8 +174,8 @@
             raise RequestRefusedError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 "leaving",
-                "this gateway stops; another one takes the request now",
-                LEAVING_SECONDS,
+                "this gateway stops; another one takes the request",
+                state.seconds_until_taken(),
             )
 
     async def _forward(self, exchange: Exchange) -> None:
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -140,6 +140,7 @@
         )
         self._peers = link
         self._state.announce = link.announce
+        self._state.seconds_until_taken = link.seconds_until_taken
         self._configuration.use_watchers(link.should_watch)
         self._endpoints.use_watchers(link.should_watch)
         documents = PeerDocuments(
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from piershore.core.attempts.leaving import AT_ONCE_SECONDS
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
@@ -30,6 +31,11 @@
     """Tell nobody: there are no peers yet."""
 
 
+def _at_once() -> float:
+    """Return when to come back as long as no peers are known."""
+    return AT_ONCE_SECONDS
+
+
 @dataclass
 class GatewayState:
     """Beliefs, decisions and connections of one gateway.
@@ -37,8 +43,9 @@
     `disabled` mechanisms are left out for an experiment;
     `gateways` is how many gateways are thought to live, this one included;
     `announce` tells peers soon of work that began, or of a configuration.
-    `leaving_since` is when the process was told to stop, `stops_at` when it ends at the
-    latest.
+    `seconds_until_taken` tells when a caller that this gateway refuses, since it
+    leaves, finds another one. `leaving_since` is when the process was told to stop,
+    `stops_at` when it ends at the latest.
     """
 
     data_hall: str
@@ -60,6 +67,7 @@
     gateways: int = 1
     in_flight: int = 0
     announce: Callable[..., None] = _nothing
+    seconds_until_taken: Callable[[], float] = _at_once
     _allowances: dict[str, RetryAllowance] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peer_link.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from piershore.core.attempts.leaving import come_back_seconds, START_SECONDS
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.peer_report import (
     DepartureNote,
@@ -58,6 +59,7 @@
         self._host = settings.host
         self._data_hall = settings.data_hall
         self._port = settings.peer_ports[0]
+        self._grace = settings.stop_grace
         self._live = live
         self._reads_store = reads_store
         self._store_sign = store_sign
@@ -71,6 +73,7 @@
         self._number = 0
         self._socket: trio.socket.SocketType | None = None
         self._living: set[str] = set()
+        self._leaving_since: dict[str, float] = {}
         self._living_changed_at = float("-inf")
 
     async def start(self) -> None:
@@ -181,6 +184,17 @@
         living = self.table.living(trio.current_time())
         return [peer.host for peer in living if not peer.report.is_leaving]
 
+    def seconds_until_taken(self) -> float:
+        """Return when a caller that is refused here finds a gateway that stays."""
+        own = self._state.leaving_since
+        known = [*self._leaving_since.values(), *([own] if own is not None else [])]
+        return come_back_seconds(
+            known,
+            self._grace,
+            trio.current_time(),
+            others_stay=bool(self.living_hosts()),
+        )
+
     def hears_store_reader(self) -> bool:
         """Tell whether a living peer reads the store."""
         living = self.table.living(trio.current_time())
@@ -212,6 +226,10 @@
         now = trio.current_time()
         if not self.table.take(report, now):
             return
+        if report.is_leaving:
+            self._leaving_since.setdefault(report.host, now)
+        else:
+            self._leaving_since.pop(report.host, None)
         if self._state.uses(Mechanism.PEER_LOADS):
             self._state.fleet_load.take_report(report.host, report.loads, now)
         for note in report.departed:
@@ -229,12 +247,20 @@
             self._state.log.write(DependencyLost(f"peer {host}", "silent"))
         if living != self._living:
             self._living_changed_at = now
+            self._forget_returned(now)
         self._living = living
         self._state.gateways = len(living) + 1
         ingress_metrics.PEERS.set(len(living))
         counts_for = silent_after(len(self.table)) + PEER_LOAD_SECONDS
         self._state.fleet_load.forget_peers(now - counts_for)
 
+    def _forget_returned(self, now: float) -> None:
+        """Drop gateways that were told to stop and must be back, or never come."""
+        longest = self._grace + START_SECONDS
+        for host, since in list(self._leaving_since.items()):
+            if now - since > longest:
+                del self._leaving_since[host]
+
 
 def _drop_old(notes: dict[DepartureNote, float], now: float) -> None:
     for note in [note for note, until in notes.items() if until < now]:
--- a/src/piershore/telemetry/event_log.py
+++ b/src/piershore/telemetry/event_log.py
@@ -9,6 +9,7 @@
 import logging as standard_logging
 import os
 import re
+import select
 import traceback
 from collections import deque
 from dataclasses import fields
@@ -26,6 +27,9 @@
 """Buffer for a reader that is slow, some seconds at the budget."""
 FLUSH_SECONDS = 0.25
 """Lines are written in batches: each write costs a system call."""
+MOST_WRITTEN_BYTES = select.PIPE_BUF
+"""Lines written in one call: so much goes into a pipe as a whole. Readers that take a
+part of a larger write left out up to 0.2 s of a busy gateway's lines."""
 OUTPUT = 1
 TRACEBACK_LINES = 6
 
@@ -103,7 +107,7 @@
             count, handler.omitted = handler.omitted, 0
             self.write(EventsOmitted(count), is_failure=True)
         while handler.lines:
-            batch = b"".join(handler.lines)
+            batch = self._next_batch()
             try:
                 written = os.write(self._output, batch)
             except (BlockingIOError, BrokenPipeError):
@@ -112,6 +116,17 @@
             if written < len(batch):
                 return
 
+    def _next_batch(self) -> bytes:
+        """Return the next lines that one call writes, one line at least."""
+        lines: list[bytes] = []
+        size = 0
+        for line in self._handler.lines:
+            size += len(line)
+            if lines and size > MOST_WRITTEN_BYTES:
+                break
+            lines.append(line)
+        return b"".join(lines)
+
     def _drop_written(self, written: int) -> None:
         handler = self._handler
         handler.size -= written
