Let endpoints cost more in halls whose streams stall

A link that loses packets holds a stream up for 0.2 s a lost packet, more than the aim. Each gateway keeps the moving share of parts that came 0.18 s late, by the endpoint's hall, and adds ten times that share to the endpoint's cost.

--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -26,6 +26,7 @@
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
 from piershore.core.fleet.generation_admission import come_back_seconds, has_memory
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
@@ -142,6 +143,7 @@
             EndpointHealth(),
             Random(seed + number),
             PLACEMENT_POLICIES[policy](),
+            HallStalls(),
         )
 
     def notes_at(self, engine: SimulatedEngine) -> Iterator[StreamNote]:
--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -108,3 +108,15 @@
       | 3.0      | stop    | 6.2     |
       | 3.0, 7.0 | stop    | 2.2     |
       | 9.5      | stop    | 0.02    |
+
+  Scenario Outline: a generation at ikeja when streams from lekki have <pauses>
+    Given an engine at ikeja that holds <tokens> tokens, and an empty one at lekki
+    When streams from lekki have <pauses>
+    Then the generation is placed at <hall>
+
+    Examples:
+      | tokens | pauses                               | hall  |
+      | 6000   | 50 parts, none late                  | lekki |
+      | 6000   | 50 parts, 2 of them 0.21 s late      | ikeja |
+      | 6000   | 2 late parts, and 100 in time since  | lekki |
+      | 20000  | 50 parts, 2 of them 0.21 s late      | lekki |
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -39,6 +39,7 @@
 )
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.peer_report import PeerReport
 from piershore.core.fleet.peer_table import PeerTable
 from piershore.core.fleet.placement import Placement
@@ -432,7 +433,7 @@
         loads.take_report(f"peer-{number}", OnceReadLoads(report), 0.0)
     policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
     placement = Placement(
-        "ikeja", directory, loads, EndpointHealth(), Random(1), policy
+        "ikeja", directory, loads, EndpointHealth(), Random(1), policy, HallStalls()
     )
     work = GenerationWork(GenerationSize(100, 100), 50)
     choice = placement.for_generation("model", work, ENGINE, 0.0)
@@ -522,7 +523,7 @@
         directory.put(endpoint)
     policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
     placement = Placement(
-        "ikeja", directory, loads, EndpointHealth(), Random(1), policy
+        "ikeja", directory, loads, EndpointHealth(), Random(1), policy, HallStalls()
     )
     work = GenerationWork(GenerationSize(100, 100), 50)
     assert placement.for_generation("model", work, ENGINE, 0.0) is not None
@@ -600,3 +601,41 @@
 @then("a refused caller is told to come back in {seconds:g} s")
 def check_come_back(context, seconds):
     assert abs(context.seconds - seconds) < 1e-6, context.seconds
+
+
+USUAL_GAP_SECONDS, LATE_GAP_SECONDS = 0.03, 0.21
+PAUSES = {
+    "50 parts, none late": [USUAL_GAP_SECONDS] * 50,
+    "50 parts, 2 of them 0.21 s late": [USUAL_GAP_SECONDS] * 38
+    + [LATE_GAP_SECONDS, *[USUAL_GAP_SECONDS] * 10, LATE_GAP_SECONDS],
+    "2 late parts, and 100 in time since": [LATE_GAP_SECONDS] * 2
+    + [USUAL_GAP_SECONDS] * 100,
+}
+
+
+@given("an engine at ikeja that holds {tokens:d} tokens, and an empty one at lekki")
+def given_two_halls(context, tokens):
+    directory, loads = EndpointDirectory(), FleetLoad()
+    near, far = fleet_of(2)
+    directory.put(replace(near, data_hall="ikeja"))
+    directory.put(replace(far, data_hall="lekki"))
+    held = EndpointLoad(1, tokens, tokens, 0)
+    loads.take_report("peer", {near.identity: held}, 0.0)
+    context.stalls = HallStalls()
+    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
+    context.placement = Placement(
+        "ikeja", directory, loads, EndpointHealth(), Random(1), policy, context.stalls
+    )
+
+
+@when("streams from lekki have {pauses}")
+def note_pauses(context, pauses):
+    for gap in PAUSES[pauses]:
+        context.stalls.note_part("lekki", gap)
+
+
+@then("the generation is placed at {hall}")
+def check_hall(context, hall):
+    work = GenerationWork(GenerationSize(100, 100), 50)
+    choice = context.placement.for_generation("model", work, ENGINE, 0.0)
+    assert choice.endpoint.data_hall == hall, choice
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -13,6 +13,7 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
+from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.placement_policy import PlacementPolicy
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
@@ -78,6 +79,7 @@
         health: EndpointHealth,
         random: Random,
         policy: PlacementPolicy,
+        stalls: HallStalls,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._data_hall = data_hall
@@ -86,6 +88,8 @@
         self._health = health
         self._random = random
         self._policy = policy
+        self._stalls = stalls
+        self._counts_stalls = Mechanism.STALL_COST not in disabled
         self._ejects = Mechanism.EJECTION not in disabled
         self._failure_cost = _cost(FAILURE_COST, Mechanism.FAILURE_COST, disabled)
         self._remote_cost = _cost(REMOTE_HALL_COST, Mechanism.HALL_PREFERENCE, disabled)
@@ -142,6 +146,8 @@
         total += self._failure_cost * self._health.failure_rate(endpoint.identity)
         if endpoint.data_hall != self._data_hall:
             total += self._remote_cost
+        if self._counts_stalls:
+            total += self._stalls.cost(endpoint.data_hall)
         if endpoint.warm_up > 0:
             total += self._warm_up_cost
         return Candidate(endpoint, load, total)
--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -33,6 +33,8 @@
     """In a larger fleet only some gateways watch the store."""
     HALL_PREFERENCE = "hall_preference"
     """Among equals an endpoint of the own data hall is chosen."""
+    STALL_COST = "stall_cost"
+    """Endpoints cost more in halls whose streams stall."""
     WARM_UP_COST = "warm_up_cost"
     """Endpoints that have just started cost more."""
     SECOND_RUNS = "second_runs"
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -14,6 +14,7 @@
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.fleet_load import FleetLoad
+from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import (
@@ -59,6 +60,7 @@
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     paces: EndpointPaces = field(default_factory=EndpointPaces)
+    stalls: HallStalls = field(default_factory=HallStalls)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
@@ -78,6 +80,7 @@
             self.health,
             self.random,
             PLACEMENT_POLICIES[self.placement_policy](),
+            self.stalls,
             self.disabled,
         )
 
--- a/src/piershore/ingress/stream_relay.py
+++ b/src/piershore/ingress/stream_relay.py
@@ -81,6 +81,8 @@
         is_first = stream.leg_began_at == float("inf")
         gap = None if is_first else now - stream.last_event_at
         self._state.paces.note_part(attempt.endpoint.identity, gap, now)
+        if gap is not None:
+            self._state.stalls.note_part(attempt.endpoint.data_hall, gap)
         stream.note_events(count, now, TOKENS_AN_EVENT)
 
     async def _send(self, attempt: EndpointAttempt, data: bytes) -> None:
