Part the gateway's package by concern; listeners apart from the daemon

Behaviour is unchanged, but for one thing: without a peer heard to stop, a stopping gateway still tells refused callers to come back at once.

--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -227,7 +227,7 @@
     ),
     Mutant(
         "a caller's leaving isn't seen",
-        "ingress/caller_service.py",
+        "ingress/callers/caller_service.py",
         "            nursery.start_soon(self._cancel_when_gone, exchange)\n",
         "",
         "ingress_calls",
@@ -255,14 +255,14 @@
     ),
     Mutant(
         "own standstill taken for an endpoint's silence",
-        "ingress/silence_watch.py",
+        "ingress/streams/silence_watch.py",
         "if stood_still(due, now):",
         "if False:",
         "ingress_streams",
     ),
     Mutant(
         "a stop for a move isn't told from the end",
-        "ingress/stream_relay.py",
+        "ingress/streams/stream_relay.py",
         "        if stream.is_given_up:\n            return",
         "        if False:\n            return",
         "ingress_streams",
@@ -281,7 +281,7 @@
         "    return batch.revision\n",
         "ingress_store",
         (
-            "ingress/store_follower.py",
+            "ingress/followers/store_follower.py",
             "missed changes: read all again.\n                self._revision = None\n",
             "missed changes.\n",
         ),
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -62,7 +62,7 @@
 from piershore.core.streams.event_splitter import EventSplitter
 from piershore.errors import PiershoreError
 from piershore.http1.message import RequestHead
-from piershore.ingress.endpoint_follower import SWEEP_SECONDS
+from piershore.ingress.followers.endpoint_follower import SWEEP_SECONDS
 from piershore.ingress.live_stream import Handover
 from piershore.platform.box_settings_file import read_box_settings
 from piershore.platform.endpoint_codec import decode_endpoint
--- a/features/steps/ingress_start_steps.py
+++ b/features/steps/ingress_start_steps.py
@@ -17,7 +17,7 @@
 from piershore.core.fleet.endpoint import Address
 from piershore.early_port import open_early, take_over
 from piershore.http1.client_connection import ClientConnection
-from piershore.ingress import daemon
+from piershore.ingress.callers import listeners
 from piershore.platform.callers_port import open_callers_port
 from piershore.platform.settings_lines import PATH_VARIABLE
 
@@ -53,7 +53,7 @@
 
 async def _start(context, world, settings):
     """Start the gateway whose port was taken."""
-    with patch.object(daemon, "READY_PATIENCE_SECONDS", context.patience):
+    with patch.object(listeners, "READY_PATIENCE_SECONDS", context.patience):
         await trio.sleep(UNREAD_SECONDS)
         await world.start_gateway(0, settings=settings, wait=False)
         if context.late_configuration is not None:
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -24,7 +24,7 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.message import RequestHead
-from piershore.ingress.endpoint_follower import TOGETHER_SECONDS
+from piershore.ingress.followers.endpoint_follower import TOGETHER_SECONDS
 from standins.published_endpoint import Silence
 from standins.published_store import PublishedStore, StoreFault
 
--- a/src/piershore/ingress/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -8,8 +8,8 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.core.fleet.placement import Candidate, Choice
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import AttemptFailedError
-from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import (
--- a/src/piershore/ingress/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -11,8 +11,8 @@
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import AttemptFailedError
-from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointAnswer, ForwardOrder
 
--- /dev/null
+++ b/src/piershore/ingress/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections: requests in, answers and refusals out."""
--- a/src/piershore/ingress/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -15,13 +15,13 @@
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import RequestHead
 from piershore.http1.server_connection import ServerConnection
-from piershore.ingress.answers import as_refusal, refuse
-from piershore.ingress.call_forwarder import CallForwarder
+from piershore.ingress.callers.answers import as_refusal, refuse
+from piershore.ingress.callers.exchange import Exchange
+from piershore.ingress.calls.call_forwarder import CallForwarder
 from piershore.ingress.exceptions import RequestRefusedError
-from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import CallerRequest
-from piershore.ingress.stream_forwarder import StreamForwarder
+from piershore.ingress.streams.stream_forwarder import StreamForwarder
 from piershore.telemetry.events import CallerGone
 
 UNKNOWN_CONFIGURATION_SECONDS = 0.5
--- /dev/null
+++ b/src/piershore/ingress/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Plain requests, answered as a whole."""
--- a/src/piershore/ingress/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -19,11 +19,11 @@
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
-from piershore.ingress.attempt_log import note_attempt, note_failure
-from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.attempts.attempt_log import note_attempt, note_failure
+from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
+from piershore.ingress.callers.exchange import Exchange
+from piershore.ingress.callers.final_refusal import final_refusal
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
-from piershore.ingress.exchange import Exchange
-from piershore.ingress.final_refusal import final_refusal
 from piershore.ingress.gateway_state import GatewayState
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import RequestAnswered
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -5,7 +5,6 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable
-from functools import partial
 from random import Random
 
 import trio
@@ -16,17 +15,18 @@
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.core.mechanism import Mechanism
-from piershore.early_port import BACKLOG, take_over
-from piershore.ingress.call_forwarder import CallForwarder
-from piershore.ingress.caller_service import CallerService
-from piershore.ingress.configuration_follower import ConfigurationFollower
-from piershore.ingress.endpoint_follower import EndpointFollower
+from piershore.ingress.callers.caller_service import CallerService
+from piershore.ingress.callers.listeners import Listeners
+from piershore.ingress.callers.status_service import StatusService
+from piershore.ingress.calls.call_forwarder import CallForwarder
+from piershore.ingress.followers.configuration_follower import ConfigurationFollower
+from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
-from piershore.ingress.move_coordinator import MoveCoordinator
-from piershore.ingress.outage_watch import OutageWatch
-from piershore.ingress.peer_documents import PeerDocuments
-from piershore.ingress.peer_link import PeerLink
+from piershore.ingress.moves.move_coordinator import MoveCoordinator
+from piershore.ingress.peers.outage_watch import OutageWatch
+from piershore.ingress.peers.peer_documents import PeerDocuments
+from piershore.ingress.peers.peer_link import PeerLink
 from piershore.ingress.ports import (
     ConfigurationFeed,
     EndpointFeed,
@@ -34,9 +34,8 @@
     GenerationMover,
     RequestDialect,
 )
-from piershore.ingress.silence_watch import SilenceWatch
-from piershore.ingress.status_service import StatusService
-from piershore.ingress.stream_forwarder import StreamForwarder
+from piershore.ingress.streams.silence_watch import SilenceWatch
+from piershore.ingress.streams.stream_forwarder import StreamForwarder
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
@@ -52,10 +51,6 @@
 """How long a watch waits: a silent cut shows after this; each call has a price."""
 FRESH_SLACK_SECONDS = 1.5
 """How much longer than a watch waits its answer may take to count as fresh."""
-READY_PATIENCE_SECONDS = 0.3
-"""Longest wait of callers for the first view of the store, which takes some tens of
-ms; with the store out they are refused at once after it."""
-READY_CHECK_SECONDS = 0.005
 LEAVE_SECONDS = 2.6
 """The platform takes a box out after two missed checks, one a second."""
 STOP_MARGIN_SECONDS = 0.4
@@ -176,19 +171,16 @@
         self, nursery: trio.Nursery, link: PeerLink, documents: PeerDocuments
     ) -> None:
         settings = self._settings
-        await self._listen_to_callers(nursery)
-        await self._listen(
-            nursery,
-            settings.ready_address.host,
-            settings.ready_address.port,
-            self._status.serve_readiness,
-        )
-        await self._listen(
-            nursery, settings.host, settings.peer_ports[0], documents.serve
+        listeners = Listeners(nursery, self._log)
+        await listeners.listen_to_callers(
+            settings.callers_address, self._callers.serve, self._is_ready
         )
+        ready = settings.ready_address
+        await listeners.listen(ready.host, ready.port, self._status.serve_readiness)
+        await listeners.listen(settings.host, settings.peer_ports[0], documents.serve)
         if self._metrics_port is not None:
-            await self._listen(
-                nursery, settings.host, self._metrics_port, self._status.serve_metrics
+            await listeners.listen(
+                settings.host, self._metrics_port, self._status.serve_metrics
             )
         for task in (
             self._configuration.run,
@@ -202,53 +194,6 @@
         ):
             nursery.start_soon(self._supervise, task)
 
-    async def _listen(
-        self,
-        nursery: trio.Nursery,
-        host: str,
-        port: int,
-        handler: Callable[[trio.SocketStream], Awaitable[None]],
-    ) -> None:
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-        self._take_connections(nursery, listeners, handler)
-
-    async def _listen_to_callers(self, nursery: trio.Nursery) -> None:
-        address = self._settings.callers_address
-        early = take_over(address.host, address.port)
-        if early is None:
-            listeners = await trio.open_tcp_listeners(
-                address.port, host=address.host, backlog=BACKLOG
-            )
-        else:
-            early_socket = trio.socket.from_stdlib_socket(early)
-            listeners = [trio.SocketListener(early_socket)]
-        nursery.start_soon(self._take_callers, nursery, listeners)
-
-    async def _take_callers(
-        self, nursery: trio.Nursery, listeners: list[trio.SocketListener]
-    ) -> None:
-        """Serve callers once this gateway knows where to send their requests."""
-        with trio.move_on_after(READY_PATIENCE_SECONDS):
-            while not self._is_ready():
-                await trio.sleep(READY_CHECK_SECONDS)
-        self._take_connections(nursery, listeners, self._callers.serve)
-
-    def _take_connections(
-        self,
-        nursery: trio.Nursery,
-        listeners: list[trio.SocketListener],
-        handler: Callable[[trio.SocketStream], Awaitable[None]],
-    ) -> None:
-        guarded = partial(self._guard, handler)
-        nursery.start_soon(partial(trio.serve_listeners, guarded, listeners))
-
-    async def _guard(self, handler, stream: trio.SocketStream) -> None:
-        """Keep a fault in one connection from ending the process."""
-        try:
-            await handler(stream)
-        except Exception as error:
-            self._log.write_fault(handler.__qualname__, error)
-
     async def _supervise(self, task: Callable[[], Awaitable[None]]) -> None:
         """Run a task for ever, again after a fault of the program."""
         while True:
--- /dev/null
+++ b/src/piershore/ingress/followers/__init__.py
@@ -0,0 +1,1 @@
+"""What is followed in the platform's store."""
--- a/src/piershore/ingress/configuration_follower.py
+++ b/src/piershore/ingress/followers/configuration_follower.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import ConfigurationFeed
-from piershore.ingress.store_follower import StoreFollower
 from piershore.platform.exceptions import InvalidObjectError
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import ConfigurationInForce, InvalidEntry
--- a/src/piershore/ingress/endpoint_follower.py
+++ b/src/piershore/ingress/followers/endpoint_follower.py
@@ -10,9 +10,9 @@
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
+from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointChange, EndpointFeed
-from piershore.ingress.store_follower import StoreFollower
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import InvalidEntry
 
--- a/src/piershore/ingress/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -8,8 +8,8 @@
 import trio
 
 from piershore.errors import PiershoreError
+from piershore.ingress.followers.store_link import StoreLink
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.store_link import StoreLink
 from piershore.platform.exceptions import WatchGapError
 
 NOT_WATCHING_SECONDS = 0.1
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -11,7 +11,7 @@
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.streams.delivered_events import DeliveredEvents
-from piershore.ingress.exchange import Exchange
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.ports import MemoryCopy
 
 BACK_AT_SOURCE_SECONDS = 1.0
--- /dev/null
+++ b/src/piershore/ingress/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of generations from one engine to another."""
--- a/src/piershore/ingress/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -23,7 +23,6 @@
 from piershore.core.fleet.fleet_load import CopyWork
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
-from piershore.ingress.copy_calls import CopyCalls
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import (
     backup_handover,
@@ -31,7 +30,8 @@
     LiveStream,
     LiveStreams,
 )
-from piershore.ingress.peer_link import PeerLink
+from piershore.ingress.moves.copy_calls import CopyCalls
+from piershore.ingress.peers.peer_link import PeerLink
 from piershore.ingress.ports import GenerationMover, MoveResult
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import MoveStarted
--- /dev/null
+++ b/src/piershore/ingress/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways tell each other, and do for all."""
--- a/src/piershore/ingress/outage_watch.py
+++ b/src/piershore/ingress/peers/outage_watch.py
@@ -15,9 +15,9 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.peer_report import DepartureNote
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
-from piershore.ingress.endpoint_follower import EndpointFollower
+from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.peer_link import PeerLink
+from piershore.ingress.peers.peer_link import PeerLink
 from piershore.ingress.ports import EndpointReports
 
 ASK_SECONDS = 0.25
--- a/src/piershore/ingress/peer_documents.py
+++ b/src/piershore/ingress/peers/peer_documents.py
@@ -18,10 +18,10 @@
 )
 from piershore.http1.message import RequestHead
 from piershore.http1.server_connection import ServerConnection
-from piershore.ingress.configuration_follower import ConfigurationFollower
-from piershore.ingress.endpoint_follower import EndpointFollower
+from piershore.ingress.followers.configuration_follower import ConfigurationFollower
+from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.peer_link import PeerLink
+from piershore.ingress.peers.peer_link import PeerLink
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry.events import DependencyLost
 
--- a/src/piershore/ingress/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -185,14 +185,15 @@
         return [peer.host for peer in living if not peer.report.is_leaving]
 
     def seconds_until_taken(self) -> float:
-        """Return when a caller that is refused here finds a gateway that stays."""
+        """Return when a caller that is refused here finds a gateway that stays.
+
+        With no peer heard to stop, others are taken to stay: they may not be known.
+        """
         own = self._state.leaving_since
         known = [*self._leaving_since.values(), *([own] if own is not None else [])]
+        others_stay = bool(self.living_hosts()) or not self._leaving_since
         return come_back_seconds(
-            known,
-            self._grace,
-            trio.current_time(),
-            others_stay=bool(self.living_hosts()),
+            known, self._grace, trio.current_time(), others_stay=others_stay
         )
 
     def hears_store_reader(self) -> bool:
--- /dev/null
+++ b/src/piershore/ingress/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams: opened, relayed, and continued at another endpoint."""
--- a/src/piershore/ingress/silence_watch.py
+++ b/src/piershore/ingress/streams/silence_watch.py
@@ -17,10 +17,10 @@
     SilentStream,
 )
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
-from piershore.ingress.attempt_log import note_ejection
+from piershore.ingress.attempts.attempt_log import note_ejection
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams
-from piershore.ingress.move_coordinator import MoveCoordinator, MoveReason
+from piershore.ingress.moves.move_coordinator import MoveCoordinator, MoveReason
 from piershore.ingress.ports import EndpointReports
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import StreamSilent
--- a/src/piershore/ingress/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -6,15 +6,15 @@
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.ingress.attempt_log import note_attempt, note_failure
-from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.attempts.attempt_log import note_attempt, note_failure
+from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.exceptions import AttemptFailedError
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import backup_handover, Handover, LiveStream
-from piershore.ingress.move_coordinator import MoveCoordinator
+from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.ingress.ports import MemoryCopy
-from piershore.ingress.stream_memory import StreamMemory
-from piershore.ingress.stream_opening import IDLE_OF_STREAM_SECONDS
+from piershore.ingress.streams.stream_memory import StreamMemory
+from piershore.ingress.streams.stream_opening import IDLE_OF_STREAM_SECONDS
 from piershore.telemetry.events import StreamContinued
 
 MOST_RUNS_ANEW = 2
--- a/src/piershore/ingress/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -8,16 +8,16 @@
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
-from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
-from piershore.ingress.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams
-from piershore.ingress.move_coordinator import MoveCoordinator
-from piershore.ingress.stream_continuation import StreamContinuation
-from piershore.ingress.stream_memory import StreamMemory
-from piershore.ingress.stream_opening import StreamOpening
-from piershore.ingress.stream_relay import StreamRelay
+from piershore.ingress.moves.move_coordinator import MoveCoordinator
+from piershore.ingress.streams.stream_continuation import StreamContinuation
+from piershore.ingress.streams.stream_memory import StreamMemory
+from piershore.ingress.streams.stream_opening import StreamOpening
+from piershore.ingress.streams.stream_relay import StreamRelay
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.events import RequestAnswered, StreamBrokenOff
 
--- a/src/piershore/ingress/stream_memory.py
+++ b/src/piershore/ingress/streams/stream_memory.py
@@ -9,7 +9,7 @@
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import Choice
 from piershore.core.mechanism import Mechanism
-from piershore.ingress.exchange import Exchange
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
 
--- a/src/piershore/ingress/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -13,13 +13,13 @@
 )
 from piershore.core.fleet.generation_admission import come_back_seconds
 from piershore.core.fleet.placement import Choice
-from piershore.ingress.attempt_log import note_attempt, note_failure
-from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.attempts.attempt_log import note_attempt, note_failure
+from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
+from piershore.ingress.callers.exchange import Exchange
+from piershore.ingress.callers.final_refusal import final_refusal
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
-from piershore.ingress.exchange import Exchange
-from piershore.ingress.final_refusal import final_refusal
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.stream_memory import StreamMemory
+from piershore.ingress.streams.stream_memory import StreamMemory
 from piershore.telemetry import ingress_metrics
 
 IDLE_OF_STREAM_SECONDS = 1.0
--- a/src/piershore/ingress/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -9,7 +9,7 @@
 from piershore.core.streams.delivered_events import MissingEventError
 from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
 from piershore.http1.exceptions import ExchangeBrokenError
-from piershore.ingress.endpoint_attempt import EndpointAttempt
+from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream
 
