--- a/features/ingress_streams.feature
+++ b/features/ingress_streams.feature
@@ -27,6 +27,13 @@
     And it went on at another endpoint 1 times
     And engines were asked only during the outage
 
+  @tokens_once_in_order @at_most_once
+  Scenario: a run was stopped, and no copy of its memory is known
+    Given 3 engines that garble moves
+    And the gateway makes no copy before it stops a run
+    When a stream of 60 events is read and its endpoint says that it leaves midway
+    Then it was not run again, and its caller sees that it isn't whole
+
   @tokens_once_in_order
   Scenario: the answer to a move can't be read
     Given 3 engines that garble moves
--- a/features/steps/ingress_silence_steps.py
+++ b/features/steps/ingress_silence_steps.py
@@ -12,6 +12,7 @@
 from devtools.ports import free_port
 from devtools.soak.fault_proxy import FaultProxy
 from piershore.core.fleet.endpoint import Address
+from piershore.core.mechanism import Mechanism
 from piershore.ingress import daemon
 from standins.published_store import StoreFault
 
@@ -150,3 +151,17 @@
         context.reply = await world.call("added", number=1)
 
     context.ingress.run(script)
+
+
+@given("the gateway makes no copy before it stops a run")
+def given_no_first_copies(context):
+    context.ingress.disabled = frozenset({Mechanism.FIRST_COPIES})
+    for endpoint in context.ingress.endpoints:
+        # The stream's end comes before the answer that names no copy.
+        endpoint.stop_answer_seconds = 0.1
+
+
+@then("it was not run again, and its caller sees that it isn't whole")
+def check_not_again(context):
+    assert context.ingress.runs("model") == 1, context.ingress.runs("model")
+    assert not context.reading.reply.is_whole
--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -116,6 +116,7 @@
         self._start_gateways = 1
         self.log_output = None
         self.has_metrics = False
+        self.disabled = frozenset()
 
     def add_endpoints(self, service, number, faults=()):
         for _ in range(number):
@@ -171,6 +172,7 @@
             StoredEndpointFeed(settings.store_address),
             EngineReports(),
             free_port() if self.has_metrics else None,
+            disabled=self.disabled,
         )
         if self.log_output is not None:
             daemon._log._output = self.log_output
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -84,6 +84,9 @@
             return None
         with trio.move_on_after(HANDOVER_SECONDS):
             await handover.is_settled.wait()
+        if handover.copy is None:
+            # Sent without a copy the request would run a second time.
+            return None
         for endpoint in handover.places(trio.current_time()):
             attempt = await self._resume_at(endpoint, handover.copy)
             if attempt is not None:
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -84,6 +84,7 @@
         self.state = "ready"
         self.move_seconds = 0.02
         self.move_answer: bytes | None = None
+        self.stop_answer_seconds = 0.0
         self.pace = PACE_SECONDS
         self.padding = b""
         self.silence: Silence | None = None
@@ -275,6 +276,7 @@
         await trio.sleep(self.move_seconds)
         if order["last"]:
             scope.cancel()
+            await trio.sleep(self.stop_answer_seconds)
         handle = f"h-{order['id']}"
         self._memory.copies[f"{self.listed_as()}/{handle}"] = order["target_version"]
         answer = orjson.dumps({"handle": handle, "made": 1})
