--- a/src/piershore/core/fleet/endpoint.py
+++ b/src/piershore/core/fleet/endpoint.py
@@ -34,10 +34,7 @@
 
 @dataclass(frozen=True)
 class Endpoint:
-    """One incarnation of an endpoint; a restart is another endpoint.
-
-    `warm_up` is how many seconds it is still slow after its start.
-    """
+    """One incarnation of an endpoint; a restart is another endpoint."""
 
     identity: str
     service: str
@@ -45,4 +42,3 @@
     data_hall: str
     slots: int
     stage: EndpointStage
-    warm_up: float = 0.0
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -22,8 +22,6 @@
 """A share of an endpoint; only decides between endpoints that are about equal."""
 FAILURE_COST = 4.0
 """How many endpoints' worth of load a failing endpoint seems to have."""
-WARM_UP_COST = 0.25
-"""Cost of an endpoint that is still slow after its start."""
 TIE_COST = 0.005
 """Spread among equals, so that gateways don't all choose the same endpoint."""
 
@@ -93,7 +91,6 @@
         self._ejects = Mechanism.EJECTION not in disabled
         self._failure_cost = _cost(FAILURE_COST, Mechanism.FAILURE_COST, disabled)
         self._remote_cost = _cost(REMOTE_HALL_COST, Mechanism.HALL_PREFERENCE, disabled)
-        self._warm_up_cost = _cost(WARM_UP_COST, Mechanism.WARM_UP_COST, disabled)
 
     def for_call(
         self, service: str, now: float, excluded: Collection[str] = ()
@@ -148,8 +145,6 @@
             total += self._remote_cost
         if self._counts_stalls:
             total += self._stalls.cost(endpoint.data_hall)
-        if endpoint.warm_up > 0:
-            total += self._warm_up_cost
         return Candidate(endpoint, load, total)
 
     @staticmethod
--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -35,8 +35,6 @@
     """Among equals an endpoint of the own data hall is chosen."""
     STALL_COST = "stall_cost"
     """Endpoints cost more in halls whose streams stall."""
-    WARM_UP_COST = "warm_up_cost"
-    """Endpoints that have just started cost more."""
     SECOND_RUNS = "second_runs"
     """What may run again or has not run is sent to another endpoint."""
     PATIENCE = "patience"
--- a/src/piershore/ingress/peers/peer_documents.py
+++ b/src/piershore/ingress/peers/peer_documents.py
@@ -176,12 +176,11 @@
         endpoint.data_hall,
         endpoint.slots,
         endpoint.stage,
-        endpoint.warm_up,
     ]
 
 
 def _endpoint(entry: list) -> Endpoint:
-    identity, service, address, data_hall, slots, stage, warm_up = entry
+    identity, service, address, data_hall, slots, stage = entry
     return Endpoint(
         identity,
         service,
@@ -189,5 +188,4 @@
         data_hall,
         slots,
         EndpointStage(stage),
-        warm_up,
     )
--- a/src/piershore/platform/endpoint_codec.py
+++ b/src/piershore/platform/endpoint_codec.py
@@ -18,8 +18,6 @@
             data_hall=spec.get("zone", ""),
             slots=int(spec.get("slots") or 1),
             stage=_stage(spec.get("state")),
-            # Time that is left of the slow phase after a start, at this entry.
-            warm_up=float(spec.get("cold_remaining_ms") or 0) / 1_000,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise InvalidObjectError(f"endpoint {name} can't be read: {error!r}") from error
