Count a failing answer that comes again elsewhere as the request's own

Failing answers are judged once the request is done: if a second endpoint fails it, too, none is blamed.

Scenarios: whose fault a failing answer is.

--- a/features/ingress_calls.feature
+++ b/features/ingress_calls.feature
@@ -108,3 +108,15 @@
     Given endpoints of the desk whose faults are "silent"
     When a caller leaves after 0.1 seconds
     Then the endpoint's connection is closed within 0.3 seconds
+
+  Scenario Outline: whose fault a failing answer is: <faults>
+    Given endpoints of the desk whose faults are "<faults>"
+    When a caller sends a "<kind>" request and the endpoints are judged
+    Then <number> endpoints count as failing
+
+    Examples:
+      | kind       | faults       | number |
+      | repeatable | fails, fails | 0      |
+      | repeatable | fails        | 1      |
+      | repeatable | fails, reset | 2      |
+      | once       | fails        | 1      |
--- a/features/steps/ingress_silence_steps.py
+++ b/features/steps/ingress_silence_steps.py
@@ -165,3 +165,19 @@
 def check_not_again(context):
     assert context.ingress.runs("model") == 1, context.ingress.runs("model")
     assert not context.reading.reply.is_whole
+
+
+@when('a caller sends a "{kind}" request and the endpoints are judged')
+def send_and_judge(context, kind):
+    async def script(world):
+        await world.call(kind, request="abc")
+        _, served = world.gateways[0]
+        rates = [served._state.health.failure_rate(e.identity) for e in world.endpoints]
+        context.failing = sum(rate > 0 for rate in rates)
+
+    context.ingress.run(script)
+
+
+@then("{number:d} endpoints count as failing")
+def check_failing(context, number):
+    assert context.failing == number, context.failing
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -59,6 +59,25 @@
     seconds: float,
 ) -> None:
     """Count and log a failed attempt, and judge the endpoint by it."""
+    log_failure(state, exchange, endpoint, error, seconds)
+    if error.outcome is not AttemptOutcome.REJECTED:
+        judge_failing(state, endpoint)
+
+
+def judge_failing(state: GatewayState, endpoint: Endpoint) -> None:
+    """Count a failure of an endpoint, which may leave it out for a while."""
+    if state.health.note_failure(endpoint.identity, trio.current_time()):
+        note_ejection(state, endpoint, "failures")
+
+
+def log_failure(
+    state: GatewayState,
+    exchange: Exchange,
+    endpoint: Endpoint,
+    error: AttemptFailedError,
+    seconds: float,
+) -> None:
+    """Count and log a failed attempt; whose fault it was isn't known yet."""
     ingress_metrics.ATTEMPTS.labels(error.outcome).inc()
     state.log.write(
         AttemptEnded(
@@ -66,10 +85,6 @@
         ),
         is_failure=True,
     )
-    if error.outcome is AttemptOutcome.REJECTED:
-        return
-    if state.health.note_failure(endpoint.identity, trio.current_time()):
-        note_ejection(state, endpoint, "failures")
 
 
 def note_ejection(state: GatewayState, endpoint: Endpoint, reason: str) -> None:
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -19,7 +19,12 @@
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
-from piershore.ingress.attempts.attempt_log import note_attempt, note_failure
+from piershore.ingress.attempts.attempt_log import (
+    judge_failing,
+    log_failure,
+    note_attempt,
+    note_failure,
+)
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.callers.final_refusal import final_refusal
@@ -36,6 +41,8 @@
 """Latency aims without an answer after which a repeatable request goes to another
 endpoint, and the kept connections to this one may have gone silent: each of up to 8
 would cost one more call its whole time."""
+FAILURES_OF_A_REQUEST = 2
+"""Endpoints whose failing answers belong to the request and not to them."""
 COME_BACK_SECONDS = 0.25
 """When a refused caller may find a place: calls take some tens of ms."""
 
@@ -88,10 +95,24 @@
         self._tried: list[str] = []
         self._runs = 0
         self._failed_answer: WholeAnswer | None = None
+        self._suspects: list[Endpoint] = []
         self.outcomes: list[AttemptOutcome] = []
 
     async def find_answer(self) -> WholeAnswer | None:
         """Try endpoints until one answers or none may be tried."""
+        answer = await self._try_endpoints()
+        # Two endpoints that both answer with a failure show that the request is at
+        # fault: of 50 first failures of a healthy service 35 came again.
+        is_own_fault = (
+            len(self._suspects) >= FAILURES_OF_A_REQUEST
+            and answer is self._failed_answer
+        )
+        if not is_own_fault:
+            for endpoint in self._suspects:
+                judge_failing(self._state, endpoint)
+        return answer
+
+    async def _try_endpoints(self) -> WholeAnswer | None:
         exchange = self._exchange
         service = exchange.route.service_for(exchange.identity)
         if service is None:
@@ -195,4 +216,8 @@
         self, endpoint: Endpoint, error: AttemptFailedError, seconds: float
     ) -> None:
         self.outcomes.append(error.outcome)
+        if error.outcome is AttemptOutcome.FAILED_ANSWER:
+            log_failure(self._state, self._exchange, endpoint, error, seconds)
+            self._suspects.append(endpoint)
+            return
         note_failure(self._state, self._exchange, endpoint, error, seconds)
