--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -26,7 +26,6 @@
 
   Scenario: who watches the store
     Then in any fleet 2 gateways of each data hall watch, and all when none is heard
-    And in any fleet of more than 6 two watchers take changes of endpoints at once
 
   Scenario: a plan for endpoints that leave
     Then each generation is planned once, the same from any order of notes
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -138,7 +138,6 @@
         self._state.seconds_until_taken = link.seconds_until_taken
         self._configuration.use_watchers(link.should_watch)
         self._endpoints.use_watchers(link.should_watch)
-        self._endpoints.use_pace(link.takes_changes_at_once)
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
         )
--- a/src/piershore/ingress/followers/endpoint_follower.py
+++ b/src/piershore/ingress/followers/endpoint_follower.py
@@ -10,7 +10,7 @@
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
-from piershore.ingress.followers.store_follower import always, StoreFollower
+from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointChange, EndpointFeed
 from piershore.telemetry import ingress_metrics
@@ -22,9 +22,6 @@
 """Pause after changes, so that those of one moment (engines that leave together) share
 a call. Each has a price and each change wakes all watchers; the shortest notice of an
 engine is fifty times longer."""
-PATIENT_SECONDS = 0.4
-"""The same pause of a watcher that hears from others which endpoints leave: an endpoint
-that is new or gone for sure may wait so long."""
 FEW_ENDPOINTS = 2
 """Endpoints of a service that go at once without notice, and half of them all,
 are taken to have lapsed: endpoints are replaced a few at a time."""
@@ -47,17 +44,12 @@
         self._feed = feed
         self._on_departure = on_departure
         self._is_known = False
-        self._takes_at_once: Callable[[], bool] = always
 
     @property
     def is_known(self) -> bool:
         """Whether a whole list was taken."""
         return self._is_known
 
-    def use_pace(self, takes_at_once: Callable[[], bool]) -> None:
-        """Take changes together while `takes_at_once` is false."""
-        self._takes_at_once = takes_at_once
-
     async def sweep(self) -> None:
         """Drop entries that did not come back after an outage, for ever."""
         while True:
@@ -92,8 +84,7 @@
         self._state.directory.advance(reached)
         self._log_findings()
         if changes:
-            at_once = self._takes_at_once()
-            await trio.sleep(TOGETHER_SECONDS if at_once else PATIENT_SECONDS)
+            await trio.sleep(TOGETHER_SECONDS)
         return reached
 
     def _log_findings(self) -> None:
--- a/src/piershore/ingress/peers/peer_documents.py
+++ b/src/piershore/ingress/peers/peer_documents.py
@@ -33,8 +33,6 @@
 """How long a view may be behind a peer's before it is mended: a change reaches
 all watches within some tens of ms."""
 DIFFERENT_SECONDS = 0.5
-"""The same of a watcher; one that takes changes together is behind while it takes none
-at all for so long."""
 CHECK_SECONDS = 0.1
 PAUSE_AFTER_MENDING_SECONDS = 0.6
 
@@ -80,7 +78,6 @@
         """Mend what is behind the peers, for ever."""
         behind_since: float | None = None
         different_since: float | None = None
-        revision = 0
         while True:
             await trio.sleep(CHECK_SECONDS)
             now = trio.current_time()
@@ -88,10 +85,6 @@
             behind_since = (behind_since or now) if ahead else None
             other = self._ahead_in_endpoints(now)
             different_since = (different_since or now) if other else None
-            if revision != self._state.directory.revision:
-                revision = self._state.directory.revision
-                if different_since and not self._link.takes_changes_at_once():
-                    different_since = now
             if ahead and (
                 self._state.configuration.value is None
                 or now - behind_since > BEHIND_SECONDS
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -21,11 +21,7 @@
     silent_after,
 )
 from piershore.core.fleet.store_silence import seems_silent, StoreSign
-from piershore.core.fleet.watchers import (
-    takes_changes_at_once,
-    WatcherView,
-    watches_store,
-)
+from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
@@ -135,19 +131,12 @@
         """Tell whether this gateway should watch the store by itself."""
         if not self._state.uses(Mechanism.FEW_WATCHERS):
             return True
-        return watches_store(self._host, self._data_hall, self._watcher_views())
-
-    def takes_changes_at_once(self) -> bool:
-        """Tell whether this gateway, if it watches, takes each change at once."""
-        if not self._state.uses(Mechanism.FEW_WATCHERS):
-            return True
-        return takes_changes_at_once(self._host, self._data_hall, self._watcher_views())
-
-    def _watcher_views(self) -> Iterator[WatcherView]:
-        for peer in self.table.living(trio.current_time()):
-            report = peer.report
-            if not report.is_leaving:
-                yield WatcherView(peer.host, report.data_hall, report.reads_store)
+        peers = (
+            WatcherView(p.host, p.report.data_hall, p.report.reads_store)
+            for p in self.table.living(trio.current_time())
+            if not p.report.is_leaving
+        )
+        return watches_store(self._host, self._data_hall, peers)
 
     async def send_now(self) -> None:
         """Send one report to each peer."""
