--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -10,8 +10,9 @@
 import orjson
 import trio
 from behave import given, then, when
-from ingress_steps import Reading, say_leaving, SMALL_SIZE
+from ingress_stream_steps import say_leaving
 from support.ingress_world import IngressWorld
+from support.stream_reading import Reading, SMALL_SIZE
 
 from piershore.commands.command import ExitCode
 from standins.published_store import StoreFault
--- /dev/null
+++ b/features/steps/ingress_belief_steps.py
@@ -0,0 +1,271 @@
+"""Steps for what gateways believe of versions, endpoints, peers and the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+from unittest.mock import patch
+
+from behave import given, then, when
+from hypothesis import strategies as st
+from support.core_checks import checked, endpoint, fleet_of
+
+from piershore.core.attempts.attempt_outcome import (
+    AttemptOutcome,
+    final_status,
+    may_try_again,
+)
+from piershore.core.attempts.leaving import come_back_seconds
+from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.endpoint import EndpointStage
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_health import (
+    EndpointHealth,
+    FAILURES_BEFORE_EJECTION,
+)
+from piershore.core.fleet.peer_report import PeerReport
+from piershore.core.fleet.peer_table import PeerTable
+from piershore.core.fleet.report_pace import (
+    is_small_fleet,
+    report_interval,
+    silent_after,
+)
+from piershore.core.fleet.store_silence import seems_silent, StoreSign
+from piershore.core.fleet.watchers import WatcherView, watches_store
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.routes.route import RequestKind
+from piershore.core.routes.serving_configuration import ServingConfiguration
+from piershore.ingress.followers.endpoint_follower import SWEEP_SECONDS
+
+
+@then(
+    "no sequence of outcomes leads to an untrue 503 or a second run of a once request"
+)
+def check_outcomes(context):
+    @checked(
+        st.lists(st.sampled_from(AttemptOutcome), min_size=1, max_size=6),
+        st.sampled_from(RequestKind),
+    )
+    def check(outcomes, kind):
+        made = []
+        for outcome in outcomes:
+            made.append(outcome)
+            if not may_try_again(kind, outcome):
+                break
+        maybe_run = [o for o in made if not o.proves_not_run]
+        if kind is not RequestKind.REPEATABLE:
+            assert len(maybe_run) <= 1
+        if AttemptOutcome.ANSWERED not in made:
+            assert (final_status(tuple(made)) == 503) == (not maybe_run)
+
+
+@then("the version in force never goes back")
+def check_versions(context):
+    @checked(st.lists(st.integers(1, 50)))
+    def check(versions):
+        current = CurrentConfiguration()
+        highest = 0
+        for version in versions:
+            taken = current.offer(ServingConfiguration(version, {}, {}, {}))
+            assert taken == (version > highest)
+            highest = max(highest, version)
+            assert current.version == highest
+
+
+@then("an endpoint that said it leaves is never given again")
+def check_directory(context):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        directory = EndpointDirectory()
+        left, now = set(), 0.0
+        for _ in range(60):
+            now += random.random()
+            identity = f"i-{random.randrange(6)}"
+            action = random.choice(["ready", "leaving", "gone", "lapse", "list"])
+            if action == "list":
+                names = {f"i-{random.randrange(6)}" for _ in range(4)}
+                departed = directory.replace_all(
+                    map(endpoint, names),
+                    directory.revision + 1,
+                    now,
+                    after_outage=False,
+                )
+            elif action in ("ready", "leaving"):
+                stage = EndpointStage(action)
+                known = directory.get(identity)
+                departed = directory.put(endpoint(identity, stage))
+                if known is not None and stage is EndpointStage.LEAVING:
+                    left.add(identity)
+            else:
+                departed = directory.remove(
+                    identity, now, after_outage=action == "lapse"
+                )
+            departed += directory.drop_lapsed(now)
+            # An entry that only went may be listed again: it was cut off.
+            left.update(d.endpoint.identity for d in departed if not d.is_gone)
+            assert not left & {e.identity for e in directory.of_service("s")}
+
+
+@then("what is doubted is dropped before 2 seconds have passed, sweeps included")
+def check_doubt(context):
+    directory = EndpointDirectory()
+    for number in range(4):
+        directory.put(endpoint(f"i-{number}"))
+    assert not directory.remove("i-0", 10.0, after_outage=True)
+    assert directory.get("i-0") is not None
+    assert directory.drop_lapsed(12.0 - SWEEP_SECONDS)
+    assert directory.get("i-0") is None
+
+
+@then("in any fleet 2 gateways of each data hall watch, and all when none is heard")
+def check_watchers(context):
+    @checked(st.lists(st.integers(0, 3), min_size=1, max_size=40))
+    def check(halls):
+        fleet = [WatcherView(f"g{n}", f"h{h}", True) for n, h in enumerate(halls)]
+        watching = [
+            g
+            for g in fleet
+            if watches_store(g.host, g.data_hall, [p for p in fleet if p is not g])
+        ]
+        for hall in set(halls):
+            size = min(2, halls.count(hall))
+            found = sum(g.data_hall == f"h{hall}" for g in watching)
+            # A fleet with a single watcher has too few to rely on.
+            assert found == size or len(fleet) <= 2, (hall, found)
+        deaf = [replace(g, reads_store=False) for g in fleet]
+        assert watches_store("x", "h0", deaf)
+        assert watches_store("x", "h0", [])
+
+
+@then("no window has more retries than the budget allows")
+def check_retries(context):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        limits = RetryLimits(ratio=0.2, slack=30, window=10)
+        allowance = RetryAllowance(limits)
+        requests, retries, now = [], [], 0.0
+        for _ in range(400):
+            now += random.random() / 10
+            if random.random() < 0.4:
+                allowance.note_request(now)
+                requests.append(now)
+            elif allowance.spend(now, 1):
+                retries.append(now)
+            recent = [at for at in requests if at >= now - limits.window]
+            spent = [at for at in retries if at >= now - limits.window]
+            assert len(spent) <= limits.ratio * len(recent) + limits.slack
+
+
+@then("it is ejected for a while that doubles, and back after a success")
+def check_ejection(context):
+    health = EndpointHealth()
+    now, lengths = 0.0, []
+    for _ in range(3):
+        failures = range(FAILURES_BEFORE_EJECTION)
+        assert any([health.note_failure("i", now) for _ in failures])
+        start = now
+        while health.is_ejected("i", now):
+            now += 0.1
+        lengths.append(round(now - start))
+    assert lengths == [1, 2, 4]
+    health.note_success("i")
+    assert not health.note_failure("i", now)
+
+
+LOST_REPORTS = 0.02
+"""Part of the datagrams that a busy network loses."""
+
+
+NO_SIGN = StoreSign(0.0, False)
+
+
+def peer_reports(host, number):
+    return PeerReport(
+        host, "ikeja", "life", number, 0, 0, 0, True, False, NO_SIGN, (), {}, {}
+    )
+
+
+@then("with {gateways:d} gateways each counts all others as living, at any time")
+def check_all_living(context, gateways):
+    hosts = [f"10.0.0.{number}" for number in range(gateways)]
+    table = PeerTable(hosts[0], hosts, 0.0)
+    interval = report_interval(gateways - 1)
+    random = Random(gateways)
+    for number in range(1, 40):
+        for host in hosts[1:]:
+            is_lost = number > 1 and random.random() < LOST_REPORTS
+            if not is_lost:
+                table.take(peer_reports(host, number), number * interval)
+        assert len(table.living((number + 0.9) * interval)) == gateways - 1
+    later = (number + 1) * interval + silent_after(gateways - 1)
+    assert not table.living(later)
+
+
+@then("with 60 peers each start is told at once, and with 61 it waits for a report")
+def check_starts(context):
+    assert is_small_fleet(60)
+    assert not is_small_fleet(61)
+
+
+@then("it is the same from any order, another after each change, and worked out once")
+def check_fingerprint(context):
+    endpoints = list(fleet_of(5))
+    one, other = EndpointDirectory(), EndpointDirectory()
+    seen = set()
+    for listed in endpoints:
+        one.put(listed)
+        seen.add(one.fingerprint)
+    for listed in reversed(endpoints):
+        other.put(listed)
+    assert one.fingerprint == other.fingerprint
+    one.mark_leaving("i-0")
+    seen.add(one.fingerprint)
+    one.remove("i-1", 0.0, after_outage=False)
+    seen.add(one.fingerprint)
+    assert len(seen) == len(endpoints) + 2
+    one.put(endpoints[2])
+    with patch.object(EndpointDirectory, "__iter__", side_effect=AssertionError):
+        assert one.fingerprint in seen
+
+
+def store_signs(text):
+    """Read signs as "0.2, 4 overdue": seconds since an answer, by gateway."""
+    for word in text.split(","):
+        age, _, mark = word.strip().partition(" ")
+        yield StoreSign(float(age), mark == "overdue")
+
+
+@then("with the gateways' last answers {ages} s ago the store {state}")
+def check_store_state(context, ages, state):
+    expected = {"seems silent": True, "does not seem silent": False}[state]
+    assert seems_silent(store_signs(ages)) is expected
+
+
+@then("a report tells of the store's last answer, also if there was none")
+def check_sign_told(context):
+    for told, read in (
+        ((0.5, True), (0.5, True)),
+        ((float("inf"), False), (3_600.0, False)),
+    ):
+        report = replace(peer_reports("10.0.0.1", 1), store_sign=StoreSign(*told))
+        assert PeerReport.decode(report.encode()).store_sign == StoreSign(*read)
+
+
+@given("gateways that were told to stop {ago} s ago, with a grace of {grace:g} s")
+def given_stopping(context, ago, grace):
+    context.stopped = [-float(word) for word in ago.split(",")]
+    context.grace = grace
+
+
+@when("others {others}")
+def given_others(context, others):
+    context.seconds = come_back_seconds(
+        context.stopped, context.grace, 0.0, others_stay=others == "stay"
+    )
+
+
+@then("a refused caller is told to come back in {seconds:g} s")
+def check_come_back(context, seconds):
+    assert abs(context.seconds - seconds) < 1e-6, context.seconds
--- /dev/null
+++ b/features/steps/ingress_call_steps.py
@@ -0,0 +1,300 @@
+"""Steps for plain requests through a gateway of the platform."""
+
+from __future__ import annotations
+
+import time
+
+import trio
+from behave import given, then, when
+from support.ingress_world import (
+    HOST,
+    IngressWorld,
+    TIMEOUT_MS,
+)
+
+from piershore.core.fleet.endpoint import Address
+from piershore.http1.message import RequestHead
+
+STILL_SECONDS = 0.2
+
+
+@given('endpoints of the desk whose faults are "{faults}"')
+def given_faults(context, faults):
+    context.ingress = IngressWorld()
+    names = [name.strip() for name in faults.split(",")]
+    context.ingress.shared_faults = names
+    context.ingress.add_endpoints("desk", 3)
+    # One list for all: the faults come in the order of the attempts.
+    for endpoint in context.ingress.endpoints:
+        endpoint.faults = names
+
+
+@given('endpoints of the desk whose faults are ""')
+def given_no_faults(context):
+    given_sound(context)
+
+
+@given("a gateway before sound endpoints")
+def given_sound(context):
+    context.ingress = IngressWorld()
+    context.ingress.add_endpoints("desk", 3)
+    context.ingress.add_endpoints("model", 2)
+
+
+@given("2 gateways before sound endpoints")
+def given_two(context):
+    given_sound(context)
+    context.ingress._start_gateways = 2
+
+
+@when('a caller sends a "{kind}" request')
+@when('a caller sends a "{kind}" request of {size:d} bytes')
+def send_request(context, kind, size=2):
+    async def script(world):
+        context.reply = await world.call(kind, body=b"x" * size, request="abc")
+        context.later = await world.call(kind, request="def")
+
+    context.ingress.run(script)
+
+
+@then("its status is {status:d}")
+def check_status(context, status):
+    assert context.reply.status == status, vars(context.reply)
+
+
+@then("its status is {status:d} and it ran {runs:d} times")
+def check_runs(context, status, runs):
+    check_status(context, status)
+    total = sum(e.runs["abc"] for e in context.ingress.endpoints)
+    assert total == runs, total
+
+
+@then("what the caller got is true")
+def check_true(context):
+    reply = context.reply
+    if reply.status == 200:
+        assert reply.headers["response-seal"] == "seal.abc"
+        assert b'"request":"abc"' in reply.body
+    if reply.status == 503:
+        assert float(reply.headers["retry-after"]) > 0
+    if reply.status in (502, 503, 504):
+        assert "response-seal" not in reply.headers
+    assert reply.is_whole
+    assert reply.headers["attempt-id"] == "abc"
+
+
+@then("the next request of the same caller runs whole")
+def check_later(context):
+    assert context.later.status == 200, vars(context.later)
+
+
+@when('a caller sends {count:d} "{kind}" requests one after the other')
+def send_many(context, count, kind):
+    async def script(world):
+        context.replies = [
+            await world.call(kind, request=f"r{number}") for number in range(count)
+        ]
+
+    context.ingress.run(script)
+
+
+@then("each got its own whole answer or a failure")
+def check_own(context):
+    for number, reply in enumerate(context.replies):
+        if reply.status == 200:
+            assert f'"request":"r{number}"'.encode() in reply.body
+            assert reply.headers["response-seal"] == f"seal.r{number}"
+        else:
+            assert reply.status == 502, vars(reply)
+    good = sum(reply.status == 200 for reply in context.replies)
+    assert good >= len(context.replies) - 1
+
+
+def raw(path="/once/x", host=HOST, *lines, body=b""):
+    head = [f"POST {path} HTTP/1.1", f"Host: {host}", "Attempt-Id: abc"]
+    head += lines or ("Authorization: Token key-1", f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
+KEYED = "Authorization: Token key-1"
+
+
+FAULTY = {
+    "two lengths": raw(
+        "/once/x", HOST, KEYED, "Content-Length: 3", "Transfer-Encoding: chunked"
+    )
+    + b"0\r\n\r\n",
+    "no request": b"this is no request\r\n\r\n",
+    "bad deadline": raw(
+        "/once/x", HOST, KEYED, "Content-Length: 0", "Deadline-Ms: soon"
+    ),
+    "bad token counts": raw(
+        "/once/x", HOST, KEYED, "Content-Length: 0", "Token-Usage: many"
+    ),
+    "no time left": raw("/once/x", HOST, KEYED, "Content-Length: 0", "Deadline-Ms: 0"),
+    "huge head": raw("/once/x", HOST, KEYED, "X: " + "x" * 9_000),
+    "huge body": raw("/once/x", HOST, KEYED, "Content-Length: 200000"),
+    "huge chunked body": raw("/once/x", HOST, KEYED, "Transfer-Encoding: chunked")
+    + b"1ffff\r\n"
+    + b"x" * 0x1FFFF
+    + b"\r\n0\r\n\r\n",
+    "slow head": b"POST /once/x HTTP/1.1\r\nHost: ",
+    "unknown host": raw("/once/x", "other.example"),
+    "unknown path": raw("/none/x"),
+    "unknown key": raw("/once/x", HOST, "Authorization: Token no", "Content-Length: 0"),
+    "no key": raw("/once/x", HOST, "Content-Length: 0"),
+}
+
+
+@when('a caller sends the faulty request "{fault}"')
+def send_faulty(context, fault):
+    async def script(world):
+        status = await world.send_raw(FAULTY[fault])
+        context.reply = type("Raw", (), {"status": status})()
+        context.later = await world.call("once", request="later")
+
+    context.ingress.run(script)
+    assert context.later.status == 200
+
+
+@when('a caller sends a "{kind}" request and the process stands still')
+def stand_still(context, kind):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        dialect = daemon._state.dialect
+        read_request = dialect.read_request
+
+        def read_late(head):
+            time.sleep(STILL_SECONDS)
+            return read_request(head)
+
+        dialect.read_request = read_late
+        headers = [("deadline-ms", "100")]
+        context.reply = await world.call(kind, *headers, request="abc", size="100,40")
+
+    context.ingress.run(script)
+
+
+@when('a caller sends a "repeatable" request and the metrics are read')
+def read_metrics(context):
+    async def script(world):
+        await world.call("repeatable")
+        # The gauges of the budget are set once a second.
+        await trio.sleep(1.1)
+        port = world.gateways[0][1]._metrics_port
+        address = Address(world.address().host, port)
+        head = RequestHead(b"GET", b"/metrics", ((b"host", b"h"),))
+        context.reply = await world.send_to(address, head, b"")
+
+    context.ingress.has_metrics = True
+    context.ingress.run(script)
+
+
+@then("they count the retry, and tell the configuration, the endpoints and the budget")
+def check_metrics(context):
+    lines = dict(
+        line.rsplit(" ", 1)
+        for line in context.reply.body.decode().splitlines()
+        if not line.startswith("#")
+    )
+    prefix = "piershore_ingress_"
+    assert float(lines[prefix + 'retries_total{outcome="failed_answer"}']) >= 1
+    assert lines[prefix + "config_version"] == "4.0"
+    assert lines[prefix + 'endpoints{stage="ready"}'] == "3.0"
+    assert float(lines[prefix + 'retries_left{service="desk"}']) > 0
+
+
+SYSTEM_HEADERS = {
+    "tenant": "other",
+    "hold": "h",
+    "pin-ms": "9",
+    "kv-backup": "1.2.3.4:5",
+    "kv-from": "1.2.3.4:5/h",
+    "kv-fetch": "1.2.3.4:5",
+    "priority": "0",
+    "expected-instance": "i-x",
+}
+
+
+@when("a caller sends headers that are the system's to set")
+def send_system_headers(context):
+    async def script(world):
+        headers = [
+            *SYSTEM_HEADERS.items(),
+            ("connection", "x-mine, attempt-id"),
+            ("x-mine", "1"),
+            ("x-other", "2"),
+            ("te", "trailers"),
+        ]
+        context.reply = await world.call("once", *headers)
+
+    context.ingress.run(script)
+    assert context.reply.status == 200
+    context.headers = context.ingress.arrivals()[0].headers
+
+
+@then("the endpoint gets none of them as the caller sent it")
+def check_stripped(context):
+    for name, value in SYSTEM_HEADERS.items():
+        assert context.headers.get(name) != value, name
+    for name in ("x-mine", "te", "connection", "authorization"):
+        assert name not in context.headers, name
+    assert context.headers["x-other"] == "2"
+    assert context.headers["attempt-id"]
+
+
+@then("the endpoint gets the account, its own identity and the time that is left")
+def check_set(context):
+    assert context.headers["tenant"] == "surulere"
+    assert context.headers["expected-instance"].startswith("i-")
+    assert 0 < int(context.headers["deadline-ms"]) <= TIMEOUT_MS
+
+
+@when("the first desk endpoint is another one than listed")
+def replace_endpoint(context):
+    async def script(world):
+        for endpoint in world.endpoints[:2]:
+            endpoint.identity = f"{endpoint.identity}-new"
+        context.reply = await world.call("once", request="abc")
+
+    context.ingress.run(script)
+
+
+@then('a "once" request runs once at the other')
+def check_other(context):
+    assert context.reply.status == 200
+    assert [e.runs["abc"] for e in context.ingress.endpoints[:3]] == [0, 0, 1]
+
+
+@when("a caller leaves after {seconds:f} seconds")
+def leave_midway(context, seconds):
+    async def script(world):
+        with trio.move_on_after(seconds):
+            await world.call("once", request="abc")
+        arrival = world.arrivals()[0]
+        with trio.move_on_after(0.3) as scope:
+            assert not await arrival.stream.receive_some(1)
+        context.too_late = scope.cancelled_caught
+
+    context.ingress.run(script)
+
+
+@then("the endpoint's connection is closed within {seconds:f} seconds")
+def check_closed(context, seconds):
+    assert not context.too_late
+
+
+@when('a caller sends a "{kind}" request and the endpoints are judged')
+def send_and_judge(context, kind):
+    async def script(world):
+        await world.call(kind, request="abc")
+        _, served = world.gateways[0]
+        rates = [served._state.health.failure_rate(e.identity) for e in world.endpoints]
+        context.failing = sum(rate > 0 for rate in rates)
+
+    context.ingress.run(script)
+
+
+@then("{number:d} endpoints count as failing")
+def check_failing(context, number):
+    assert context.failing == number, context.failing
--- a/features/steps/ingress_silence_steps.py
+++ b/features/steps/ingress_silence_steps.py
@@ -1,4 +1,4 @@
-"""Steps for open connections that go silent for good while new ones work."""
+"""Steps for connections and stores that go silent while new calls work."""
 
 from __future__ import annotations
 
@@ -6,21 +6,30 @@
 
 import trio
 from behave import given, then, when
-from ingress_steps import IN_FORCE_SECONDS, Reading, wait_for_peers, with_route
 from support.ingress_world import IngressWorld
+from support.stream_reading import IN_FORCE_SECONDS, Reading, wait_for_peers, with_route
 
 from devtools.ports import free_port
 from devtools.soak.fault_proxy import FaultProxy
 from piershore.core.fleet.endpoint import Address
-from piershore.core.mechanism import Mechanism
 from piershore.ingress import daemon
 from standins.published_store import StoreFault
 
 EVENTS = 120
+
+
 EVENTS_BEFORE = 20
+
+
 SIZE = "100,{}"
+
+
 SLOW_PACE_SECONDS = 0.05
+
+
 SHORT_WATCH_SECONDS = 1.0
+
+
 DEADLINE_MS = "400"
 """Short enough for kept connections not to grow too old meanwhile."""
 
@@ -151,33 +160,3 @@
         context.reply = await world.call("added", number=1)
 
     context.ingress.run(script)
-
-
-@given("the gateway makes no copy before it stops a run")
-def given_no_first_copies(context):
-    context.ingress.disabled = frozenset({Mechanism.FIRST_COPIES})
-    for endpoint in context.ingress.endpoints:
-        # The stream's end comes before the answer that names no copy.
-        endpoint.stop_answer_seconds = 0.1
-
-
-@then("it was not run again, and its caller sees that it isn't whole")
-def check_not_again(context):
-    assert context.ingress.runs("model") == 1, context.ingress.runs("model")
-    assert not context.reading.reply.is_whole
-
-
-@when('a caller sends a "{kind}" request and the endpoints are judged')
-def send_and_judge(context, kind):
-    async def script(world):
-        await world.call(kind, request="abc")
-        _, served = world.gateways[0]
-        rates = [served._state.health.failure_rate(e.identity) for e in world.endpoints]
-        context.failing = sum(rate > 0 for rate in rates)
-
-    context.ingress.run(script)
-
-
-@then("{number:d} endpoints count as failing")
-def check_failing(context, number):
-    assert context.failing == number, context.failing
--- a/features/steps/ingress_start_steps.py
+++ b/features/steps/ingress_start_steps.py
@@ -9,8 +9,8 @@
 
 import trio
 from behave import given, then, when
-from ingress_steps import wait_for_peers
 from support.ingress_world import IngressWorld
+from support.stream_reading import wait_for_peers
 
 from devtools.ports import free_port
 from piershore.core.attempts.leaving import START_SECONDS
--- /dev/null
+++ b/features/steps/ingress_stream_steps.py
@@ -0,0 +1,321 @@
+"""Steps for streams through a gateway of the platform."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+from support.ingress_world import (
+    IngressWorld,
+)
+from support.stream_reading import (
+    Reading,
+    SMALL_SIZE,
+)
+
+from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.mechanism import Mechanism
+from standins.published_endpoint import Silence
+from standins.published_store import StoreFault
+
+FULL = EndpointLoad(requests=9, held_tokens=33_000, projected_tokens=36_000)
+
+
+STILL_PROCESS_SECONDS = 0.8
+"""Long enough for an endpoint to seem silent, were it not the process itself."""
+
+
+SILENT_SECONDS = 2.5
+
+
+SLOW_LINK_MBPS = 20_000.0
+
+
+LARGE_SIZE = "11000,{}"
+"""Prompt tokens that don't get away in a notice's time, so that a backup is made."""
+
+
+@given("{count:d} engine")
+@given("{count:d} engines")
+@given("{count:d} engines of {habit}")
+@given("{count:d} engines with {habit}")
+@given("{count:d} engine that {habit}")
+@given("{count:d} engines that {habit}")
+def given_engines(context, count, habit=""):
+    faults = {
+        "refuse": ["not run"] * 9,
+        "breaks inside an event": ["breaks inside an event"],
+    }
+    context.ingress = IngressWorld()
+    context.ingress.add_endpoints("model", count, faults.get(habit, ()))
+    context.crash_after_copy = "crash" in habit
+    if habit == "a resumable route":
+        context.ingress.configuration["routes"][2]["stream_resume"] = True
+    if habit == "garble moves":
+        for endpoint in context.ingress.endpoints:
+            endpoint.move_answer = b"\x00 no answer"
+        context.ingress.log_output, context.log = tempfile.mkstemp()
+    if habit == "slow links":
+        engine = context.ingress.configuration["services"][1]["engine"]
+        engine["link_mbps"] = SLOW_LINK_MBPS
+        for endpoint in context.ingress.endpoints:
+            endpoint.pace = 0.001
+            endpoint.padding = b"x" * 4_000
+
+
+@when("a caller pauses a large stream of {count:d} events and its endpoint leaves")
+def pause_and_leave(context, count):
+    context.count = count
+
+    async def script(world):
+        context.reading = Reading(world, count, LARGE_SIZE)
+        context.reading.pause_after = 100
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.reading.read)
+            await context.reading.wait_events(100)
+            source = context.reading.running_at()
+            # Until the gateway can send no more, and its backup is complete.
+            await trio.sleep(1.2)
+            world.list_endpoint(source, "draining")
+            await trio.sleep(0.3)
+            context.reading.go_on.set()
+
+    context.ingress.run(script)
+
+
+async def read_while(world, reading, happening, after=10):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reading.read)
+        await reading.wait_events(after)
+        await happening(reading)
+
+
+@when("a stream of {count:d} events is read")
+def read_stream(context, count):
+    async def script(world):
+        context.reading = Reading(world, count, SMALL_SIZE)
+        context.count = count
+        await context.reading.read()
+
+    context.ingress.run(script)
+
+
+@when("a stream of {count:d} events is read and its endpoint {event} midway")
+@when("a {size} stream of {count:d} events is read and its endpoint {event} midway")
+def read_disturbed(context, count, event, size="small"):
+    context.count = count
+
+    async def script(world):
+        sizes = {"small": SMALL_SIZE, "large": LARGE_SIZE}
+        context.reading = Reading(world, count, sizes[size])
+        after = 100 if size == "large" else 10
+
+        async def happen(reading):
+            await DISTURBANCES[event](world, reading, context.crash_after_copy)
+
+        await read_while(world, context.reading, happen, after)
+
+    context.ingress.run(script)
+
+
+async def say_leaving(world, reading, crash_after_copy):
+    source = reading.running_at()
+    world.list_endpoint(source, "draining")
+    if crash_after_copy:
+        while not world.memory.copies:
+            await trio.sleep(0.001)
+        source.crash()
+
+
+async def drop_from_list(world, reading, crash_after_copy):
+    world.store.remove("servers", reading.running_at().identity)
+
+
+async def leave_twice(world, reading, crash_after_copy):
+    first = reading.running_at()
+    world.list_endpoint(first, "draining")
+    while not any(e.continued["abc"] for e in world.endpoints):
+        await trio.sleep(0.005)
+    second = next(e for e in world.endpoints if e.continued["abc"])
+    world.list_endpoint(second, "draining")
+
+
+async def leave_in_outage(world, reading, crash_after_copy):
+    world.asked_before = sum(e.reports for e in world.endpoints)
+    world.store.fault = StoreFault.RESET
+    world.store.cut_watches()
+    await trio.sleep(0.3)
+    reading.running_at().state = "draining"
+
+
+@then("engines were asked only during the outage")
+def check_asked(context):
+    world = context.ingress
+    assert world.asked_before == 0
+    assert sum(e.reports for e in world.endpoints) > 0
+
+
+async def crash(world, reading, crash_after_copy):
+    reading.running_at().crash()
+
+
+async def fall_silent(world, reading, silence):
+    world.silent = reading.running_at()
+    world.silent.silence = silence
+    # Longer than it takes to be asked, and to be given up.
+    with trio.move_on_after(SILENT_SECONDS):
+        while not any(e.continued["abc"] for e in world.endpoints):
+            await trio.sleep(0.01)
+
+
+async def pause(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.PAUSED)
+    world.silent.silence = None
+
+
+async def lose_events(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.EVENTS_LOST)
+
+
+async def go_dark(world, reading, crash_after_copy):
+    await fall_silent(world, reading, Silence.GONE)
+
+
+async def stand_still_midway(world, reading, crash_after_copy):
+    time.sleep(STILL_PROCESS_SECONDS)
+
+
+DISTURBANCES = {
+    "pauses for long": pause,
+    "makes events that get lost": lose_events,
+    "goes dark": go_dark,
+    "and the gateway stand still": stand_still_midway,
+    "says that it leaves": say_leaving,
+    "is gone from the list": drop_from_list,
+    "leaves, and its target leaves": leave_twice,
+    "leaves in an outage": leave_in_outage,
+    "crashes": crash,
+}
+
+
+@then("all events came once and in order, from {runs:d} run")
+@then("all events came once and in order, from {runs:d} runs")
+def check_stream(context, runs):
+    reply = context.reading.reply
+    assert reply.status == 200
+    assert reply.events == list(range(1, context.count + 1)), reply.events
+    assert reply.is_whole
+    assert context.ingress.runs("model") == runs
+
+
+@then("its endpoint was asked at least {least:d} and at most {most:d} times")
+def check_questions(context, least, most):
+    asked = sum(e.reports for e in context.ingress.endpoints)
+    assert least <= asked <= most, asked
+
+
+@then("the gateway has logged no fault of its own")
+def check_no_fault(context):
+    _, daemon = context.ingress.gateways[0]
+    lines = Path(context.log).read_bytes() + b"".join(daemon._log._handler.lines)
+    assert b"move_started" in lines
+    assert b"internal_error" not in lines
+
+
+@then("it went on at another endpoint {times:d} times")
+def check_continued(context, times):
+    total = sum(e.continued["abc"] for e in context.ingress.endpoints)
+    assert total == times, total
+
+
+@then("what came is in order and visibly not whole, from {runs:d} run")
+def check_broken(context, runs):
+    reply = context.reading.reply
+    assert reply.events == list(range(1, len(reply.events) + 1))
+    assert 0 < len(reply.events) < context.count
+    assert not reply.is_whole
+    assert context.ingress.runs("model") == runs
+
+
+@then("only whole events came and the stream is visibly not whole")
+def check_whole_events(context):
+    reply = context.reading.reply
+    assert reply.body == b"id: 1\ndata: token-1\n\n", reply.body
+    assert not reply.is_whole
+
+
+@then("the status is 503 with a time to come back, from 0 runs")
+def check_refused_stream(context):
+    reply = context.reading.reply
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert context.ingress.runs("model") == 0
+
+
+@when("streams are asked for while a peer tells that the engines are full")
+def ask_crowded(context):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        loads = {engine.identity: FULL for engine in world.endpoints}
+        now = trio.current_time()
+        daemon._state.fleet_load.take_report("10.0.0.9", loads, now)
+        context.reading = Reading(world, 200, SMALL_SIZE)
+        await context.reading.read()
+        context.long_runs = world.runs("model")
+        context.seconds = trio.current_time() - now
+        context.short = Reading(world, 10, SMALL_SIZE)
+        await context.short.read()
+
+    context.ingress.run(script)
+
+
+@then("the long one is refused at once with a time to come back, and has not run")
+def check_crowded(context):
+    reply = context.reading.reply
+    assert reply.status == 503
+    assert b"engines_crowded" in reply.body
+    assert 0.5 < float(reply.headers["retry-after"]) < 7
+    assert context.seconds < 1
+    assert context.long_runs == 0
+
+
+@then("the short one is whole")
+def check_short(context):
+    assert context.short.reply.events == list(range(1, 11))
+    assert context.short.reply.is_whole
+
+
+@when("a caller leaves a stream midway")
+def leave_stream(context):
+    async def script(world):
+        reading = Reading(world, 400, SMALL_SIZE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reading.read)
+            await reading.wait_events(5)
+            nursery.cancel_scope.cancel()
+        await trio.sleep(0.3)
+        context.still_open = sum(e.open_streams for e in world.endpoints)
+
+    context.ingress.run(script)
+
+
+@then("no engine works on it 0.3 seconds later")
+def check_left(context):
+    assert context.still_open == 0
+
+
+@given("the gateway makes no copy before it stops a run")
+def given_no_first_copies(context):
+    context.ingress.disabled = frozenset({Mechanism.FIRST_COPIES})
+    for endpoint in context.ingress.endpoints:
+        # The stream's end comes before the answer that names no copy.
+        endpoint.stop_answer_seconds = 0.1
+
+
+@then("it was not run again, and its caller sees that it isn't whole")
+def check_not_again(context):
+    assert context.ingress.runs("model") == 1, context.ingress.runs("model")
+    assert not context.reading.reply.is_whole
--- /dev/null
+++ b/features/support/core_checks.py
@@ -0,0 +1,42 @@
+"""What checks of the gateway's pure decisions share."""
+
+from __future__ import annotations
+
+from hypothesis import given as given_data
+from hypothesis import settings
+
+from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
+from piershore.core.routes.service_spec import EngineSpec
+
+ENGINE = EngineSpec(
+    slots=24,
+    memory_tokens=34_000,
+    token_bytes=327_680,
+    link_bytes_per_second=5.9e9,
+    can_move=True,
+    can_back_up=True,
+)
+
+
+def checked(*strategies, examples=300):
+    """Run a check on drawn data, the same each time."""
+
+    def decorate(check):
+        drawn = given_data(*strategies)(check)
+        settings(max_examples=examples, derandomize=True, deadline=None, database=None)(
+            drawn
+        )()
+
+    return decorate
+
+
+def endpoint(identity, stage=EndpointStage.READY, hall="h0"):
+    return Endpoint(identity, "s", Address("h", 1), hall, 24, stage)
+
+
+def fleet_of(count):
+    for number in range(count):
+        address = Address("10.0.0.1", number + 1)
+        yield Endpoint(
+            f"i-{number}", "model", address, "ikeja", 24, EndpointStage.READY
+        )
