Leave out an endpoint at which the gateways together see failures

Change: reports tell the outcomes of the last 0.7 s at endpoints where anybody sees failures, successes, too; four failures and 0.6 of the outcomes leave an endpoint out at all gateways, each time for longer.

--- a/features/ingress_calls.feature
+++ b/features/ingress_calls.feature
@@ -120,3 +120,8 @@
       | repeatable | fails        | 1      |
       | repeatable | fails, reset | 2      |
       | once       | fails        | 1      |
+
+  Scenario: an endpoint that fails is left out by all gateways together
+    Given 2 gateways before one failing and two sound endpoints
+    When 4 "once" requests have failed at the first gateway
+    Then the second gateway leaves the failing endpoint out, and no other
--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -120,3 +120,19 @@
       | 6000   | 50 parts, 2 of them 0.21 s late      | ikeja |
       | 6000   | 2 late parts, and 100 in time since  | lekki |
       | 20000  | 50 parts, 2 of them 0.21 s late      | lekki |
+
+  Scenario Outline: outcomes at an endpoint seen by several gateways: <outcomes>
+    Given the outcomes "<outcomes>" at an endpoint, of this gateway and its peers
+    Then they <verdict> that the endpoint fails
+
+    Examples:
+      | outcomes           | verdict     |
+      | 1/0, 1/0, 2/0      | show        |
+      | 3/0                | do not show |
+      | 4/0                | show        |
+      | 1/0, 1/0, 1/0, 1/9 | do not show |
+      | 6/1, 0/3           | show        |
+      | 6/1, 0/9           | do not show |
+
+  Scenario: outcomes that are told and forgotten
+    Then successes are told only where somebody sees failures, and for 0.7 s
--- a/features/steps/ingress_belief_steps.py
+++ b/features/steps/ingress_belief_steps.py
@@ -30,6 +30,7 @@
     report_interval,
     silent_after,
 )
+from piershore.core.fleet.shared_failures import Outcomes, SharedFailures
 from piershore.core.fleet.store_silence import seems_silent, StoreSign
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.routes.current_configuration import CurrentConfiguration
@@ -269,3 +270,36 @@
 @then("a refused caller is told to come back in {seconds:g} s")
 def check_come_back(context, seconds):
     assert abs(context.seconds - seconds) < 1e-6, context.seconds
+
+
+@given('the outcomes "{outcomes}" at an endpoint, of this gateway and its peers')
+def given_outcomes(context, outcomes):
+    context.shared = SharedFailures()
+    for number, word in enumerate(outcomes.split(", ")):
+        failures, successes = map(int, word.split("/"))
+        if number:
+            told = {"i-0": Outcomes(failures, successes)}
+            context.shared.take_report(f"peer-{number}", told, 0.0)
+            continue
+        for failed in [True] * failures + [False] * successes:
+            context.shared.note("i-0", 0.0, failed=failed)
+
+
+@then("they {verdict} that the endpoint fails")
+def check_shared(context, verdict):
+    assert context.shared.are_failing("i-0", 0.1) is (verdict == "show")
+
+
+@then("successes are told only where somebody sees failures, and for 0.7 s")
+def check_told(context):
+    shared = SharedFailures()
+    shared.note("i-0", 0.0, failed=False)
+    assert shared.report(0.1) == {}
+    shared.take_report("peer", {"i-0": Outcomes(2, 0)}, 0.2)
+    assert shared.report(0.3) == {"i-0": Outcomes(0, 1)}
+    shared.note("i-1", 0.5, failed=True)
+    assert shared.report(0.6) == {"i-0": Outcomes(0, 1), "i-1": Outcomes(1, 0)}
+    assert shared.report(0.8) == {"i-1": Outcomes(1, 0)}
+    assert shared.report(1.3) == {}
+    report = replace(peer_reports("10.0.0.1", 1), outcomes={"i-1": Outcomes(1, 2)})
+    assert PeerReport.decode(report.encode()).outcomes == {"i-1": Outcomes(1, 2)}
--- a/features/steps/ingress_call_steps.py
+++ b/features/steps/ingress_call_steps.py
@@ -11,6 +11,7 @@
     IngressWorld,
     TIMEOUT_MS,
 )
+from support.stream_reading import wait_for_peers
 
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.message import RequestHead
@@ -298,3 +299,36 @@
 @then("{number:d} endpoints count as failing")
 def check_failing(context, number):
     assert context.failing == number, context.failing
+
+
+@given("2 gateways before one failing and two sound endpoints")
+def given_failing(context):
+    world = context.ingress = IngressWorld()
+    world._start_gateways = 2
+    world.add_endpoints("desk", 1, ["fails"] * 99)
+    world.add_endpoints("desk", 2)
+
+
+@when('{count:d} "{kind}" requests have failed at the first gateway')
+def fail_at_first(context, count, kind):
+    async def script(world):
+        await wait_for_peers(world)
+        failed = 0
+        while failed < count:
+            failed += (await world.call(kind)).status == 500
+            _, first = world.gateways[0]
+            # Only so is the failing endpoint asked again before it is told of.
+            first._state.health.forget(world.endpoints[0].identity)
+        _, second = world.gateways[1]
+        health = second._state.health
+        while not health.is_ejected(world.endpoints[0].identity, trio.current_time()):
+            await trio.sleep(0.01)
+        now = trio.current_time()
+        context.left_out = [health.is_ejected(e.identity, now) for e in world.endpoints]
+
+    context.ingress.run(script)
+
+
+@then("the second gateway leaves the failing endpoint out, and no other")
+def check_left_out(context):
+    assert context.left_out == [True, False, False], context.left_out
--- a/src/piershore/core/fleet/endpoint_health.py
+++ b/src/piershore/core/fleet/endpoint_health.py
@@ -23,6 +23,15 @@
     ejections: int = 0
     ejected_until: float = 0.0
 
+    def eject(self, now: float) -> bool:
+        """Leave the endpoint out, each time for longer; False if it is out already."""
+        if now < self.ejected_until:
+            return False
+        seconds = FIRST_EJECTION_SECONDS * 2**self.ejections
+        self.ejected_until = now + min(seconds, LONGEST_EJECTION_SECONDS)
+        self.ejections += 1
+        return True
+
 
 class EndpointHealth:
     """Failure rates by endpoint identity, from traffic alone."""
@@ -47,12 +56,11 @@
         health.failure_rate += FAILURE_WEIGHT * (1 - health.failure_rate)
         if health.failures_in_a_row < FAILURES_BEFORE_EJECTION:
             return False
-        if now < health.ejected_until:
-            return False
-        seconds = FIRST_EJECTION_SECONDS * 2**health.ejections
-        health.ejected_until = now + min(seconds, LONGEST_EJECTION_SECONDS)
-        health.ejections += 1
-        return True
+        return health.eject(now)
+
+    def note_failing(self, identity: str, now: float) -> bool:
+        """Leave an endpoint out that fails at others; tell whether that is new."""
+        return self._by_identity.setdefault(identity, _Health()).eject(now)
 
     def note_silence(self, identity: str, now: float) -> bool:
         """Leave an endpoint out that doesn't answer; tell whether that is new."""
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import orjson
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import StreamNote
+from piershore.core.fleet.shared_failures import Outcomes
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.errors import PiershoreError
 
@@ -38,7 +39,8 @@
     `store_sign` tells of the store's last answer to it;
     `fingerprint` stands for the list of endpoints that it knows, `members` are
     hosts of gateways that it heard of lately, told only now and then, `leaving` are
-    its generations at endpoints that leave, `departed` the endpoints that left lately.
+    its generations at endpoints that leave, `departed` the endpoints that left lately,
+    `outcomes` its attempts at endpoints where anybody sees failures.
     """
 
     host: str
@@ -55,6 +57,7 @@
     loads: Mapping[str, EndpointLoad]
     leaving: Mapping[str, tuple[StreamNote, ...]]
     departed: tuple[DepartureNote, ...] = ()
+    outcomes: Mapping[str, Outcomes] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -94,6 +97,10 @@
                     for identity, notes in self.leaving.items()
                 },
                 [[note.identity, note.is_gone] for note in self.departed],
+                {
+                    identity: [count.failures, count.successes]
+                    for identity, count in self.outcomes.items()
+                },
             ]
         )
 
@@ -101,7 +108,7 @@
     def decode(cls, data: bytes) -> PeerReport:
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
         try:
-            *plain, members, loads, leaving, departed = orjson.loads(data)
+            *plain, members, loads, leaving, departed, outcomes = orjson.loads(data)
             host, data_hall, incarnation, *numbers = plain
             number, version, revision, fingerprint = map(int, numbers[:4])
             return cls(
@@ -119,6 +126,7 @@
                 {k: EndpointLoad(*map(int, v)) for k, v in loads.items()},
                 {k: tuple(map(_note, notes)) for k, notes in leaving.items()},
                 tuple(DepartureNote(str(i), bool(gone)) for i, gone in departed),
+                {k: Outcomes(*map(int, v)) for k, v in outcomes.items()},
             )
         except (ValueError, TypeError, AttributeError, IndexError) as error:
             raise InvalidReportError(f"not a report: {error!r}") from error
--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -23,6 +23,8 @@
     """Engines are asked whether they leave while nobody reads the store."""
     EJECTION = "ejection"
     """Endpoints that fail several times in a row are left out for a while."""
+    SHARED_FAILURES = "shared_failures"
+    """Endpoints at which several gateways see failures are left out by all."""
     FAILURE_COST = "failure_cost"
     """Endpoints cost more by the share of their failures."""
     ADMISSION = "admission"
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -8,6 +8,7 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.core.fleet.placement import Candidate, Choice
+from piershore.core.mechanism import Mechanism
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import AttemptFailedError
 from piershore.ingress.gateway_state import GatewayState
@@ -66,8 +67,23 @@
 
 def judge_failing(state: GatewayState, endpoint: Endpoint) -> None:
     """Count a failure of an endpoint, which may leave it out for a while."""
-    if state.health.note_failure(endpoint.identity, trio.current_time()):
+    now = trio.current_time()
+    state.failures.note(endpoint.identity, now, failed=True)
+    if state.health.note_failure(endpoint.identity, now):
         note_ejection(state, endpoint, "failures")
+    state.announce()
+    judge_shared(state, endpoint)
+
+
+def judge_shared(state: GatewayState, endpoint: Endpoint) -> None:
+    """Leave an endpoint out at which the gateways together see failures."""
+    if not state.uses(Mechanism.SHARED_FAILURES):
+        return
+    now = trio.current_time()
+    if state.failures.are_failing(endpoint.identity, now) and state.health.note_failing(
+        endpoint.identity, now
+    ):
+        note_ejection(state, endpoint, "failures at several gateways")
 
 
 def log_failure(
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -189,7 +189,7 @@
         headers = self._state.dialect.answer_headers(attempt.head)
         whole = WholeAnswer(attempt.endpoint, answer.status, headers, body)
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._state.health.note_success(identity)
+            self._state.note_success(identity)
             return whole
         self._failed_answer = whole
         raise AttemptFailedError(
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -242,6 +242,7 @@
         if departure.is_gone:
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
+            self._state.failures.forget(endpoint.identity)
 
     async def _sweep_connections(self) -> None:
         while True:
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -21,6 +21,7 @@
     DEFAULT_PLACEMENT,
     PLACEMENT_POLICIES,
 )
+from piershore.core.fleet.shared_failures import SharedFailures
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
@@ -60,6 +61,7 @@
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     paces: EndpointPaces = field(default_factory=EndpointPaces)
+    failures: SharedFailures = field(default_factory=SharedFailures)
     stalls: HallStalls = field(default_factory=HallStalls)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
@@ -105,6 +107,11 @@
         for service, allowance in self._allowances.items():
             yield service, allowance.left(now, self.gateways)
 
+    def note_success(self, identity: str) -> None:
+        """Count an attempt that an endpoint answered well."""
+        self.health.note_success(identity)
+        self.failures.note(identity, trio.current_time(), failed=False)
+
     def may_retry(self, service: str) -> bool:
         """Take a retry from the budget, if there is one."""
         if not self.uses(Mechanism.SECOND_RUNS):
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -23,6 +23,7 @@
 from piershore.core.fleet.store_silence import seems_silent, StoreSign
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.mechanism import Mechanism
+from piershore.ingress.attempts.attempt_log import judge_shared
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
@@ -168,6 +169,7 @@
             loads=state.fleet_load.own_loads(),
             leaving=dict(self._leaving_notes()),
             departed=tuple(self._lately_departed(now)),
+            outcomes=state.failures.report(now),
         )
 
     def _tells_members(self, now: float) -> bool:
@@ -233,6 +235,11 @@
             self._leaving_since.pop(report.host, None)
         if self._state.uses(Mechanism.PEER_LOADS):
             self._state.fleet_load.take_report(report.host, report.loads, now)
+        self._state.failures.take_report(report.host, report.outcomes, now)
+        for identity in report.outcomes:
+            endpoint = self._state.directory.get(identity)
+            if endpoint is not None:
+                judge_shared(self._state, endpoint)
         for note in report.departed:
             if note in self._departed or note in self._heard:
                 continue
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -8,6 +8,7 @@
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.ingress.attempts.attempt_log import judge_failing
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
@@ -82,7 +83,7 @@
             ) from error
         finally:
             await attempt.close()
-        self._state.health.note_failure(attempt.endpoint.identity, trio.current_time())
+        judge_failing(self._state, attempt.endpoint)
         headers = self._state.dialect.answer_headers(attempt.head)
         await exchange.connection.respond(attempt.answer.status, headers, body)
 
@@ -106,7 +107,7 @@
 
     def _note_answered(self, stream: LiveStream, attempts: int) -> None:
         exchange = stream.exchange
-        self._state.health.note_success(stream.endpoint.identity)
+        self._state.note_success(stream.endpoint.identity)
         self._state.lengths.record(exchange.route.name, stream.work.made_tokens)
         ingress_metrics.FIRST_SECONDS.observe(stream.first_seconds)
         ingress_metrics.PAUSE_SECONDS.observe(stream.longest_pause)
@@ -130,7 +131,7 @@
         """End the stream so that its caller sees that it isn't whole."""
         exchange = stream.exchange
         ingress_metrics.BROKEN_STREAMS.labels("endpoint_failed").inc()
-        self._state.health.note_failure(stream.endpoint.identity, trio.current_time())
+        judge_failing(self._state, stream.endpoint)
         self._state.log.write(
             StreamBrokenOff(
                 exchange.identity,
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -113,6 +113,9 @@
         is_open = False
         try:
             await self._start(attempt)
+            self._state.failures.note(
+                endpoint.identity, trio.current_time(), failed=False
+            )
             is_open = True
             return attempt
         except AttemptFailedError as error:
