--- a/features/ingress_core.feature
+++ b/features/ingress_core.feature
@@ -136,3 +136,7 @@
 
   Scenario: outcomes that are told and forgotten
     Then successes are told only where somebody sees failures, and for 0.7 s
+
+  Scenario: whole lines go into a pipe, as many as it takes at once
+    When 100 lines of 300 bytes are written out together
+    Then each write is of whole lines, and at most as long as a pipe takes at once
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import os
+import select
 from random import Random
+from unittest.mock import patch
 
 import orjson
 import trio
@@ -22,7 +24,7 @@
 from piershore.platform.headers import PlatformDialect
 from piershore.platform.routing_codec import decode_configuration
 from piershore.telemetry.event_log import EventLog, MOST_BUFFERED_BYTES
-from piershore.telemetry.events import AttemptEnded
+from piershore.telemetry.events import AttemptEnded, DependencyLost
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**63) | st.text(),
@@ -123,3 +125,30 @@
     assert context.buffered <= MOST_BUFFERED_BYTES
     assert context.omitted > 0
     assert orjson.loads(context.first)["request"] == "r0"
+
+
+@when("{count:d} lines of {size:d} bytes are written out together")
+def write_together(context, count, size):
+    context.written = []
+
+    def write(output, data):
+        context.written.append(data)
+        return len(data)
+
+    async def script():
+        log = EventLog("front-0", 1)
+        for _ in range(count):
+            log.write(DependencyLost("store", "x" * size), is_failure=True)
+        with patch("piershore.telemetry.event_log.os.write", write):
+            log.flush()
+
+    trio.run(script)
+    assert b"".join(context.written).count(b"\n") == count
+
+
+@then("each write is of whole lines, and at most as long as a pipe takes at once")
+def check_writes(context):
+    assert len(context.written) > 1
+    for data in context.written:
+        assert len(data) <= select.PIPE_BUF, len(data)
+        assert data.endswith(b"\n")
