Tests that fail: documents that a link doesn't carry in time

Symptom: gateways kept an old configuration for more than 10 s. Cause as far as known: reads of a document have a limit of time that doesn't know its size (1.0 s between gateways, 2.1 s for the store's list), and nothing of what came is kept.

--- /dev/null
+++ b/features/steps/ingress_document_steps.py
@@ -0,0 +1,142 @@
+"""Steps for documents that are large for the links they cross."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from random import Random
+from unittest.mock import patch
+
+import trio
+from behave import given, then, when
+from ingress_call_steps import given_sound
+from support.ingress_world import configuration, route
+from support.paced_link import PacedLink, PacedStream
+from support.stream_reading import wait_for_peers
+
+from piershore.core.configuration.relays import RELAYS_PER_HALL
+from piershore.ingress.peers.peer_documents import PeerDocuments
+
+KILOBYTE = 1_000
+KINDS_WATCHED = 2
+ADDED = "added"
+LISTED_MORE = "i-more-{}"
+
+
+def random_word(random):
+    return f"{random.getrandbits(64):016x}"
+
+
+def large_configuration(version, routes):
+    """Return a configuration whose added routes have little in common."""
+    random = Random(version)
+    document = configuration(version)
+    for _ in range(routes):
+        word = random_word(random)
+        host = f"{random_word(random)}.example"
+        document["routes"].append(route(word, "desk", "unsafe", host=host))
+    document["routes"].append(route(ADDED, "desk", "unsafe"))
+    return document
+
+
+@given("{count:d} gateways whose links to each other carry {rate:d} KB a second")
+def given_paced_gateways(context, count, rate):
+    given_sound(context)
+    world = context.ingress
+    world._start_gateways = count
+    links = {}
+    serve = PeerDocuments.serve
+
+    async def serve_paced(documents, stream):
+        link = links.setdefault(documents._host, PacedLink(rate * KILOBYTE))
+        await serve(documents, PacedStream(stream, link))
+
+    stack = ExitStack()
+    stack.enter_context(patch.object(PeerDocuments, "serve", serve_paced))
+    context.add_cleanup(stack.close)
+    context.links = links
+
+
+@given("{count:d} gateways whose links to the store carry {rate:d} KB a second")
+def given_paced_store(context, count, rate):
+    given_sound(context)
+    world = context.ingress
+    world._start_gateways = count
+    link = PacedLink(rate * KILOBYTE)
+    serve = world.store._serve_one
+
+    async def serve_paced(stream):
+        await serve(PacedStream(stream, link))
+
+    world.store._serve_one = serve_paced
+
+
+@when("an operator adds {count:d} routes")
+def add_routes(context, count):
+    async def script(world):
+        await wait_for_watchers(world)
+        world.store.put("config", "main", large_configuration(8, count))
+        context.statuses = {}
+        with trio.move_on_after(context.seconds):
+            for number in world.gateways:
+                await world.wait_until(is_served, context, world, number)
+
+    context.script = script
+
+
+async def wait_for_watchers(world):
+    """Wait until only those watch the store of whom the others are to hear."""
+    await wait_for_peers(world)
+    while world.store.counts.watches > KINDS_WATCHED * RELAYS_PER_HALL:
+        await trio.sleep(0.02)
+
+
+async def is_served(context, world, number):
+    reply = await world.call(ADDED, number=number)
+    context.statuses[number] = reply.status
+    return reply.status == 200
+
+
+@then("each gateway serves by it within {seconds:d} s")
+def check_served_everywhere(context, seconds):
+    context.seconds = seconds
+    context.ingress.run(context.script)
+    served = [status == 200 for status in context.statuses.values()]
+    assert served == [True] * context.ingress._start_gateways, context.statuses
+
+
+@when("{count:d} endpoints are listed and one of them leaves")
+def list_endpoints(context, count):
+    async def script(world):
+        await wait_for_watchers(world)
+        model = world.endpoints[0]
+        for number in range(count):
+            identity = LISTED_MORE.format(number)
+            world.store.put("servers", identity, model.entry("ready"))
+        last = LISTED_MORE.format(count - 1)
+        with trio.move_on_after(context.seconds):
+            while not all(knows(daemon, last) for _, daemon in world.gateways.values()):
+                await trio.sleep(0.05)
+            world.store.put("servers", last, model.entry("draining"))
+            while not all(
+                daemon._state.directory.is_leaving(last)
+                for _, daemon in world.gateways.values()
+            ):
+                await trio.sleep(0.05)
+        context.knowing = [
+            number
+            for number, (_, daemon) in world.gateways.items()
+            if knows(daemon, last) and daemon._state.directory.is_leaving(last)
+        ]
+
+    context.script = script
+
+
+def knows(daemon, identity):
+    return daemon._state.directory.get(identity) is not None
+
+
+@then("each gateway knows within {seconds:d} s")
+def check_known_everywhere(context, seconds):
+    context.seconds = seconds
+    context.ingress.run(context.script)
+    assert context.knowing == list(context.ingress.gateways), context.knowing
--- /dev/null
+++ b/features/support/paced_link.py
@@ -0,0 +1,41 @@
+"""A link of a given rate that the connections of one process share."""
+
+from __future__ import annotations
+
+import trio
+
+CHUNK_BYTES = 4_096
+
+
+class PacedLink:
+    """Lets so many bytes pass in a second, a chunk of each connection in turn."""
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._turn = trio.Lock()
+        self._free_at = float("-inf")
+
+    async def pass_bytes(self, count: int) -> None:
+        """Return when `count` bytes have passed."""
+        async with self._turn:
+            start = max(self._free_at, trio.current_time())
+            self._free_at = start + count / self._bytes_per_second
+            await trio.sleep_until(self._free_at)
+
+
+class PacedStream:
+    """A connection that sends over a paced link."""
+
+    def __init__(self, stream: trio.SocketStream, link: PacedLink) -> None:
+        self._stream = stream
+        self._link = link
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._stream, name)
+
+    async def send_all(self, data: bytes) -> None:
+        """Send at the link's rate."""
+        for start in range(0, len(data), CHUNK_BYTES):
+            chunk = data[start : start + CHUNK_BYTES]
+            await self._link.pass_bytes(len(chunk))
+            await self._stream.send_all(chunk)
