Log what came of a document that is read from a peer, and why it ended

The lines told an empty reason for a read that ran out of time, and nothing of how much had come: a large document, a slow peer and a silent one looked alike. Now each read tells bytes, seconds and reason; a call to the store that runs out of time says so.

--- a/src/piershore/ingress/peers/peer_documents.py
+++ b/src/piershore/ingress/peers/peer_documents.py
@@ -23,7 +23,7 @@
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.peers.peer_link import PeerLink
 from piershore.settings.box_settings import BoxSettings
-from piershore.telemetry.events import DependencyLost
+from piershore.telemetry.events import DependencyLost, DocumentReadEnded
 
 CONFIGURATION_PATH = b"/configuration"
 ENDPOINTS_PATH = b"/endpoints"
@@ -137,25 +137,39 @@
             self._configuration.take(document, f"peer {peer.host}")
 
     async def _read(self, peer: Peer, path: bytes) -> bytes | None:
-        connection = None
+        parts: list[bytes] = []
+        started = trio.current_time()
         try:
             with trio.fail_after(READ_SECONDS):
-                connection = await ClientConnection.open(
-                    peer.host, self._port, CONNECT_SECONDS
-                )
-                host = str(Address(peer.host, self._port)).encode()
-                head = RequestHead(b"GET", path, ((b"host", host),))
-                await connection.send(head, b"")
-                answer = await connection.read_head()
-                body = await connection.read_body()
-                return body if answer.status == HTTPStatus.OK else None
-        except (NotConnectedError, ExchangeBrokenError, trio.TooSlowError) as error:
-            self._state.log.write(DependencyLost(f"peer {peer.host}", str(error)))
-            return None
+                await self._receive(peer, path, parts)
+            reason = ""
+        except (NotConnectedError, ExchangeBrokenError) as error:
+            reason = str(error)
+        except trio.TooSlowError:
+            reason = f"not whole after {READ_SECONDS:g} s"
+        received = sum(map(len, parts))
+        seconds = trio.current_time() - started
+        self._state.log.write(
+            DocumentReadEnded(path.decode(), peer.host, received, seconds, reason),
+            is_failure=bool(reason),
+        )
+        return None if reason else b"".join(parts)
+
+    async def _receive(self, peer: Peer, path: bytes, parts: list[bytes]) -> None:
+        """Append what comes of a document to `parts`."""
+        connection = await ClientConnection.open(peer.host, self._port, CONNECT_SECONDS)
+        try:
+            host = str(Address(peer.host, self._port)).encode()
+            head = RequestHead(b"GET", path, ((b"host", host),))
+            await connection.send(head, b"")
+            answer = await connection.read_head()
+            if answer.status != HTTPStatus.OK:
+                raise ExchangeBrokenError(f"the peer answered {answer.status}")
+            async for part in connection.read_parts():
+                parts.append(part)
         finally:
-            if connection is not None:
-                with trio.CancelScope(shield=True):
-                    await connection.close()
+            with trio.CancelScope(shield=True):
+                await connection.close()
 
     async def _answer(self, connection: ServerConnection, head: RequestHead) -> None:
         document = None
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -175,9 +175,10 @@
                 return await self._exchange(call)
         except (trio.TooSlowError, ExchangeBrokenError, NotConnectedError) as error:
             await self.close()
+            reason = str(error) or f"no whole answer after {timeout:g} s"
             if self._is_sent and call.method != b"GET":
-                raise WriteUncertainError(f"the answer was lost: {error}") from error
-            raise PlatformUnavailableError(f"the store: {error}") from error
+                raise WriteUncertainError(f"the answer was lost: {reason}") from error
+            raise PlatformUnavailableError(f"the store: {reason}") from error
         except BaseException:
             with trio.CancelScope(shield=True):
                 await self.close()
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -52,6 +52,20 @@
     source: str
 
 
+@dataclass(frozen=True)
+class DocumentReadEnded(LogEvent):
+    """A read of a document from a peer ended; `reason` is empty if it is whole.
+
+    `received` bytes came in `seconds`.
+    """
+
+    document: str
+    peer: str
+    received: int
+    seconds: float
+    reason: str
+
+
 @dataclass(frozen=True)
 class DependencyLost(LogEvent):
     """A part of the platform or a peer no longer answers."""
