Give up an answer of the store when it stands still, not when it is long

Cause: a call had 1.5 s, a watch 0.8 s more than it waited, for the whole answer; an object of 1.2 MB at 100 KB a second takes 12 s, was broken off and asked for again, for ever. Change: these times now count until the answer starts; after that it may stand still for 1.5 s, however long it takes.

--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
+from math import inf
 
 import h11
 import trio
@@ -90,19 +91,22 @@
             await self._skip_answer()
         raise ExchangeBrokenError("only answers to other requests came")
 
-    async def read_parts(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body; end only if it is whole."""
+    async def read_parts(self, patience: float = inf) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; end only if it is whole.
+
+        Raise `ExchangeBrokenError` if nothing comes for `patience` seconds.
+        """
         while True:
-            event = await self._next_event()
+            event = await self._next_event_within(patience)
             if isinstance(event, h11.EndOfMessage):
                 return
             if isinstance(event, h11.ConnectionClosed):
                 raise ExchangeBrokenError("the answer was cut short")
             yield bytes(event.data)
 
-    async def read_body(self) -> bytes:
-        """Read the whole body."""
-        return b"".join([part async for part in self.read_parts()])
+    async def read_body(self, patience: float = inf) -> bytes:
+        """Read the whole body, with `patience` as for its parts."""
+        return b"".join([part async for part in self.read_parts(patience)])
 
     def end_exchange(self) -> bool:
         """Get ready for another request; False if the connection must close."""
@@ -166,6 +170,13 @@
         if closed:
             self._connection.receive_data(b"")
 
+    async def _next_event_within(self, patience: float) -> h11.Event:
+        if patience == inf:
+            return await self._next_event()
+        with trio.move_on_after(patience):
+            return await self._next_event()
+        raise ExchangeBrokenError(f"nothing came for {patience:g} s")
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from urllib.parse import quote
@@ -13,7 +13,7 @@
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
-from piershore.http1.message import RequestHead
+from piershore.http1.message import RequestHead, ResponseHead
 from piershore.platform.exceptions import (
     ObjectConflictError,
     PlatformUnavailableError,
@@ -24,9 +24,12 @@
 CONNECT_SECONDS = 0.6
 """The store answers in a few ms; a lost first packet is sent again after 1 s."""
 CALL_SECONDS = 1.5
-"""Longest wait for an answer; a slow store takes 60 times its usual 4 ms."""
+"""Longest wait until an answer starts; a slow store takes 60 times its usual 4 ms."""
 WATCH_SLACK_SECONDS = 0.8
-"""How much later than asked for a waiting watch may answer."""
+"""How much later than asked for a waiting watch may start to answer."""
+STALLED_SECONDS = 1.5
+"""An answer is given up when it stands still for so long, however long it takes in all:
+with a limit for the whole, an object of 0.8 MB never came over a link of 5 Mbit/s."""
 ANSWERING_STATUSES = frozenset(
     {
         HTTPStatus.OK,
@@ -95,6 +98,12 @@
         self._address = address
         self._connection: ClientConnection | None = None
         self._is_sent = False
+        self._heard_at = float("-inf")
+
+    @property
+    def heard_at(self) -> float:
+        """When something of an answer came last, by trio's clock."""
+        return self._heard_at
 
     async def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind, page by page.
@@ -171,11 +180,10 @@
     async def _call(self, call: ObjectCall, timeout: float) -> ObjectAnswer:
         self._is_sent = False
         try:
-            with trio.fail_after(timeout + CONNECT_SECONDS):
-                return await self._exchange(call)
+            return await self._exchange(call, timeout)
         except (trio.TooSlowError, ExchangeBrokenError, NotConnectedError) as error:
             await self.close()
-            reason = str(error) or f"no whole answer after {timeout:g} s"
+            reason = str(error) or f"no answer after {timeout:g} s"
             if self._is_sent and call.method != b"GET":
                 raise WriteUncertainError(f"the answer was lost: {reason}") from error
             raise PlatformUnavailableError(f"the store: {reason}") from error
@@ -184,8 +192,19 @@
                 await self.close()
             raise
 
-    async def _exchange(self, call: ObjectCall) -> ObjectAnswer:
-        connection = await self._connect()
+    async def _exchange(self, call: ObjectCall, timeout: float) -> ObjectAnswer:
+        with trio.fail_after(timeout + CONNECT_SECONDS):
+            connection = await self._connect()
+            answer = await self._start(connection, call)
+        data = b"".join([part async for part in self._parts(connection)])
+        if not connection.end_exchange():
+            await self.close()
+        return _answer(answer.status, data)
+
+    async def _start(
+        self, connection: ClientConnection, call: ObjectCall
+    ) -> ResponseHead:
+        """Send a call and read the head of its answer."""
         body = b"" if call.body is None else orjson.dumps(call.body)
         headers = [(b"host", str(self._address).encode())]
         if body:
@@ -195,10 +214,13 @@
         head = RequestHead(call.method, call.path.encode(), tuple(headers))
         await connection.send(head, body)
         answer = await connection.read_head()
-        data = await connection.read_body()
-        if not connection.end_exchange():
-            await self.close()
-        return _answer(answer.status, data)
+        self._heard_at = trio.current_time()
+        return answer
+
+    async def _parts(self, connection: ClientConnection) -> AsyncIterator[bytes]:
+        async for part in connection.read_parts(STALLED_SECONDS):
+            self._heard_at = trio.current_time()
+            yield part
 
     async def _connect(self) -> ClientConnection:
         if self._connection is None or not self._connection.is_clean():
