--- a/devtools/link_relay.py
+++ b/devtools/link_relay.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import time
 from contextlib import suppress
+from math import inf
 from threading import Event, Lock, Thread
 
 CHUNK_BYTES = 65_536
@@ -11,9 +13,13 @@
 
 
 class LinkRelay:
-    """Passes connections on to one address until told otherwise."""
+    """Passes connections on to one address until told otherwise.
 
-    def __init__(self, target: str) -> None:
+    Each connection carries at most `bytes_per_second` in each direction.
+    """
+
+    def __init__(self, target: str, bytes_per_second: float = inf) -> None:
+        self._bytes_per_second = bytes_per_second
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
@@ -77,6 +83,7 @@
         with suppress(OSError):
             while data := source.recv(CHUNK_BYTES):
                 self._flowing.wait()
+                time.sleep(len(data) / self._bytes_per_second)
                 sink.sendall(data)
         for end in (source, sink):
             with suppress(OSError):
--- a/features/accepted_config.feature
+++ b/features/accepted_config.feature
@@ -55,3 +55,12 @@
     When three more gateways start in data hall ikeja
     Then the platform sees at most 3 watches
     And an edit comes into force on all 9 boxes
+
+  # With 4,500 accounts a snapshot has some 1.3 MB. As one message it came after more
+  # than the 4 s without a sign of life in which a relay is given up; the follower began
+  # anew at the next one, for ever.
+  Scenario: A follower joins over a link that needs seconds for all accounts
+    Given a relay that knows 4500 accounts, over a link of 200 KB a second
+    When a gateway follows it for at most 40 s
+    Then the gateway knows all of them
+    And an account that was deleted before is not there
--- a/features/ingress_documents.feature
+++ b/features/ingress_documents.feature
@@ -54,3 +54,8 @@
     Given 6 gateways whose links to each other carry 300 KB a second
     When an operator adds 4000 routes, the first gateways know, and the store is gone
     Then each gateway serves by it within 20 s
+
+  Scenario: a report that is too large for a datagram
+    Given 2 gateways before sound endpoints
+    When the first has work at 3000 endpoints for 3 s
+    Then the second counts it as living all the time
--- a/features/steps/ingress_document_steps.py
+++ b/features/steps/ingress_document_steps.py
@@ -15,6 +15,7 @@
 from support.stream_reading import wait_for_peers
 
 from piershore.core.configuration.relays import RELAYS_PER_HALL
+from piershore.core.fleet.fleet_load import PlainWork
 from piershore.ingress.peers.peer_documents import PeerDocuments
 from standins.published_store import StoreFault
 
@@ -171,6 +172,27 @@
     assert max(sent.values()) <= size * KILOBYTE, sent
 
 
+@when("the first has work at {count:d} endpoints for {seconds:g} s")
+def work_everywhere(context, count, seconds):
+    async def script(world):
+        await wait_for_peers(world)
+        (_, first), (_, second) = world.gateways.values()
+        for number in range(count):
+            first._state.fleet_load.add(LISTED_MORE.format(number), PlainWork())
+        context.fleet_sizes = set()
+        with trio.move_on_after(seconds):
+            while True:
+                context.fleet_sizes.add(second._state.gateways)
+                await trio.sleep(0.02)
+
+    context.ingress.run(script)
+
+
+@then("the second counts it as living all the time")
+def check_living(context):
+    assert context.fleet_sizes == {2}, context.fleet_sizes
+
+
 async def wait_for_watchers(world):
     """Wait until only those watch the store of whom the others are to hear."""
     await wait_for_peers(world)
