Shorten reports to peers that don't fit into a datagram

Cause: a datagram of more than 64 KB is refused by the kernel, the error was taken for a lost report, and after 2 s all peers took the gateway for gone. Change: what peers can do without is left out until the report fits; the log tells when that begins and ends.

--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
 
 import orjson
 
@@ -14,6 +14,9 @@
 from piershore.errors import PiershoreError
 
 NOTE_FLAGS = 2
+MOST_HALVINGS = 3
+"""A report that is too large tells of the busiest endpoints: half, a quarter, an eighth
+of them."""
 LONGEST_AGE_SECONDS = 3_600.0
 """Told for an answer that came so long ago, or never."""
 
@@ -106,6 +109,34 @@
             ]
         )
 
+    def encode_within(self, limit: int) -> bytes:
+        """Return a datagram of at most `limit` bytes.
+
+        What doesn't fit is left out, first what peers can do longest without: a larger
+        datagram isn't sent at all, and its sender seems to be gone.
+        """
+        for report in self._shorter():
+            data = report.encode()
+            if len(data) <= limit:
+                break
+        return data
+
+    def _shorter(self) -> Iterator[PeerReport]:
+        """Yield the report, and then what is left without one part after the other."""
+        report = self
+        yield report
+        report = replace(report, outcomes={})
+        yield report
+        for halvings in range(1, MOST_HALVINGS + 1):
+            yield replace(report, loads=self._busiest(len(self.loads) >> halvings))
+        for rest in ({"loads": {}}, {"members": ()}, {"leaving": {}}, {"departed": ()}):
+            report = replace(report, **rest)
+            yield report
+
+    def _busiest(self, count: int) -> dict[str, EndpointLoad]:
+        order = sorted(self.loads.items(), key=lambda item: -item[1].requests)
+        return dict(order[:count])
+
     @classmethod
     def decode(cls, data: bytes) -> PeerReport:
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -28,7 +28,11 @@
 from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import DependencyLost, DependencyRegained
+from piershore.telemetry.events import (
+    DependencyLost,
+    DependencyRegained,
+    ReportShortened,
+)
 
 LEAST_GAP_SECONDS = 0.012
 """Changes that come closer are told together."""
@@ -73,6 +77,7 @@
         self.table = PeerTable(settings.host, seeds, trio.current_time())
         self.incarnation = uuid4().hex[:12]
         self._number = 0
+        self._is_whole = True
         self._socket: trio.socket.SocketType | None = None
         self._living: set[str] = set()
         self._leaving_since: dict[str, float] = {}
@@ -153,7 +158,7 @@
         now = trio.current_time()
         self._note_living(now)
         self._number += 1
-        data = self._report(now).encode()
+        data = self._encode(self._report(now))
         for host in self.table.to_call(self._number, now):
             try:
                 await self._socket.sendto(data, (host, self._port))
@@ -161,6 +166,19 @@
                 # A report is one of many; a peer that stays silent is logged.
                 continue
 
+    def _encode(self, report: PeerReport) -> bytes:
+        data = report.encode()
+        is_whole = len(data) <= LARGEST_DATAGRAM
+        if is_whole != self._is_whole:
+            self._log_size(len(data), is_whole)
+            self._is_whole = is_whole
+        return data if is_whole else report.encode_within(LARGEST_DATAGRAM)
+
+    def _log_size(self, size: int, is_whole: bool) -> None:
+        self._state.log.write(
+            ReportShortened(size, LARGEST_DATAGRAM, is_whole), is_failure=True
+        )
+
     def _report(self, now: float) -> PeerReport:
         state = self._state
         return PeerReport(
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -66,6 +66,18 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class ReportShortened(LogEvent):
+    """Reports to peers, of `size` bytes, no longer fit into `limit`, or fit again.
+
+    What peers can do without is left out of those that don't.
+    """
+
+    size: int
+    limit: int
+    fits: bool
+
+
 @dataclass(frozen=True)
 class DependencyLost(LogEvent):
     """A part of the platform or a peer no longer answers."""
