--- a/features/ingress_store.feature
+++ b/features/ingress_store.feature
@@ -41,6 +41,13 @@
     When 4 endpoints change 5 ms apart
     Then the gateway knows all of it, and no call came sooner than 30 ms after a change
 
+  # After a standstill of 1.2 s a call failed in the moment in which its follower was to
+  # read all anew: the connection was closed, but kept, and the follower ended with
+  # "file descriptor cannot be a negative integer".
+  Scenario: a call to the store is cancelled in the moment in which it fails
+    When a call's answer breaks off and the call is cancelled at once
+    Then the next call is answered over a new connection
+
   Scenario: a gateway that starts while the store is out
     Given 2 gateways before sound endpoints
     When the store goes out and a third gateway starts
--- a/features/steps/ingress_store_steps.py
+++ b/features/steps/ingress_store_steps.py
@@ -25,7 +25,9 @@
 from piershore.core.fleet import report_pace
 from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.ingress.followers.endpoint_follower import TOGETHER_SECONDS
+from piershore.platform.object_client import ObjectClient
 from standins.published_store import PublishedStore, StoreFault
 
 
@@ -147,6 +149,33 @@
     assert context.reply.status == 200
 
 
+@when("a call's answer breaks off and the call is cancelled at once")
+def break_and_cancel(context):
+    given_sound(context)
+    context.ingress._start_gateways = 0
+
+    async def script(world):
+        client = ObjectClient(Address("127.0.0.1", world.store.port))
+        await client.list("config")
+        with trio.CancelScope() as scope:
+
+            async def break_off(connection):
+                scope.cancel()
+                raise ExchangeBrokenError("the answer broke off")
+
+            with patch.object(ClientConnection, "read_head", break_off):
+                await client.list("config")
+        context.listed = await client.list("config")
+        await client.close()
+
+    context.ingress.run(script)
+
+
+@then("the next call is answered over a new connection")
+def check_next_call(context):
+    assert [item.name for item in context.listed.objects] == ["main"]
+
+
 @when("the store goes out and a third gateway starts")
 def start_third(context):
     async def script(world):
