Let a connection to the store go before it is closed

Cause: closing is a step at which a task may be cancelled; a follower that was to read all anew just then kept the closed connection, failed at its next call and was started again 0.2 s later.

--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -159,10 +159,10 @@
         return await self._write(ObjectCall(b"DELETE", path))
 
     async def close(self) -> None:
-        """Close the connection."""
-        if self._connection is not None:
-            await self._connection.close()
-            self._connection = None
+        """Close the connection; it isn't used again, also if this is cancelled."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
 
     async def _get(self, path: str, timeout: float) -> Mapping:
         answer = await self._call(ObjectCall(b"GET", path), timeout)
