--- a/devtools/ports.py
+++ b/devtools/ports.py
@@ -54,9 +54,10 @@
 
 
 def _is_free(port: int) -> bool:
+    """Tell whether no process has the port, at any address of this machine."""
     with socket.socket() as probe:
         try:
-            probe.bind(("127.0.0.1", port))
+            probe.bind(("0.0.0.0", port))
         except OSError:
             return False
         return True
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -7,6 +7,7 @@
 import tempfile
 from argparse import ArgumentParser, Namespace
 from concurrent.futures import ProcessPoolExecutor
+from http import HTTPStatus
 from pathlib import Path
 from random import Random
 
@@ -15,13 +16,18 @@
 from devtools.soak.callers import Callers
 from devtools.soak.checks import find_broken
 from devtools.soak.faults import Troubles
-from devtools.soak.fleet import Fleet
+from devtools.soak.fleet import Fleet, Gateway
+from piershore.http1.client_connection import ClientConnection
+from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
+from piershore.http1.message import RequestHead
 
 CASES = Path(__file__).with_name("cases.txt")
 """Seeds that ever failed, each with a line on the cause."""
 KEPT = Path("build/soak")
 READY_SECONDS = 60.0
 """Time to start on a busy machine; no promise."""
+READY_HEADERS = ((b"host", b"gateway"),)
+CALL_SECONDS = 2.0
 QUIET_SECONDS = 1.0
 MOST_SECONDS = 150.0
 
@@ -83,13 +89,24 @@
 async def _wait_ready(fleet: Fleet) -> None:
     with trio.fail_after(READY_SECONDS):
         for gateway in fleet.gateways:
-            while True:
-                try:
-                    stream = await trio.open_tcp_stream(*gateway.address)
-                    await stream.aclose()
-                    break
-                except OSError:
-                    await trio.sleep(0.05)
+            while not await _is_ready(gateway):
+                await trio.sleep(0.05)
+
+
+async def _is_ready(gateway: Gateway) -> bool:
+    """Ask a gateway itself: its callers' port is open long before it is ready."""
+    try:
+        connection = await ClientConnection.open(*gateway.ready_address, CALL_SECONDS)
+    except NotConnectedError:
+        return False
+    try:
+        with trio.fail_after(CALL_SECONDS):
+            await connection.send(RequestHead(b"GET", b"/readyz", READY_HEADERS), b"")
+            return (await connection.read_head()).status == HTTPStatus.OK
+    except (ExchangeBrokenError, trio.TooSlowError):
+        return False
+    finally:
+        await connection.close()
 
 
 def _case_seeds() -> list[int]:
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -46,6 +46,11 @@
         """Where callers reach it."""
         return self.host, self._port
 
+    @property
+    def ready_address(self) -> tuple[str, int]:
+        """Where it tells whether it is ready."""
+        return self.host, self._ready
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -44,7 +44,7 @@
         listed = await self._client.list(CONFIGURATION_KIND)
         for item in listed.objects:
             if item.name == CONFIGURATION_NAME:
-                return await _document(item.spec, listed.revision), listed.revision
+                return await document_of(item.spec, listed.revision), listed.revision
         return None, listed.revision
 
     async def changes(self, revision: int, wait: float) -> tuple[Document | None, int]:
@@ -55,7 +55,7 @@
         for change in batch.changes:
             if change.object.name == CONFIGURATION_NAME and not change.is_gone:
                 newest = change.object.spec
-        return None if newest is None else await _document(newest, reached), reached
+        return None if newest is None else await document_of(newest, reached), reached
 
     def decode_part(self, part: DocumentPart) -> ConfigurationPiece:
         """Decode one part of a document."""
@@ -74,7 +74,8 @@
         await self._client.close()
 
 
-async def _document(spec: Mapping, revision: int) -> Document:
+async def document_of(spec: Mapping, revision: int) -> Document:
+    """Return the document of an object's fields, split in turns with other work."""
     return Document(revision, tuple([part async for part in in_turns(split(spec))]))
 
 
