--- a/src/piershore/core/documents/compression.py
+++ b/src/piershore/core/documents/compression.py
@@ -5,8 +5,8 @@
 import zlib
 
 LEVEL = 1
-"""Routes get five to eight times smaller at each level; the higher ones cost three
-times the processor."""
+"""1 MB of 4,000 routes with random names gets 8.5 times smaller in 9 ms of a core, at
+level 6 9.4 times in 17 ms."""
 LARGEST_BYTES = 16_777_216
 """A message that is larger when it is unpacked is faulty: a document has some MB."""
 
--- a/src/piershore/core/documents/parts_reply.py
+++ b/src/piershore/core/documents/parts_reply.py
@@ -14,8 +14,8 @@
 from piershore.core.documents.parts_request import PartsRequest
 
 REPLY_BYTES = 131_072
-"""Parts in one reply, before compression: some 0.05 s on a link of 5 Mbit/s. A break of
-the connection loses no more than that."""
+"""Parts in one reply before compression, some 15 KB of routes after it: 0.03 s on a
+link of 5 Mbit/s. A break of the connection loses no more than that."""
 LINE_END = b"\n"
 """JSON has no line end in it."""
 
--- a/src/piershore/core/fleet/watchers.py
+++ b/src/piershore/core/fleet/watchers.py
@@ -5,9 +5,9 @@
 changes by datagram and read lists from a peer. With no watcher heard that reads the
 store, a gateway watches by itself.
 
-Those with wide links watch: the store sends each change of a configuration in whole,
-0.8 MB with 4,000 routes, which takes 1.3 s and more on a link of 5 Mbit/s and 0.07 s on
-one of 100 Mbit/s.
+Those with wide links watch: the store sends each change of a configuration in whole.
+With 4,248 routes it came to gateways on links of 100 Mbit/s in 0.3 s, and to those on
+5 Mbit/s in 2.2 s (one simulated day).
 """
 
 from __future__ import annotations
--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -10,7 +10,7 @@
 from piershore.errors import PiershoreError
 from piershore.ingress.followers.store_link import StoreLink
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.ports import ConfigurationFeed, EndpointFeed
+from piershore.ingress.ports import StoreFeed
 from piershore.platform.exceptions import WatchGapError
 
 NOT_WATCHING_SECONDS = 0.1
@@ -33,7 +33,7 @@
         state: GatewayState,
         name: str,
         watch_seconds: float,
-        feed: ConfigurationFeed | EndpointFeed,
+        feed: StoreFeed,
     ) -> None:
         self._state = state
         self._watch_seconds = watch_seconds
--- a/src/piershore/ingress/peers/document_server.py
+++ b/src/piershore/ingress/peers/document_server.py
@@ -31,7 +31,7 @@
     def __init__(self, sources: Mapping[bytes, DocumentSource], log: EventLog) -> None:
         self._sources = sources
         self._log = log
-        self._replies: dict[tuple[bytes, tuple[str, ...], bytes], bytes] = {}
+        self._replies: dict[tuple, bytes] = {}
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer one peer's requests."""
@@ -59,7 +59,7 @@
         await connection.respond(HTTPStatus.OK, (), reply)
 
     def _reply(self, path: bytes, document: Document, request: bytes) -> bytes:
-        key = (path, document.digests, request)
+        key = (path, document.revision, document.digests, request)
         reply = self._replies.get(key)
         if reply is None:
             reply = PartsReply.of(document, PartsRequest.decode(request)).encode()
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -170,15 +170,11 @@
         data = report.encode()
         is_whole = len(data) <= LARGEST_DATAGRAM
         if is_whole != self._is_whole:
-            self._log_size(len(data), is_whole)
             self._is_whole = is_whole
+            change = ReportShortened(len(data), LARGEST_DATAGRAM, is_whole)
+            self._state.log.write(change, is_failure=True)
         return data if is_whole else report.encode_within(LARGEST_DATAGRAM)
 
-    def _log_size(self, size: int, is_whole: bool) -> None:
-        self._state.log.write(
-            ReportShortened(size, LARGEST_DATAGRAM, is_whole), is_failure=True
-        )
-
     def _report(self, now: float) -> PeerReport:
         state = self._state
         return PeerReport(
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -155,17 +155,24 @@
     endpoint: Endpoint | None
 
 
-class ConfigurationFeed(ABC):
-    """The operators' configuration in the platform's store.
+class StoreFeed(ABC):
+    """Something that is followed in the platform's store.
 
-    Reads raise `PlatformUnavailableError` when the store doesn't answer; what decodes
-    raises `InvalidObjectError` if it can't be read.
+    Reads raise `PlatformUnavailableError` when the store doesn't answer.
     """
 
     @property
     @abstractmethod
     def heard_at(self) -> float:
-        """When something of the store's answer came last, by trio's clock."""
+        """When something of an answer came last, by trio's clock."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close connections."""
+
+
+class ConfigurationFeed(StoreFeed):
+    """The operators' configuration; raises `InvalidObjectError` for a faulty one."""
 
     @abstractmethod
     async def read(self) -> tuple[Document | None, int]:
@@ -183,18 +190,9 @@
     def join(self, pieces: Iterable[ConfigurationPiece]) -> ServingConfiguration:
         """Join the decoded parts of a whole document."""
 
-    @abstractmethod
-    async def close(self) -> None:
-        """Close connections."""
-
-
-class EndpointFeed(ABC):
-    """The platform's list of endpoints; errors as of `ConfigurationFeed`."""
 
-    @property
-    @abstractmethod
-    def heard_at(self) -> float:
-        """When something of the store's answer came last, by trio's clock."""
+class EndpointFeed(StoreFeed):
+    """The platform's list of endpoints."""
 
     @abstractmethod
     async def read(self) -> tuple[tuple[Endpoint, ...], int]:
@@ -209,7 +207,3 @@
     @abstractmethod
     def take_findings(self) -> list[str]:
         """Return what was wrong with entries since the last call."""
-
-    @abstractmethod
-    async def close(self) -> None:
-        """Close connections."""
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -11,7 +11,12 @@
 from piershore.core.fleet.endpoint import Address, Endpoint
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.core.routes.serving_configuration import ServingConfiguration
-from piershore.ingress.ports import ConfigurationFeed, EndpointChange, EndpointFeed
+from piershore.ingress.ports import (
+    ConfigurationFeed,
+    EndpointChange,
+    EndpointFeed,
+    StoreFeed,
+)
 from piershore.platform.endpoint_codec import decode_endpoint
 from piershore.platform.exceptions import InvalidObjectError
 from piershore.platform.object_client import (
@@ -28,17 +33,25 @@
 ENDPOINT_KIND = "servers"
 
 
-class StoredConfigurationFeed(ConfigurationFeed):
-    """The one object that holds the newest configuration in whole."""
+class _StoredFeed(StoreFeed):
+    """A feed with a connection of its own."""
 
     def __init__(self, store: Address) -> None:
         self._client = ObjectClient(store)
 
     @property
     def heard_at(self) -> float:
-        """When something of the store's answer came last."""
+        """When something of an answer came last, by trio's clock."""
         return self._client.heard_at
 
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
+
+
+class StoredConfigurationFeed(_StoredFeed, ConfigurationFeed):
+    """The one object that holds the newest configuration in whole."""
+
     async def read(self) -> tuple[Document | None, int]:
         """Return the newest document, if there is one, and the revision."""
         listed = await self._client.list(CONFIGURATION_KIND)
@@ -69,28 +82,19 @@
         """Join the decoded parts of a whole document."""
         return join_decoded(pieces)
 
-    async def close(self) -> None:
-        """Close the connection."""
-        await self._client.close()
-
 
 async def document_of(spec: Mapping, revision: int) -> Document:
     """Return the document of an object's fields, split in turns with other work."""
     return Document(revision, tuple([part async for part in in_turns(split(spec))]))
 
 
-class StoredEndpointFeed(EndpointFeed):
+class StoredEndpointFeed(_StoredFeed, EndpointFeed):
     """The entries that endpoints keep of themselves."""
 
     def __init__(self, store: Address) -> None:
-        self._client = ObjectClient(store)
+        super().__init__(store)
         self._findings: list[str] = []
 
-    @property
-    def heard_at(self) -> float:
-        """When something of the store's answer came last."""
-        return self._client.heard_at
-
     async def read(self) -> tuple[tuple[Endpoint, ...], int]:
         """Return all endpoints and the revision."""
         listed = await self._client.list(ENDPOINT_KIND)
@@ -110,10 +114,6 @@
         findings, self._findings = self._findings, []
         return findings
 
-    async def close(self) -> None:
-        """Close the connection."""
-        await self._client.close()
-
     def _change(self, change: ObjectChange) -> EndpointChange | None:
         if change.is_gone:
             return EndpointChange(change.object.name, None)
