--- /dev/null
+++ b/features/steps/core_limit_steps.py
@@ -0,0 +1,102 @@
+"""Steps for limits, budgets and apertures, by the core alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import then
+
+from piershore.core.limits.account_limiter import AccountLimiter, AccountLimits
+from piershore.core.routing.aperture import choose_aperture
+from piershore.core.routing.retry_budget import RetryBudget
+from piershore.gateway.admission import Admission
+
+CASES = {
+    "one gateway": (1, 1.0),
+    "four gateways with equal shares": (4, 0.25),
+}
+
+
+@then("with {case} no more than the stated bound is admitted")
+def check_limit(context, case):
+    gateways, share = CASES[case]
+    limits = AccountLimits(20.0, None)
+    limiters = [AccountLimiter(share) for _ in range(gateways)]
+    seconds = 10
+    admitted = 0
+    for tick in range(seconds * 100):
+        for limiter in limiters:
+            admitted += limiter.admit("a", limits, tick / 100) is None
+    burst = gateways * max(1.0, 20.0 * share)
+    assert admitted <= 20 * seconds + burst, admitted
+    assert admitted >= 20 * seconds * 0.9, admitted
+
+
+@then(
+    "{tries:d} first tries with a share of {share:f} allow no more than {most:d} retries"
+)
+def check_budget(context, tries, share, most):
+    budget = RetryBudget(share)
+    retries = 0
+    for _ in range(tries):
+        budget.note_first_try()
+        retries += budget.spend()
+    assert most * 0.8 <= retries <= most, retries
+
+
+HALLS = 9
+
+
+def apertures(gateways, endpoints, size):
+    halls = {f"e{n}": f"hall-{n % HALLS}" for n in range(endpoints)}
+    return {
+        g: choose_aperture(f"g{g}", f"hall-{g % HALLS}", halls, size)
+        for g in range(gateways)
+    }
+
+
+@then(
+    "with {gateways:d} gateways, {endpoints:d} endpoints and an aperture of {size:d} "
+    "every endpoint has {least:d} to {most:d} links"
+)
+def check_apertures(context, gateways, endpoints, size, least, most):
+    chosen = apertures(gateways, endpoints, size)
+    links = Counter(name for names in chosen.values() for name in names)
+    counts = [links[f"e{n}"] for n in range(endpoints)]
+    assert least <= min(counts) and max(counts) <= most, (min(counts), max(counts))
+    context.aperture = (gateways, endpoints, size, chosen)
+
+
+@then(
+    "each gateway has some links to other data halls, and one endpoint less "
+    "moves few links"
+)
+def check_remote(context):
+    gateways, endpoints, size, chosen = context.aperture
+    fewer = apertures(gateways, endpoints - 1, size)
+    for gateway, names in chosen.items():
+        own = gateway % HALLS
+        assert any(int(name[1:]) % HALLS != own for name in names)
+        assert len(names - fewer[gateway]) <= 1
+
+
+@then("an account with one concurrent request is free again when its answer is dropped")
+def check_admission(context):
+    limiter = AccountLimiter()
+    limits = AccountLimits(None, 1)
+
+    async def answer(admission):
+        try:
+            yield b""
+        finally:
+            admission.release()
+
+    assert limiter.admit("a", limits, 0.0) is None
+    never_begun = answer(Admission(limiter, "a"))
+    assert limiter.admit("a", limits, 0.0) is not None
+    del never_begun
+    assert limiter.admit("a", limits, 0.0) is None
+    admission = Admission(limiter, "a")
+    admission.release()
+    admission.release()
+    assert limiter.admit("a", limits, 0.0) is None
--- /dev/null
+++ b/features/steps/core_ownership_steps.py
@@ -0,0 +1,139 @@
+"""Steps for slots, leases and keys: random histories of the core alone."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import then
+
+from piershore.core.ownership.claim import Answer, RefuseKey, RunKey
+from piershore.core.ownership.exceptions import SlotChangeError
+from piershore.core.ownership.interval import Owner
+from piershore.core.ownership.minted_key import MintedKey
+from piershore.core.ownership.slot_owner import OwnershipSettings, SlotOwner
+from piershore.core.ownership.slot_table import SlotTable
+
+
+class OwnershipHistory:
+    """Two agents and their successors on one table, driven at random."""
+
+    def __init__(self, seed, slots):
+        self.random = Random(seed)
+        self.table = SlotTable.create("s", slots, 0)
+        self.versions = [(1, self.table)]
+        self.runs = {}
+        self.keys = [
+            MintedKey.mint(self.random.randrange(1, 1_500), self.random)
+            for _ in range(120)
+        ]
+        self.agents = [self.agent(n) for n in range(2)]
+        self.now = 1
+
+    def agent(self, number):
+        owner = Owner(f"a{number}", str(self.random.random()))
+        settings_ = OwnershipSettings(60, 5, 150, 5)
+        return SlotOwner("s", owner, settings_)
+
+    def step(self):
+        self.now += self.random.randrange(9)
+        number = self.random.randrange(2)
+        agent = self.agents[number]
+        action = self.random.choice(
+            ["run"] * 8 + ["keep"] * 4 + ["read", "leave", "crash", "forget", "resize"]
+        )
+        getattr(self, action)(agent, number)
+
+    def run(self, agent, number):
+        key = self.random.choice(self.keys)
+        decision = agent.decide(key)
+        if isinstance(decision, RunKey):
+            self.runs[key.text] = self.runs.get(key.text, 0) + 1
+            assert self.runs[key.text] == 1, "a key ran twice"
+            if self.random.random() < 0.8:
+                agent.finish(key, Answer(200, b""))
+        elif isinstance(decision, RefuseKey) and decision.outcome == "not_run":
+            assert key.text not in self.runs, "a key that ran was called not run"
+
+    def keep(self, agent, number):
+        version, base = self.random.choice(self.versions[-2:])
+        clock = self.now + self.random.choice([-50, 0, 0, 50])
+        try:
+            wanted = agent.change(base, clock, {"a0", "a1"})
+        except SlotChangeError:
+            return
+        if version != self.versions[-1][0] or wanted == base:
+            return
+        self.versions.append((version + 1, wanted))
+        if self.random.random() < 0.7:
+            agent.confirm(wanted, version + 1)
+
+    def read(self, agent, number):
+        version, table = self.random.choice(self.versions[-4:])
+        agent.confirm(table, version)
+
+    def leave(self, agent, number):
+        if self.random.random() < 0.5:
+            agent.leave()
+
+    def crash(self, agent, number):
+        if self.random.random() < 0.3:
+            self.agents[number] = self.agent(number)
+
+    def forget(self, agent, number):
+        agent.forget(self.now + self.random.choice([0, 200]))
+
+    def resize(self, agent, number):
+        if self.random.random() < 0.2:
+            version, table = self.versions[-1]
+            count = self.random.randrange(1, 5)
+            resized = table.resize(count, table.current.spec_version + 1)
+            self.versions.append((version + 1, resized))
+
+
+@then("no key runs twice in {count:d} random histories with {slots:d} slots")
+def check_histories(context, count, slots):
+    ran = 0
+    for seed in range(count):
+        history = OwnershipHistory(seed, slots)
+        for _ in range(300):
+            history.step()
+        ran += len(history.runs)
+    assert ran > count, "hardly anything ran, so nothing was shown"
+
+
+def keep_leases(context, agents, seconds):
+    """Let the agents keep their leases in turn for some seconds."""
+    names = {name for name, _ in context.members}
+    for _ in range(seconds * 4):
+        context.clock += 250
+        for agent in agents:
+            context.slots = agent.change(context.slots, context.clock, names)
+            context.version += 1
+            agent.confirm(context.slots, context.version)
+
+
+def slot_owners(context):
+    return {slot.last.owner.endpoint for slot in context.slots.current.slots}
+
+
+@then("of 3 agents, of which one came first, each owns some of 16 slots in the end")
+def check_shared(context):
+    context.clock, context.version = 1_000_000, 1
+    context.slots = SlotTable.create("s", 16, context.clock)
+    context.members = [
+        (name, SlotOwner("s", Owner(name, "1"), OwnershipSettings())) for name in "abc"
+    ]
+    agents = [agent for _, agent in context.members]
+    first, context.members = context.members, context.members[:1]
+    keep_leases(context, agents[:1], 5)
+    assert slot_owners(context) == {"a"}
+    context.members = first
+    keep_leases(context, agents, 30)
+    assert slot_owners(context) == {"a", "b", "c"}, slot_owners(context)
+
+
+@then("when one of them falls silent the others own all slots in the end")
+def check_silent(context):
+    agents = [agent for name, agent in context.members if name != "b"]
+    keep_leases(context, agents, 60)
+    assert slot_owners(context) == {"a", "c"}, slot_owners(context)
