--- a/features/ingress_documents.feature
+++ b/features/ingress_documents.feature
@@ -14,26 +14,26 @@
   Scenario: a configuration that no link between gateways carries in a second
     Given 6 gateways whose links to each other carry 300 KB a second
     When an operator adds 4000 routes
-    Then each gateway serves by it within 20 s
+    Then each gateway serves by it within 40 s
 
   @accepted_config_in_force
   Scenario: a configuration that the link to the store does not carry in two seconds
     Given 1 gateways whose links to the store carry 100 KB a second
     When an operator adds 4000 routes
-    Then each gateway serves by it within 40 s
+    Then each gateway serves by it within 60 s
 
   @leaving_gets_no_new_work
   Scenario: a list of endpoints that no link between gateways carries in a second
     Given 6 gateways whose links to each other carry 100 KB a second
     When 2500 endpoints are listed and one of them leaves
-    Then each gateway knows within 20 s
+    Then each gateway knows within 40 s
 
   @accepted_config_in_force
   Scenario: one more route in a large configuration
     Given 6 gateways whose links to each other carry 300 KB a second
     And a configuration of 4000 routes
     When an operator adds one route
-    Then each gateway serves by it within 20 s
+    Then each gateway serves by it within 40 s
     And no gateway sent its peers more than 100 KB
 
   @accepted_config_in_force
@@ -41,19 +41,19 @@
     Given 6 gateways whose links to each other carry 300 KB a second
     And connections between gateways that break after 80 KB
     When an operator adds 4000 routes
-    Then each gateway serves by it within 20 s
+    Then each gateway serves by it within 40 s
 
   @accepted_config_in_force
   Scenario: newer versions while a large one is under way
     Given 6 gateways whose links to each other carry 300 KB a second
     When an operator adds 4000 routes and edits them 3 times, each 0.3 s after the last
-    Then each gateway serves by it within 20 s
+    Then each gateway serves by it within 40 s
 
   @accepted_config_in_force
   Scenario: the store is gone once a large configuration was accepted, and a gateway starts
     Given 6 gateways whose links to each other carry 300 KB a second
     When an operator adds 4000 routes, the first gateways know, and the store is gone
-    Then each gateway serves by it within 20 s
+    Then each gateway serves by it within 40 s
 
   Scenario: a report that is too large for a datagram
     Given 2 gateways before sound endpoints
