--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -61,7 +61,7 @@
         fleet.close()
     served = sum(call.status == 200 for call in callers.calls)
     text = f"seed {seed}: {len(callers.calls)} calls, {served} served"
-    text += f", {len(troubles.told)} faults"
+    text += f", {troubles.played} faults"
     if findings:
         kept = KEPT / str(seed)
         shutil.rmtree(kept, ignore_errors=True)
@@ -80,6 +80,7 @@
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
             await _wait_ready(fleet)
+            nursery.start_soon(troubles.watch_standstill)
             async with trio.open_nursery() as playing:
                 playing.start_soon(callers.run, seconds + QUIET_SECONDS)
                 playing.start_soon(troubles.run, seconds)
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -16,6 +16,8 @@
 Fault = Callable[["Troubles"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 OF_STORE_SHARE = 0.3
+LOOK_SECONDS = 0.05
+STANDSTILL_SECONDS = 0.3
 BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 BAD_STORES = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 
@@ -27,13 +29,14 @@
 
 
 class Troubles:
-    """Draws faults and lets them overlap; `told` names those that were played."""
+    """Draws faults and lets them overlap; `told` names the `played` ones."""
 
     def __init__(self, fleet: Fleet, random: Random, gap: float) -> None:
         self.fleet = fleet
         self.random = random
         self._gap = gap
         self.told: list[str] = []
+        self.played = 0
         self.bad_exits: list[str] = []
         self.store_bad_until = 0.0
 
@@ -44,6 +47,7 @@
             while trio.current_time() < end:
                 await trio.sleep(self.random.random() * 2 * self._gap)
                 name = self.random.choice(list(FAULTS))
+                self.played += 1
                 self.told.append(f"{trio.current_time() - end + seconds:.2f} {name}")
                 nursery.start_soon(FAULTS[name], self)
         self.fleet.heal()
@@ -54,7 +58,21 @@
 
     def gateway(self) -> Gateway:
         """Draw a gateway."""
-        return self.random.choice(self.fleet.gateways)
+        gateway = self.random.choice(self.fleet.gateways)
+        self.told.append(f"  at {gateway.name}")
+        return gateway
+
+    async def watch_standstill(self) -> None:
+        """Tell, for ever, when the soak itself stands still.
+
+        Its faults then last longer than they were to, and gateways get no signal.
+        """
+        while True:
+            before = trio.current_time()
+            await trio.sleep(LOOK_SECONDS)
+            late = trio.current_time() - before - LOOK_SECONDS
+            if late > STANDSTILL_SECONDS:
+                self.told.append(f"  the soak stood still for {late:.2f} s")
 
     def note_store(self) -> None:
         """Note that the store is disturbed now."""
