--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -65,7 +65,8 @@
 class FleetSettings:
     """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
 
-    Every `reclaim_every` an engine is told to leave and is gone after `notice`; a
+    `callers_a_gateway` callers stay at gateways picked at random, so that some have
+    several and some none; with 0 each generation comes to any gateway. Every `reclaim_every` an engine is told to leave and is gone after `notice`; a
     notice of 0 is a crash.
     """
 
@@ -80,6 +81,27 @@
     refuses: bool = False
     reclaim_every: float = 0.0
     notice: float = 1.8
+    callers_a_gateway: float = 0.0
+
+    def lasting(self, seconds: float) -> FleetSettings:
+        """Return the same run for another time."""
+        return replace(self, seconds=seconds)
+
+
+@dataclass(frozen=True)
+class Placing:
+    """A choice beside the truth: generations at the engine, known there, and at the
+    least loaded one.
+    """
+
+    there: int
+    known: int
+    least: int
+
+    @property
+    def excess(self) -> int:
+        """How many more generations were there than at the best choice."""
+        return self.there - self.least
 
 
 @dataclass
@@ -176,11 +198,14 @@
         self._numbers = count(settings.engines)
         self._now = 0.0
         self.streams: list[FleetStream] = []
+        self.placings: list[Placing] = []
         self._engines: dict[str, SimulatedEngine] = {}
         self._gateways = [
             SimulatedGateway(number, settings.policy, seed)
             for number in range(settings.gateways)
         ]
+        callers = round(settings.callers_a_gateway * settings.gateways)
+        self._callers = [self._random.choice(self._gateways) for _ in range(callers)]
         for number in range(settings.engines):
             self._add_engine(number)
 
@@ -234,7 +259,7 @@
         if self._is_over:
             return
         self._at(self._random.expovariate(self._settings.rate), self._arrive)
-        gateway = self._random.choice(self._gateways)
+        gateway = self._random.choice(self._callers or self._gateways)
         stream = self._new_stream(gateway)
         self.streams.append(stream)
         gateway.streams[stream.identity] = stream
@@ -265,14 +290,15 @@
         if self._settings.refuses and not has_memory(choice.load, stream.work, ENGINE):
             self._refuse(stream, choice.load)
             return
-        self._run_at(
-            stream,
-            self._engines[choice.endpoint.identity],
-            stream.work.size.prompt_tokens,
-            stream.length,
-        )
+        engine = self._engines[choice.endpoint.identity]
+        self._note_placing(engine, choice.load)
+        self._run_at(stream, engine, stream.work.size.prompt_tokens, stream.length)
         self._back_up(stream, choice.load)
 
+    def _note_placing(self, engine: SimulatedEngine, load: EndpointLoad) -> None:
+        least = min(len(other.streams) for other in self._engines.values())
+        self.placings.append(Placing(len(engine.streams), load.requests, least))
+
     def _refuse(self, stream: FleetStream, load: EndpointLoad) -> None:
         """Send the caller away; it comes back once, and counts from then on."""
         stream.refusals += 1
