--- a/features/ingress_store.feature
+++ b/features/ingress_store.feature
@@ -41,6 +41,14 @@
     When 4 endpoints change 5 ms apart
     Then the gateway knows all of it, and no call came sooner than 30 ms after a change
 
+  # When a whole fleet starts, no gateway knows yet who else watches: all of 68 watched,
+  # and each of 36 endpoints that registered woke them all, in 1300 of 2030 calls of a day.
+  Scenario: endpoints that register while a gateway starts
+    Given a gateway before sound endpoints
+    When 15 endpoints register 60 ms apart as soon as it runs
+    Then it knows each that registered
+    And it asked for changes of endpoints at most 4 times
+
   # After a standstill of 1.2 s a call failed in the moment in which its follower was to
   # read all anew: the connection was closed, but kept, and the follower ended with
   # "file descriptor cannot be a negative integer".
--- a/features/steps/ingress_store_steps.py
+++ b/features/steps/ingress_store_steps.py
@@ -84,6 +84,36 @@
     assert all(gap >= TOGETHER_SECONDS for gap in gaps), gaps
 
 
+@when("{count:d} endpoints register {apart:d} ms apart as soon as it runs")
+def register_endpoints(context, count, apart):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        identities = [f"new-{number}" for number in range(count)]
+        for identity in identities:
+            entry = world.endpoints[0].entry("ready")
+            world.store.put("servers", identity, entry)
+            await trio.sleep(apart / 1_000)
+        directory = daemon._state.directory
+        with trio.move_on_after(5):
+            while not all(map(directory.get, identities)):
+                await trio.sleep(0.005)
+        context.known = set(filter(directory.get, identities))
+        context.registered = set(identities)
+        context.asked = [kind for kind, _ in world.store.watch_times]
+
+    context.ingress.run(script)
+
+
+@then("it knows each that registered")
+def check_all_known(context):
+    assert context.known == context.registered
+
+
+@then("it asked for changes of endpoints at most {most:d} times")
+def check_asked(context, most):
+    assert context.asked.count("servers") <= most, context.asked
+
+
 async def cut_second_from_store(world, fault):
     """Give the second gateway another store, that does not answer."""
     _, second = world.gateways[1]
