Take changes together while a gateway doesn't know who else watches

Change: in the first 3 s of its life a gateway pauses for 0.6 s after each watch. The first change is known at once, a second one up to 0.6 s later.

--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -19,6 +19,14 @@
 """Parts of the longest wait that watches take: a change wakes all of them together, and
 they are to end at different moments."""
 
+SETTLING_SECONDS = 3.0
+"""Time from a gateway's start in which it doesn't know yet who else watches: in a fleet
+of 68 that starts together all have left the watching to a few after 3.5 s."""
+SETTLING_PAUSE_SECONDS = 0.6
+"""Pause after a watch in that time: changes that come one after the other share a call.
+Without it all gateways watch while endpoints register one by one: 1,300 calls in 3 s
+with 68 gateways and 36 endpoints (simulated day), growing as one times the other."""
+
 
 def always() -> bool:
     """Watch by itself, whoever else does."""
@@ -39,6 +47,7 @@
         self._watch_seconds = watch_seconds
         self._revision: int | None = None
         self._scope: trio.CancelScope | None = None
+        self._settled_at = float("-inf")
         self._should_watch: Callable[[], bool] = always
         self.link = StoreLink(
             f"store: {name}", state.random, state.log, lambda: feed.heard_at
@@ -56,6 +65,7 @@
 
     async def run(self) -> None:
         """Follow the store for ever."""
+        self._settled_at = trio.current_time() + SETTLING_SECONDS
         while True:
             with trio.CancelScope() as self._scope:
                 await self._follow()
@@ -107,3 +117,5 @@
             self._revision = await self._take_changes_after(self._revision, wait)
         finally:
             self.link.expect_nothing()
+        if trio.current_time() < self._settled_at:
+            await trio.sleep(SETTLING_PAUSE_SECONDS)
