One bound on retries for both interfaces

The product's own interface had a budget of its own: each gateway could save up 20 retries, so six of them 240 for 1,200 first tries at a share of 0.1. It takes the allowance over a window that all gateways share: 140 at most (a scenario, of which the old budget allows 240, computed).

--- a/features/core.feature
+++ b/features/core.feature
@@ -78,6 +78,7 @@
 
   Scenario: Retries are bound to first tries
     Then 1000 first tries with a share of 0.1 allow no more than 120 retries
+    And 6 gateways with 1200 first tries together allow no more than 140 retries
 
   @planned_stop_cuts_nothing
   Scenario: A generation ends in the moment in which its agent stops
--- a/features/steps/core_limit_steps.py
+++ b/features/steps/core_limit_steps.py
@@ -4,12 +4,13 @@
 
 from collections import Counter
 
+import trio
 from behave import then
 
 from piershore.core.limits.account_limiter import AccountLimiter, AccountLimits
 from piershore.core.routing.aperture import choose_aperture
-from piershore.core.routing.retry_budget import RetryBudget
 from piershore.gateway.admission import Admission
+from piershore.gateway.retries import Retries
 
 CASES = {
     "one gateway": (1, 1.0),
@@ -36,14 +37,35 @@
     "{tries:d} first tries with a share of {share:f} allow no more than {most:d} retries"
 )
 def check_budget(context, tries, share, most):
-    budget = RetryBudget(share)
-    retries = 0
-    for _ in range(tries):
-        budget.note_first_try()
-        retries += budget.spend()
+    context.share = share
+    retries = count_retries(1, tries, share)
     assert most * 0.8 <= retries <= most, retries
 
 
+@then(
+    "{gateways:d} gateways with {tries:d} first tries together allow no more than "
+    "{most:d} retries"
+)
+def check_shared_budget(context, gateways, tries, most):
+    retries = count_retries(gateways, tries, context.share)
+    assert most * 0.8 <= retries <= most, retries
+
+
+def count_retries(gateways, tries, share):
+    """Return the retries that are allowed when each try wants one, in one moment."""
+
+    async def spend():
+        shares = [Retries(share, lambda: gateways) for _ in range(gateways)]
+        spent = 0
+        for number in range(tries):
+            retries = shares[number % gateways]
+            retries.note_request()
+            spent += retries.spend()
+        return spent
+
+    return trio.run(spend)
+
+
 HALLS = 9
 
 
--- a/src/piershore/gateway/call_service.py
+++ b/src/piershore/gateway/call_service.py
@@ -13,10 +13,10 @@
 from piershore.core.ownership.key_minter import intervals_for, mint_key
 from piershore.core.ownership.minted_key import MintedKey
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.routing.retry_budget import RetryBudget
 from piershore.gateway.agent_link import AgentLink, LinkRequest
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
+from piershore.gateway.retries import Retries
 from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import Answered, Call, Refused
@@ -52,9 +52,9 @@
 class CallService:
     """Serves plain calls over the links."""
 
-    def __init__(self, links: AgentLinks, budget: RetryBudget) -> None:
+    def __init__(self, links: AgentLinks, retries: Retries) -> None:
         self._links = links
-        self._budget = budget
+        self._retries = retries
         self._random = Random()
 
     async def call(self, order: CallOrder) -> CallAnswer:
@@ -78,7 +78,7 @@
         return key
 
     async def _call_repeatable(self, order: CallOrder) -> CallAnswer:
-        tries = Tries(self._links, self._budget)
+        tries = Tries(self._links, self._retries)
         while True:
             link = tries.next_link(order.service)
             try:
@@ -109,7 +109,7 @@
         return CallAnswer(answer, key.text)
 
     async def _call_with_minted_keys(self, order: CallOrder) -> CallAnswer:
-        tries = Tries(self._links, self._budget)
+        tries = Tries(self._links, self._retries)
         while True:
             key = self.mint(order.service)
             try:
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -14,7 +14,6 @@
 from piershore.core.limits.account_limiter import AccountLimiter
 from piershore.core.outcome import Outcome
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.routing.retry_budget import RetryBudget
 from piershore.gateway.account_directory import AccountDirectory
 from piershore.gateway.admin_api import AdminApi
 from piershore.gateway.agent_links import AgentLinks
@@ -31,6 +30,7 @@
 from piershore.gateway.in_flight import InFlightRequests
 from piershore.gateway.problem import problem_response
 from piershore.gateway.request_reader import RequestReader
+from piershore.gateway.retries import Retries
 from piershore.platform.http_platform_store import HttpPlatformStore
 from piershore.settings.process_settings import GatewaySettings
 from piershore.telemetry import metrics
@@ -152,15 +152,15 @@
         app.config["MAX_CONTENT_LENGTH"] = None
         app.config["RESPONSE_TIMEOUT"] = None
         reader = self._reader
-        budget = RetryBudget(self._settings.retry_share)
+        retries = Retries(self._settings.retry_share, self._count_gateways)
         timeout = self._settings.request_timeout
         callers = CallersApi(
             CallersServices(
                 view=self._view,
                 reader=reader,
                 limiter=self._limiter,
-                generations=GenerationService(self._links, budget, timeout),
-                calls=CallService(self._links, budget),
+                generations=GenerationService(self._links, retries, timeout),
+                calls=CallService(self._links, retries),
             )
         )
         admin = AdminApi(
@@ -218,5 +218,8 @@
         )
 
     def _share_limits(self) -> None:
-        gateways = max(1, len(self._directory.gateways()))
-        self._limiter.set_share(1 / gateways)
+        self._limiter.set_share(1 / self._count_gateways())
+
+    def _count_gateways(self) -> int:
+        """Return how many gateways live; its own entry may not be listed yet."""
+        return max(1, len(self._directory.gateways()))
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -9,12 +9,12 @@
 
 from piershore.core.outcome import Outcome
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.routing.retry_budget import RetryBudget
 from piershore.core.streams.event_id import EventId
 from piershore.gateway.agent_link import AgentLink, LinkRequest
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
 from piershore.gateway.generation_order import GenerationOrder, ShownTokens
+from piershore.gateway.retries import Retries
 from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import (
@@ -33,9 +33,9 @@
 class GenerationService:
     """Serves generations over the links; `timeout` is in seconds."""
 
-    def __init__(self, links: AgentLinks, budget: RetryBudget, timeout: float) -> None:
+    def __init__(self, links: AgentLinks, retries: Retries, timeout: float) -> None:
         self._links = links
-        self._budget = budget
+        self._retries = retries
         self._timeout = timeout
 
     async def stream(self, order: GenerationOrder) -> AsyncIterator[ShownTokens]:
@@ -44,7 +44,7 @@
         Before the first token another endpoint may be tried; after it, a lost
         generation ends the stream with the error that says so.
         """
-        tries = Tries(self._links, self._budget)
+        tries = Tries(self._links, self._retries)
         while True:
             shown = False
             try:
@@ -60,7 +60,7 @@
 
     async def complete(self, order: GenerationOrder) -> tuple[str, ...]:
         """Return all tokens of one whole generation."""
-        tries = Tries(self._links, self._budget)
+        tries = Tries(self._links, self._retries)
         while True:
             collected: list[str] = []
             try:
--- a/src/piershore/gateway/tries.py
+++ b/src/piershore/gateway/tries.py
@@ -4,10 +4,10 @@
 
 from piershore.core.outcome import Outcome
 from piershore.core.refusal_reason import RefusalReason, RETRYABLE_REASONS
-from piershore.core.routing.retry_budget import RetryBudget
 from piershore.gateway.agent_link import AgentLink
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import RequestRefusedError
+from piershore.gateway.retries import Retries
 from piershore.telemetry import metrics
 
 RETRY_AFTER_SECONDS = 1.0
@@ -19,13 +19,13 @@
     Once a try may have run, no later refusal can say that the request did not.
     """
 
-    def __init__(self, links: AgentLinks, budget: RetryBudget) -> None:
+    def __init__(self, links: AgentLinks, retries: Retries) -> None:
         self._links = links
-        self._budget = budget
+        self._retries = retries
         self._tried: set[str] = set()
         self._last: RequestRefusedError | None = None
         self._outcome = Outcome.NOT_RUN
-        budget.note_first_try()
+        retries.note_request()
 
     def next_link(self, service: str, prompt: str = "") -> AgentLink:
         """Return the link for the next try; raise the last refusal if none is left."""
@@ -46,7 +46,7 @@
         error.outcome = self._outcome
         if error.reason not in RETRYABLE_REASONS:
             raise error
-        if not self._budget.spend():
+        if not self._retries.spend():
             reason = RefusalReason.RETRY_BUDGET_SPENT
             metrics.REFUSALS.labels(reason=reason, outcome=error.outcome).inc()
             raise error
