--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -348,6 +348,41 @@
         "        if False:\n",
         "ingress_store",
     ),
+    Mutant(
+        "starts aren't told to those who share an endpoint",
+        "core/fleet/subsetting.py",
+        "        place = self._places.get(endpoint.identity)\n",
+        "        place = None\n",
+        "large_fleet",
+    ),
+    Mutant(
+        "all gateways choose from the same endpoints",
+        "core/fleet/subsetting.py",
+        "start = rank * endpoints // gateways",
+        "start = 0",
+        "large_fleet",
+    ),
+    Mutant(
+        "a full subset is all there is",
+        "core/fleet/placement.py",
+        "if self._uses_subsets and not anywhere:",
+        "if self._uses_subsets:",
+        "large_fleet",
+    ),
+    Mutant(
+        "late notes of load count",
+        "core/fleet/peer_table.py",
+        "last.incarnation == note.incarnation and last.number < note.number",
+        "True",
+        "large_fleet",
+    ),
+    Mutant(
+        "a gateway that starts watches without a pause",
+        "ingress/followers/store_follower.py",
+        "if trio.current_time() < self._settled_at:",
+        "if False:",
+        "ingress_store",
+    ),
 )
 SOAK = "soak"
 """The name that stands for the soak in place of a feature."""
