--- a/features/steps/ingress_placement_steps.py
+++ b/features/steps/ingress_placement_steps.py
@@ -12,12 +12,10 @@
 from hypothesis import given as given_data
 from hypothesis import strategies as st
 from support.core_checks import checked, endpoint, ENGINE, fleet_of
+from support.placements import placement_over
 
 from piershore.commands.options import PLACEMENT
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
-from piershore.core.fleet.endpoint_health import (
-    EndpointHealth,
-)
 from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
 from piershore.core.fleet.evacuation_plan import (
     choose_targets,
@@ -28,12 +26,9 @@
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.hall_stalls import HallStalls
-from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import (
-    DEFAULT_PLACEMENT,
     PLACEMENT_POLICIES,
 )
-from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.ingress.live_stream import Handover
 
 
@@ -143,17 +138,7 @@
     for number in range(peers):
         report = {f"i-{number % endpoints}": EndpointLoad(1, 100, 200, 0)}
         loads.take_report(f"peer-{number}", OnceReadLoads(report), 0.0)
-    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
-    placement = Placement(
-        "ikeja",
-        directory,
-        loads,
-        EndpointHealth(),
-        Random(1),
-        policy,
-        HallStalls(),
-        EndpointSubsets("self", directory),
-    )
+    placement = placement_over(directory, loads)
     work = GenerationWork(GenerationSize(100, 100), 50)
     choice = placement.for_generation("model", work, ENGINE, 0.0)
     assert choice.load.requests == 1
@@ -209,17 +194,7 @@
     directory, loads = EndpointDirectory(), CountedLoads()
     for listed in endpoints:
         directory.put(listed)
-    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
-    placement = Placement(
-        "ikeja",
-        directory,
-        loads,
-        EndpointHealth(),
-        Random(1),
-        policy,
-        HallStalls(),
-        EndpointSubsets("self", directory),
-    )
+    placement = placement_over(directory, loads)
     work = GenerationWork(GenerationSize(100, 100), 50)
     assert placement.for_generation("model", work, ENGINE, 0.0) is not None
     assert loads.lookups == 64
@@ -251,17 +226,7 @@
     held = EndpointLoad(1, tokens, tokens, 0)
     loads.take_report("peer", {near.identity: held}, 0.0)
     context.stalls = HallStalls()
-    policy = PLACEMENT_POLICIES[DEFAULT_PLACEMENT]()
-    context.placement = Placement(
-        "ikeja",
-        directory,
-        loads,
-        EndpointHealth(),
-        Random(1),
-        policy,
-        context.stalls,
-        EndpointSubsets("self", directory),
-    )
+    context.placement = placement_over(directory, loads, stalls=context.stalls)
 
 
 @when("streams from lekki have {pauses}")
--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from support.core_checks import ENGINE, fleet_of
 from support.peer_reports import peer_report
+from support.placements import placement_over
 
 from devtools.bench.fleet_simulation import FleetRun, FleetSettings, LONG_MOST
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -16,13 +17,10 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
-from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.load_note import LoadNote
 from piershore.core.fleet.peer_table import PeerTable
-from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import (
     DEFAULT_PLACEMENT,
-    PLACEMENT_POLICIES,
 )
 from piershore.core.fleet.report_pace import report_interval
 from piershore.core.fleet.subsetting import EndpointSubsets
@@ -144,16 +142,7 @@
     subsets = EndpointSubsets("10.0.0.1", directory)
     subsets.set_peers(host(number) for number in range(60))
     health = EndpointHealth()
-    placement = Placement(
-        "ikeja",
-        directory,
-        loads,
-        health,
-        Random(SEED),
-        PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
-        HallStalls(),
-        subsets,
-    )
+    placement = placement_over(directory, loads, health=health, subsets=subsets)
     own = {endpoint.identity for endpoint in subsets.own(SERVICE)}
 
     def placed(**options):
--- /dev/null
+++ b/features/support/placements.py
@@ -0,0 +1,28 @@
+"""A gateway's placement over endpoints and loads that a check sets up."""
+
+from __future__ import annotations
+
+from random import Random
+
+from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.placement import Placement
+from piershore.core.fleet.placement_policy import (
+    DEFAULT_PLACEMENT,
+    PLACEMENT_POLICIES,
+)
+from piershore.core.fleet.subsetting import EndpointSubsets
+
+
+def placement_over(directory, loads, *, health=None, stalls=None, subsets=None):
+    """Return the placement of a gateway at ikeja; alone, unless it has subsets."""
+    return Placement(
+        "ikeja",
+        directory,
+        loads,
+        health or EndpointHealth(),
+        Random(1),
+        PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
+        stalls or HallStalls(),
+        subsets or EndpointSubsets("self", directory),
+    )
--- a/src/piershore/ingress/streams/stream_memory.py
+++ b/src/piershore/ingress/streams/stream_memory.py
@@ -66,6 +66,7 @@
         )
         if choice is None or has_memory(choice.load, self.work, spec.engine):
             return choice
+        # Nobody is refused while an endpoint beyond the subset has room.
         return placement.for_generation(
             service, self.work, spec.engine, now, excluded, anywhere=True
         )
