--- a/features/steps/core_parser_steps.py
+++ b/features/steps/core_parser_steps.py
@@ -4,13 +4,12 @@
 
 from behave import then
 from hypothesis import strategies as st
-from support.core_checks import checked
+from support.core_checks import check_coded_errors
 
 from piershore.core.configuration.codec import decode_spec, structure
 from piershore.core.configuration.objects import ObjectKind
 from piershore.core.ownership.minted_key import MintedKey
 from piershore.core.streams.event_id import EventId
-from piershore.errors import PiershoreError
 from piershore.gateway.chat_request import ChatRequest
 from piershore.settings.document import read_documents
 
@@ -33,11 +32,4 @@
 
 @then("{parser} never fails in another way")
 def check_parser(context, parser):
-    parse, inputs = PARSERS[parser]
-
-    @checked(inputs)
-    def check(data):
-        try:
-            parse(data)
-        except PiershoreError as error:
-            assert error.code
+    check_coded_errors(*PARSERS[parser])
--- a/features/steps/ingress_core_steps.py
+++ b/features/steps/ingress_core_steps.py
@@ -11,7 +11,7 @@
 import trio
 from behave import then, when
 from hypothesis import strategies as st
-from support.core_checks import checked
+from support.core_checks import check_coded_errors, checked
 from support.ingress_world import configuration
 
 from piershore.core.documents.splitting import split
@@ -19,7 +19,6 @@
 from piershore.core.fleet.peer_report import PeerReport
 from piershore.core.streams.delivered_events import DeliveredEvents
 from piershore.core.streams.event_splitter import EventSplitter
-from piershore.errors import PiershoreError
 from piershore.http1.message import RequestHead
 from piershore.platform.box_settings_file import read_box_settings
 from piershore.platform.endpoint_codec import decode_endpoint
@@ -99,14 +98,7 @@
 
 @then("reading {parser} raises only errors with a code")
 def check_parser(context, parser):
-    parse, inputs = PARSERS[parser]
-
-    @checked(inputs)
-    def check(data):
-        try:
-            parse(data)
-        except PiershoreError as error:
-            assert error.code
+    check_coded_errors(*PARSERS[parser])
 
 
 @when("a log of {count:d} lines is written to a pipe that nobody reads")
--- a/features/support/core_checks.py
+++ b/features/support/core_checks.py
@@ -7,6 +7,7 @@
 
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.routes.service_spec import EngineSpec
+from piershore.errors import PiershoreError
 
 ENGINE = EngineSpec(
     slots=24,
@@ -30,6 +31,17 @@
     return decorate
 
 
+def check_coded_errors(parse, inputs):
+    """Check that parsing drawn inputs raises only errors with a code."""
+
+    @checked(inputs)
+    def check(data):
+        try:
+            parse(data)
+        except PiershoreError as error:
+            assert error.code
+
+
 def endpoint(identity, stage=EndpointStage.READY, hall="h0"):
     return Endpoint(identity, "s", Address("h", 1), hall, 24, stage)
 
