--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from piershore.core.fleet.backup_choice import has_room, wants_backup
+from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
@@ -33,6 +34,7 @@
 from piershore.core.fleet.report_pace import SHORTEST_GAP_SECONDS
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
+from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.service_spec import EngineSpec
 from standins.engine_model import EngineModel, EngineSettings
 
@@ -177,6 +179,7 @@
             PLACEMENT_POLICIES[settings.policy](),
             HallStalls(),
             self.subsets,
+            ColdStarts(self.name, self.subsets, CurrentConfiguration()),
             frozenset() if settings.subsets else {Mechanism.SUBSETS},
         )
 
--- /dev/null
+++ b/features/steps/cold_endpoint_steps.py
@@ -0,0 +1,207 @@
+"""Steps for endpoints that have just started, most of them in virtual time."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from random import Random
+
+import trio
+from behave import given, then, when
+from hypothesis import strategies as st
+from support.core_checks import checked, ENGINE, fleet_of
+from support.ingress_world import IngressWorld
+
+from piershore.core.fleet.cold_starts import (
+    ColdStarts,
+    part_of_rate,
+    TRANSIT_SECONDS,
+)
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.routes.service_spec import ServiceSpec
+from piershore.core.routes.serving_configuration import ServingConfiguration
+
+LONG_COLD_SECONDS = 60.0
+COLD_START_SECONDS = 1.5
+
+
+@then("the parts of any number of gateways add up to what an endpoint bears")
+def check_parts(context):
+    @checked(st.integers(0, 100), st.integers(1, 500))
+    def check(rate, gateways):
+        parts = [part_of_rate(rate, gateways, rank) for rank in range(gateways)]
+        assert sum(parts) == rate
+        assert max(parts) - min(parts) <= 1
+
+
+class ColdFleet:
+    """Gateways that choose cold endpoints first, since these look empty."""
+
+    def __init__(self, gateways, endpoints, cold):
+        listed = list(fleet_of(endpoints))
+        self.cold = {endpoint.identity for endpoint in listed[:cold]}
+        self.directory = EndpointDirectory()
+        for number, endpoint in enumerate(listed):
+            seconds = LONG_COLD_SECONDS if number < cold else 0.0
+            self.directory.put(replace(endpoint, cold_seconds=seconds))
+        self.hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(gateways)]
+        self.living = list(self.hosts)
+        self.configuration = CurrentConfiguration()
+        self.views = {}
+        self.arrivals = defaultdict(list)
+        self.refused = 0
+
+    def bear(self, rate):
+        """Set the service up, and each gateway's view."""
+        spec = ServiceSpec("model", ENGINE, LONG_COLD_SECONDS, float(rate))
+        self.configuration.offer(ServingConfiguration(1, {}, {"model": spec}, {}))
+        for host in self.hosts:
+            subsets = EndpointSubsets(host, self.directory)
+            subsets.set_peers(self.hosts)
+            starts = ColdStarts(host, subsets, self.configuration)
+            for endpoint in self.directory:
+                starts.note_entry(endpoint, 0.0)
+            self.views[host] = (subsets.own("model"), starts)
+
+    def serve(self, rate, seconds):
+        """Place requests at random gateways; they arrive a little later."""
+        random = Random(3)
+        now = 0.0
+        while now < seconds:
+            now += random.expovariate(rate)
+            endpoints, starts = self.views[random.choice(self.living)]
+            allowed = [e for e in endpoints if starts.may_send(e, now)]
+            if not allowed:
+                self.refused += 1
+                continue
+            cold = [e for e in allowed if e.identity in self.cold]
+            chosen = random.choice(cold or allowed)
+            starts.note_sent(chosen, now)
+            delay = random.random() * TRANSIT_SECONDS
+            self.arrivals[chosen.identity].append(now + delay)
+
+    def most_in_a_second(self, identity):
+        """Return the most arrivals that any second has."""
+        times = sorted(self.arrivals[identity])
+        first, most = 0, 0
+        for last, at in enumerate(times):
+            while times[first] <= at - 1.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+@given("{gateways:d} gateways before {endpoints:d} endpoints, {cold:d} of them cold")
+def given_cold_fleet(context, gateways, endpoints, cold):
+    context.cold_fleet = ColdFleet(gateways, endpoints, cold)
+
+
+@given("cold endpoints bear {rate:d} requests a second")
+def given_rate(context, rate):
+    context.cold_fleet.bear(rate)
+    context.rate = rate
+
+
+@given("{count:d} of the gateways are gone")
+def given_gone(context, count):
+    del context.cold_fleet.living[:count]
+
+
+@when("{rate:d} requests come a second for {seconds:d} seconds")
+def serve(context, rate, seconds):
+    context.cold_fleet.serve(rate, seconds)
+    context.seconds = seconds
+
+
+@then("no cold endpoint gets more than {rate:d} requests in any second")
+def check_most(context, rate):
+    fleet = context.cold_fleet
+    worst = max(fleet.most_in_a_second(identity) for identity in fleet.cold)
+    assert 0 < worst <= rate, worst
+
+
+@then("the cold ones get at least {share:g} of what they bear")
+def check_used(context, share):
+    fleet = context.cold_fleet
+    sent = sum(len(fleet.arrivals[identity]) for identity in fleet.cold)
+    borne = context.rate * context.seconds * len(fleet.cold)
+    assert sent >= share * borne, sent / borne
+
+
+@then("nobody is refused while a warm endpoint is there")
+def check_none_refused(context):
+    assert context.cold_fleet.refused == 0
+
+
+@given("a gateway before cold endpoints that bear {rate:d} requests a second each")
+def given_cold_desk(context, rate):
+    world = context.ingress = IngressWorld()
+    world.add_endpoints("desk", 3)
+    for endpoint in world.endpoints:
+        endpoint.cold_milliseconds = 60_000
+    world.configuration["services"][0].update(cold_start_s=60.0, cold_per_s=rate)
+
+
+@when("{count:d} requests come at once")
+def send_at_once(context, count):
+    async def script(world):
+        context.replies = []
+
+        async def call():
+            context.replies.append(await world.call("once"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(call)
+        context.runs = world.runs("desk")
+        await trio.sleep(2)
+        context.later = await world.call("once")
+
+    context.ingress.run(script)
+
+
+@then("{count:d} of them run, and the others are refused at once, unrun")
+def check_run(context, count):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses.count(200) == count == context.runs, statuses
+    refused = [reply for reply in context.replies if reply.status != 200]
+    assert {reply.status for reply in refused} == {503}
+    assert all(float(reply.headers["retry-after"]) > 0 for reply in refused)
+
+
+@then("2 seconds later requests run again")
+def check_later(context):
+    assert context.later.status == 200
+
+
+def cold_starts():
+    configuration = CurrentConfiguration()
+    spec = ServiceSpec("model", None, COLD_START_SECONDS, 5.0)
+    configuration.offer(ServingConfiguration(1, {}, {"model": spec}, {}))
+    subsets = EndpointSubsets("self", EndpointDirectory())
+    return ColdStarts("self", subsets, configuration)
+
+
+@then("what an entry says counts, and what a peer has seen, for its time")
+def check_told(context):
+    starts, (seen, told) = cold_starts(), fleet_of(2)
+    starts.note_entry(replace(seen, cold_seconds=2.0), 10.0)
+    assert starts.is_cold(seen.identity, 11.9)
+    assert starts.report(11.0) == {seen.identity: 1.0}
+    starts.take_report({told.identity: 3.0}, 11.0)
+    assert starts.is_cold(told.identity, 13.9)
+    # Only those that saw it tell of it: else it would go round without an end.
+    assert starts.report(11.0) == {seen.identity: 1.0}
+    assert not starts.is_cold(seen.identity, 12.0)
+    assert not starts.is_cold(told.identity, 14.0)
+    assert starts.report(14.0) == {}
+
+
+@then("an endpoint that a peer's list adds counts as cold for its service's time")
+def check_added(context):
+    starts, (added,) = cold_starts(), fleet_of(1)
+    starts.note_started(added, 10.0)
+    assert starts.is_cold(added.identity, 10.0 + COLD_START_SECONDS - 0.1)
+    assert not starts.is_cold(added.identity, 10.0 + COLD_START_SECONDS)
--- /dev/null
+++ b/features/steps/foreign_entry_steps.py
@@ -0,0 +1,179 @@
+"""Steps for entries that somebody else wrote into the list of endpoints."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from unittest.mock import patch
+
+import orjson
+import trio
+from behave import given, then, when
+from hypothesis import strategies as st
+from support.core_checks import check_coded_errors, checked
+from support.ingress_world import IngressWorld
+
+from piershore.core.fleet.endpoint import EndpointStage
+from piershore.platform import object_client
+from piershore.platform.endpoint_codec import decode_endpoint
+from piershore.platform.exceptions import InvalidObjectError
+from standins import published_store
+
+SOUND = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "ikeja",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+    "born": 1_700_000_000_000,
+}
+MISSING = object()
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from([10**400, -1, 2**63, "10.0.0.1:0", "10.0.0.1:99999", "h:1", ""])
+)
+ANYTHING = st.recursive(
+    SCALARS, lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner)
+)
+
+
+@then("an entry names an endpoint only if all its fields are as endpoints write them")
+def check_entries(context):
+    @checked(
+        st.sampled_from(sorted(SOUND)), ANYTHING | st.just(MISSING), examples=2_000
+    )
+    def check(field, value):
+        entry = {**SOUND, field: value}
+        if value is MISSING:
+            del entry[field]
+        try:
+            endpoint = decode_endpoint("i-1", entry)
+        except InvalidObjectError:
+            return
+        assert value is not MISSING or field == "born"
+        assert type(value) is type(SOUND[field]) or field in (
+            "born",
+            "cold_remaining_ms",
+        )
+        assert endpoint.stage is EndpointStage.READY or value == "draining"
+        assert endpoint.slots > 0 and endpoint.cold_seconds >= 0 and endpoint.born >= 0
+        assert 0 < endpoint.address.port < 65_536
+        endpoint.identity.encode("ascii")
+
+
+FOREIGN = {
+    "an unknown state": {**SOUND, "state": "resting"},
+    "no address": {k: v for k, v in SOUND.items() if k != "address"},
+    "a number for the service": {**SOUND, "service": 7},
+    "a negative number of slots": {**SOUND, "slots": -6},
+    "an entry that is a text": "desk at 127.0.0.1:9",
+    "an entry that is nothing": None,
+    "bytes that are no text": {**SOUND, "service": "%BYTES%"},
+    "a name that can't be sent": SOUND,
+    "an endless number": {**SOUND, "slots": "%ENDLESS%"},
+    "a birth that is a fraction": {**SOUND, "born": 1.5},
+}
+NAMES = {"a name that can't be sent": "i-9\r\nHost: other"}
+
+
+def _raw_dumps(value):
+    """Encode as the store does, with what no proper encoder writes."""
+    data = orjson.dumps(value)
+    data = data.replace(b'"%BYTES%"', b'"de\xff\xfesk"')
+    return data.replace(b'"%ENDLESS%"', b"1" + b"0" * 400)
+
+
+class _RawJson:
+    """What the store's stand-in encodes and decodes with."""
+
+    dumps = staticmethod(_raw_dumps)
+    loads = staticmethod(orjson.loads)
+
+
+@given("a gateway before endpoints, and {entry} in their list")
+def given_foreign(context, entry):
+    world = context.ingress = IngressWorld()
+    world.add_endpoints("desk", 3)
+    world.add_endpoints("model", 2)
+    context.entry_name = NAMES.get(entry, "i-9")
+    world.store.put("servers", context.entry_name, FOREIGN[entry])
+    world.log_output, context.log = tempfile.mkstemp()
+
+
+@when("it serves, and the entry is read several times")
+def serve_beside(context):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        for _ in range(3):
+            daemon._endpoints.restart()
+            await trio.sleep(0.1)
+        context.replies = [await world.call("once") for _ in range(20)]
+        context.known = {e.name for e in daemon._state.directory}
+        context.lines = Path(context.log).read_bytes()
+        context.lines += b"".join(daemon._log._handler.lines)
+
+    with patch.object(published_store, "orjson", _RawJson):
+        context.ingress.run(script)
+
+
+@then("all requests are served by the others, and the entry is logged once")
+def check_others(context):
+    assert {reply.status for reply in context.replies} == {200}
+    assert context.known == {e.identity for e in context.ingress.endpoints}
+    assert context.lines.count(b'"invalid_entry"') == 1, context.lines
+
+
+@when("the entry of a desk endpoint is overwritten and mended")
+def overwrite(context):
+    async def script(world):
+        first = world.endpoints[0]
+        sound = first.entry()
+        world.store.put("servers", first.identity, {**sound, "state": "resting"})
+        await trio.sleep(0.2)
+        first.runs.clear()
+        context.replies = [await world.call("once") for _ in range(20)]
+        context.meanwhile = first.runs.total()
+        world.store.put("servers", first.identity, sound)
+        await trio.sleep(0.2)
+        context.replies += [await world.call("once") for _ in range(20)]
+        context.after = first.runs.total()
+
+    context.ingress.run(script)
+
+
+@then("it gets no request meanwhile, and requests again after it")
+def check_mended(context):
+    assert {reply.status for reply in context.replies} == {200}
+    assert context.meanwhile == 0
+    assert context.after > 0
+
+
+def _read_answer(data):
+    answer = object_client._answer(200, data)
+    items = object_client._entries(answer.body, "items")
+    list(object_client._objects(items))
+    list(object_client._changes(items))
+    object_client._revision(answer.body.get("at"))
+
+
+@then("reading an answer of the store raises only errors with a code")
+def check_answers(context):
+    body = st.fixed_dictionaries({"items": st.lists(ANYTHING), "at": ANYTHING})
+    encoded = body.map(lambda value: repr(value).encode("utf-8", "surrogatepass"))
+    proper = body.filter(_is_encodable).map(orjson.dumps)
+    check_coded_errors(_read_answer, st.binary() | encoded | proper)
+
+
+def _is_encodable(value):
+    try:
+        orjson.dumps(value)
+    except (TypeError, orjson.JSONEncodeError):
+        return False
+    return True
--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -15,7 +15,11 @@
 from piershore.ingress.daemon import IngressDaemon
 from piershore.platform.engine_mover import EngineMover
 from piershore.platform.engine_reports import EngineReports
-from piershore.platform.feeds import StoredConfigurationFeed, StoredEndpointFeed
+from piershore.platform.feeds import (
+    StoredConfigurationFeed,
+    StoredDrainFeed,
+    StoredEndpointFeed,
+)
 from piershore.platform.headers import PlatformDialect
 from piershore.settings.box_settings import BoxSettings
 from standins.published_endpoint import EngineMemory, PublishedEndpoint
@@ -160,6 +164,7 @@
             stop_grace=8.0,
             contact_seconds=3.0,
             retry_limits=RetryLimits(ratio=0.2, slack=30, window=10),
+            drain_seconds=5.0,
         )
 
     async def start_gateway(self, number, *, settings=None, wait=True):
@@ -170,6 +175,7 @@
             EngineMover(),
             StoredConfigurationFeed(settings.store_address),
             StoredEndpointFeed(settings.store_address),
+            StoredDrainFeed(settings.store_address),
             EngineReports(),
             free_port() if self.has_metrics else None,
             disabled=self.disabled,
--- a/features/support/placements.py
+++ b/features/support/placements.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.placement import Placement
@@ -12,10 +13,12 @@
     PLACEMENT_POLICIES,
 )
 from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.routes.current_configuration import CurrentConfiguration
 
 
 def placement_over(directory, loads, *, health=None, stalls=None, subsets=None):
     """Return the placement of a gateway at ikeja; alone, unless it has subsets."""
+    subsets = subsets or EndpointSubsets("self", directory)
     return Placement(
         "ikeja",
         directory,
@@ -24,5 +27,6 @@
         Random(1),
         PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
         stalls or HallStalls(),
-        subsets or EndpointSubsets("self", directory),
+        subsets,
+        ColdStarts("self", subsets, CurrentConfiguration()),
     )
--- /dev/null
+++ b/src/piershore/core/fleet/cold_starts.py
@@ -0,0 +1,139 @@
+"""How much of the fleet's work may go to endpoints that have just started.
+
+The load pattern: a third of a service's endpoints come back together while the others
+are full. They look empty, every gateway sends there, and a cold endpoint that gets much
+more than it bears falls over. So the requests that it bears in a second are dealt out
+to the gateways that choose from it, in whole requests: all gateways work their parts
+out alike from who they know, and the parts add up to that number at the most, also when
+there are more gateways than requests. A part whose gateway has died is not used until
+the others have missed it. With 23 gateways and an endpoint that bears 32 requests a
+second, it got 32 in its worst second at 90 requests a second for it; at 410 gateways,
+32 (own experiment, `features/cold_endpoints.feature`).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+
+from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.hashing import stable_hash
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.routes.service_spec import ServiceSpec
+
+WINDOW_SECONDS = 1.0
+"""Endpoints bear so many requests in any second."""
+TRANSIT_SECONDS = 0.1
+"""Requests may take this much longer or shorter to arrive than others."""
+MOST_TOLD = 32
+"""Cold endpoints that one report tells of, so that it fits a packet."""
+
+
+def part_of_rate(rate: int, gateways: int, rank: int) -> int:
+    """Return the whole requests a second that the gateway of a rank may send.
+
+    The parts of all ranks add up to `rate`.
+    """
+    return rate // gateways + (rank < rate % gateways)
+
+
+class ColdStarts:
+    """Cold endpoints by identity, and what this gateway has sent to them lately."""
+
+    def __init__(
+        self,
+        own_host: str,
+        subsets: EndpointSubsets,
+        configuration: CurrentConfiguration,
+    ) -> None:
+        self._own_host = own_host
+        self._subsets = subsets
+        self._configuration = configuration
+        self._until: dict[str, float] = {}
+        self._seen: dict[str, float] = {}
+        self._sent: dict[str, deque[float]] = {}
+
+    def note_entry(self, endpoint: Endpoint, now: float) -> None:
+        """Note what an endpoint's own entry says."""
+        if endpoint.cold_seconds > 0:
+            self._seen[endpoint.identity] = now + endpoint.cold_seconds
+            self._note(endpoint.identity, endpoint.cold_seconds, now)
+
+    def note_started(self, endpoint: Endpoint, now: float) -> None:
+        """Take an endpoint for cold that is new here: a peer's list doesn't tell."""
+        spec = self._spec(endpoint)
+        if spec is not None and spec.cold_start_seconds > 0:
+            self._note(endpoint.identity, spec.cold_start_seconds, now)
+
+    def take_report(self, told: Mapping[str, float], now: float) -> None:
+        """Take the cold endpoints that a peer has seen, with their seconds left."""
+        for identity, seconds in told.items():
+            self._note(identity, seconds, now)
+
+    def report(self, now: float) -> dict[str, float]:
+        """Return the seconds left of those that this gateway has seen itself.
+
+        What peers told is not passed on: it would come back a little later each time.
+        """
+        self._forget(now)
+        newest = sorted(self._seen, key=self._seen.get, reverse=True)[:MOST_TOLD]
+        return {identity: self._seen[identity] - now for identity in newest}
+
+    def is_cold(self, identity: str, now: float) -> bool:
+        """Tell whether an endpoint has not warmed up yet."""
+        return now < self._until.get(identity, now)
+
+    def may_send(self, endpoint: Endpoint, now: float) -> bool:
+        """Tell whether this gateway may send one more request to an endpoint now."""
+        if not self._until or not self.is_cold(endpoint.identity, now):
+            return True
+        spec = self._spec(endpoint)
+        if spec is None or spec.cold_rate is None:
+            return True
+        sent = self._sent.get(endpoint.identity, ())
+        start = now - WINDOW_SECONDS - TRANSIT_SECONDS
+        lately = sum(at > start for at in sent)
+        return lately < self._part(endpoint, spec)
+
+    def note_sent(self, endpoint: Endpoint, now: float) -> None:
+        """Count a request to an endpoint."""
+        if not self.is_cold(endpoint.identity, now):
+            return
+        sent = self._sent.setdefault(endpoint.identity, deque())
+        while sent and sent[0] <= now - WINDOW_SECONDS - TRANSIT_SECONDS:
+            sent.popleft()
+        sent.append(now)
+
+    def _part(self, endpoint: Endpoint, spec: ServiceSpec) -> int:
+        sharers = self._sharers(endpoint, spec)
+        if sharers is None:
+            return 0
+        hosts = [self._own_host, *sharers]
+        order = sorted(hosts, key=lambda host: stable_hash(endpoint.identity, host))
+        rank = order.index(self._own_host)
+        return part_of_rate(int(spec.cold_rate), len(hosts), rank)
+
+    def _sharers(self, endpoint: Endpoint, spec: ServiceSpec) -> list[str] | None:
+        """Return the peers that choose from an endpoint; None if this one doesn't."""
+        if spec.engine is None:
+            return self._subsets.peers
+        if endpoint not in self._subsets.own(endpoint.service):
+            return None
+        return list(self._subsets.sharing_peers(endpoint))
+
+    def _spec(self, endpoint: Endpoint) -> ServiceSpec | None:
+        configuration = self._configuration.value
+        return configuration.services.get(endpoint.service) if configuration else None
+
+    def _note(self, identity: str, seconds: float, now: float) -> None:
+        self._forget(now)
+        until = now + seconds
+        self._until[identity] = max(until, self._until.get(identity, until))
+
+    def _forget(self, now: float) -> None:
+        for known in (self._until, self._seen):
+            for identity in [i for i, until in known.items() if until <= now]:
+                del known[identity]
+        for identity in self._sent.keys() - self._until.keys():
+            del self._sent[identity]
--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -4,17 +4,21 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.hashing import stable_hash
 
+Kept = TypeVar("Kept")
+
 LAPSE_SECONDS = 1.7
 """How long an entry that may only have lapsed is kept. It is back some 2 s after an
 outage's end; one that is really gone must get no new work 2 s after it went, and the
 directory is swept four times a second."""
 
 DEPARTED_KEPT = 512
-"""Identities remembered as having left; an identity is never used again."""
+"""Identities remembered as having left, which are never used again, and names whose
+newest incarnation is remembered."""
 
 FINGERPRINT_UNUSED_BITS = 16
 """Of 64: the rest is a whole number in any reader of JSON."""
@@ -22,17 +26,24 @@
 
 @dataclass(frozen=True)
 class Departure:
-    """An endpoint that takes no new work from now on; `was_listed` until now."""
+    """An endpoint that takes no new work from now on.
+
+    `is_restarted`: a new incarnation has taken its name, so its work is lost.
+    """
 
     endpoint: Endpoint
     is_gone: bool
+    is_restarted: bool = False
 
 
 class EndpointDirectory:
     """Endpoints by identity; what said that it leaves stays so.
 
     An entry that only went comes back when it is listed again: the endpoint was cut
-    off from the store for some time.
+    off from the store for some time. An entry of an earlier incarnation than the
+    newest one known comes late, and changes nothing.
+
+    Endpoints in drained data halls stay listed and take no new work.
 
     An entry that is missing just after an outage of the store may only have
     lapsed: it is kept until `LAPSE_SECONDS` after the outage.
@@ -41,6 +52,9 @@
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving: dict[str, None] = {}
+        self._identities: dict[str, str] = {}
+        self._newest_born: dict[str, int] = {}
+        self._drained: frozenset[str] = frozenset()
         self._doubtful: dict[str, float] = {}
         self._revision = 0
         self._fingerprint: int | None = None
@@ -56,6 +70,11 @@
             self._fingerprint = stable_hash(*parts) >> FINGERPRINT_UNUSED_BITS
         return self._fingerprint
 
+    @property
+    def selection(self) -> tuple[int, frozenset[str]]:
+        """What stands for the endpoints that take new work."""
+        return self.fingerprint, self._drained
+
     @property
     def revision(self) -> int:
         """The store's revision up to which this is complete."""
@@ -79,9 +98,20 @@
     def of_service(self, service: str) -> Iterator[Endpoint]:
         """Yield the endpoints of a service that take new work."""
         for endpoint in self._endpoints.values():
-            if endpoint.service == service and endpoint.stage is EndpointStage.READY:
+            if endpoint.service != service or self.is_drained(endpoint):
+                continue
+            if endpoint.stage is EndpointStage.READY:
                 yield endpoint
 
+    def is_drained(self, endpoint: Endpoint) -> bool:
+        """Tell whether nothing new may be sent to an endpoint's data hall."""
+        return endpoint.data_hall in self._drained
+
+    def set_drained(self, data_halls: Iterable[str]) -> list[Endpoint]:
+        """Take the data halls that get nothing new; return the endpoints there."""
+        self._drained = frozenset(data_halls)
+        return [e for e in self._endpoints.values() if self.is_drained(e)]
+
     def replace_all(
         self,
         listed: Iterable[Endpoint],
@@ -93,11 +123,13 @@
         """Take a whole list; return what left with it."""
         if revision < self._revision:
             return []
-        by_identity = {endpoint.identity: endpoint for endpoint in listed}
+        by_name = {endpoint.name: endpoint for endpoint in listed}
         departures = []
-        for identity in [i for i in self._endpoints if i not in by_identity]:
-            departures.extend(self.remove(identity, now, after_outage=after_outage))
-        for endpoint in by_identity.values():
+        for endpoint in list(self):
+            if endpoint.name not in by_name:
+                identity = endpoint.identity
+                departures.extend(self.remove(identity, now, after_outage=after_outage))
+        for endpoint in by_name.values():
             departures.extend(self.put(endpoint))
         self._revision = revision
         return departures
@@ -107,20 +139,30 @@
         self._revision = max(self._revision, revision)
 
     def put(self, endpoint: Endpoint) -> list[Departure]:
-        """Add or update one endpoint."""
+        """Add or update one endpoint; an earlier incarnation of it has ended."""
+        if endpoint.born < self._newest_born.get(endpoint.name, 0):
+            return []
+        departures = self._end_earlier(endpoint)
         self._doubtful.pop(endpoint.identity, None)
         if endpoint.identity in self._leaving:
             endpoint = replace(endpoint, stage=EndpointStage.LEAVING)
         previous = self._endpoints.get(endpoint.identity)
         self._endpoints[endpoint.identity] = endpoint
+        self._identities[endpoint.name] = endpoint.identity
         if previous != endpoint:
             self._fingerprint = None
         if endpoint.stage is EndpointStage.READY:
-            return []
+            return departures
         if endpoint.identity in self._leaving:
-            return []
-        self._remember_leaving(endpoint.identity)
-        return [Departure(endpoint, is_gone=False)] if previous else []
+            return departures
+        _remember(self._leaving, endpoint.identity, None)
+        if previous:
+            departures.append(Departure(endpoint, is_gone=False))
+        return departures
+
+    def identity_of(self, name: str) -> str | None:
+        """Return the identity that is listed under a name, or None."""
+        return self._identities.get(name)
 
     def remove(
         self, identity: str, now: float, *, after_outage: bool
@@ -134,6 +176,12 @@
             return []
         return self._drop(identity)
 
+    def mark_restarted(self, identity: str) -> list[Departure]:
+        """Note that an incarnation has ended and another has taken its name."""
+        if identity not in self._endpoints:
+            return []
+        return self._drop(identity, is_restarted=True)
+
     def mark_leaving(self, identity: str) -> list[Departure]:
         """Note that the endpoint itself or its traffic shows that it leaves."""
         endpoint = self._endpoints.get(identity)
@@ -146,15 +194,26 @@
         due = [identity for identity, at in self._doubtful.items() if at <= now]
         return [departure for identity in due for departure in self._drop(identity)]
 
-    def _drop(self, identity: str) -> list[Departure]:
+    def _end_earlier(self, endpoint: Endpoint) -> list[Departure]:
+        """Drop the incarnation that had the name until now, if it is another one."""
+        if endpoint.born:
+            _remember(self._newest_born, endpoint.name, endpoint.born)
+        known = self._identities.get(endpoint.name, endpoint.identity)
+        return [] if known == endpoint.identity else self.mark_restarted(known)
+
+    def _drop(self, identity: str, *, is_restarted: bool = False) -> list[Departure]:
         self._doubtful.pop(identity, None)
         endpoint = self._endpoints.pop(identity)
+        self._identities.pop(endpoint.name, None)
         self._fingerprint = None
         if endpoint.stage is EndpointStage.LEAVING:
-            self._remember_leaving(identity)
-        return [Departure(endpoint, is_gone=True)]
+            _remember(self._leaving, identity, None)
+        return [Departure(endpoint, is_gone=True, is_restarted=is_restarted)]
+
 
-    def _remember_leaving(self, identity: str) -> None:
-        self._leaving[identity] = None
-        while len(self._leaving) > DEPARTED_KEPT:
-            del self._leaving[next(iter(self._leaving))]
+def _remember(kept: dict[str, Kept], key: str, value: Kept) -> None:
+    """Note something as the newest of those that are kept."""
+    kept.pop(key, None)
+    kept[key] = value
+    while len(kept) > DEPARTED_KEPT:
+        del kept[next(iter(kept))]
--- a/src/piershore/core/fleet/load_note.py
+++ b/src/piershore/core/fleet/load_note.py
@@ -61,5 +61,5 @@
                 str(endpoint),
                 EndpointLoad(requests, held, projected, unread),
             )
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, OverflowError) as error:
             raise InvalidReportError(f"not a note of load: {error!r}") from error
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -7,12 +7,15 @@
 
 import orjson
 
+from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.shared_failures import Outcomes
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.errors import PiershoreError
 
+PLAIN_FIELDS = 12
+"""Words and numbers that a report begins with."""
 NOTE_FLAGS = 2
 MOST_HALVINGS = 3
 """A report that is too large tells of the busiest endpoints: half, a quarter, an eighth
@@ -29,10 +32,13 @@
 
 @dataclass(frozen=True)
 class DepartureNote:
-    """An endpoint that left lately; `is_gone` if its entry went."""
+    """An endpoint that left lately; `is_gone` if its entry went, `is_restarted` if a
+    new incarnation has taken its name.
+    """
 
     identity: str
     is_gone: bool
+    is_restarted: bool = False
 
 
 @dataclass(frozen=True)
@@ -43,7 +49,9 @@
     `fingerprint` stands for the list of endpoints that it knows, `members` are
     hosts of gateways that it heard of lately, told only now and then, `leaving` are
     its generations at endpoints that leave, `departed` the endpoints that left lately,
-    `outcomes` its attempts at endpoints where anybody sees failures.
+    `outcomes` its attempts at endpoints where anybody sees failures, `cold` the seconds
+    that endpoints are still cold which it has seen itself, and `drained` the data halls
+    that get nothing new, if it knows.
     """
 
     host: str
@@ -62,6 +70,8 @@
     leaving: Mapping[str, tuple[StreamNote, ...]]
     departed: tuple[DepartureNote, ...] = ()
     outcomes: Mapping[str, Outcomes] = field(default_factory=dict)
+    cold: Mapping[str, float] = field(default_factory=dict)
+    drained: DrainedHalls | None = None
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -101,11 +111,16 @@
                     ]
                     for identity, notes in self.leaving.items()
                 },
-                [[note.identity, note.is_gone] for note in self.departed],
+                [
+                    [note.identity, note.is_gone, note.is_restarted]
+                    for note in self.departed
+                ],
                 {
                     identity: [count.failures, count.successes]
                     for identity, count in self.outcomes.items()
                 },
+                {identity: round(left, 3) for identity, left in self.cold.items()},
+                _drained_fields(self.drained),
             ]
         )
 
@@ -125,7 +140,7 @@
         """Yield the report, and then what is left without one part after the other."""
         report = self
         yield report
-        report = replace(report, outcomes={})
+        report = replace(report, outcomes={}, cold={})
         yield report
         for halvings in range(1, MOST_HALVINGS + 1):
             yield replace(report, loads=self._busiest(len(self.loads) >> halvings))
@@ -141,8 +156,10 @@
     def decode(cls, data: bytes) -> PeerReport:
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
         try:
-            *plain, members, loads, leaving, departed, outcomes = orjson.loads(data)
-            host, data_hall, incarnation, *numbers = plain
+            fields = orjson.loads(data)
+            members, loads, leaving, departed, outcomes = fields[PLAIN_FIELDS:-2]
+            cold, drained = fields[-2:]
+            host, data_hall, incarnation, *numbers = fields[:PLAIN_FIELDS]
             number, version, revision, fingerprint = map(int, numbers[:4])
             return cls(
                 str(host),
@@ -159,10 +176,18 @@
                 tuple(map(str, members)),
                 {k: EndpointLoad(*map(int, v)) for k, v in loads.items()},
                 {k: tuple(map(_note, notes)) for k, notes in leaving.items()},
-                tuple(DepartureNote(str(i), bool(gone)) for i, gone in departed),
+                tuple(DepartureNote(str(i), *map(bool, how)) for i, *how in departed),
                 {k: Outcomes(*map(int, v)) for k, v in outcomes.items()},
+                {k: float(v) for k, v in cold.items()},
+                None if drained is None else _drained(drained),
             )
-        except (ValueError, TypeError, AttributeError, IndexError) as error:
+        except (
+            ValueError,
+            TypeError,
+            AttributeError,
+            IndexError,
+            OverflowError,
+        ) as error:
             raise InvalidReportError(f"not a report: {error!r}") from error
 
 
@@ -171,3 +196,12 @@
     if len(flags) != NOTE_FLAGS:
         raise ValueError("a note has another form")
     return StreamNote(str(request), int(held_tokens), *map(bool, flags))
+
+
+def _drained_fields(drained: DrainedHalls | None) -> list | None:
+    return drained and [drained.revision, sorted(drained.data_halls)]
+
+
+def _drained(fields: list) -> DrainedHalls:
+    revision, data_halls = fields
+    return DrainedHalls(int(revision), frozenset(map(str, data_halls)))
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -7,6 +7,7 @@
 from heapq import nsmallest
 from random import Random
 
+from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
@@ -80,6 +81,7 @@
         policy: PlacementPolicy,
         stalls: HallStalls,
         subsets: EndpointSubsets,
+        cold: ColdStarts,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._data_hall = data_hall
@@ -90,6 +92,7 @@
         self._policy = policy
         self._stalls = stalls
         self._subsets = subsets
+        self._cold = cold
         self._uses_subsets = Mechanism.SUBSETS not in disabled
         self._counts_stalls = Mechanism.STALL_COST not in disabled
         self._ejects = Mechanism.EJECTION not in disabled
@@ -132,13 +135,20 @@
     def _is_sound(
         self, endpoint: Endpoint, now: float, excluded: Collection[str]
     ) -> bool:
-        if endpoint.identity in excluded:
+        if endpoint.identity in excluded or not self._cold.may_send(endpoint, now):
             return False
         return not (self._ejects and self._health.is_ejected(endpoint.identity, now))
 
     def _cheapest(self, endpoints, now, excluded, cost, sample) -> Choice | None:
-        """Return the cheapest candidate; ejected endpoints only if all are."""
-        endpoints = [e for e in endpoints if e.identity not in excluded]
+        """Return the cheapest candidate; ejected endpoints only if all are.
+
+        Cold endpoints that can't bear more now are none.
+        """
+        endpoints = [
+            e
+            for e in endpoints
+            if e.identity not in excluded and self._cold.may_send(e, now)
+        ]
         if len(endpoints) > MOST_COMPARED:
             endpoints = self._random.sample(endpoints, MOST_COMPARED)
         sound = [e for e in endpoints if self._is_sound(e, now, excluded)]
--- a/src/piershore/core/fleet/subsetting.py
+++ b/src/piershore/core/fleet/subsetting.py
@@ -68,13 +68,18 @@
         self._own_rank = 0
         self._rings: dict[str, list[Endpoint]] = {}
         self._places: dict[str, int] = {}
-        self._fingerprint: int | None = None
+        self._selection: tuple[int, frozenset[str]] | None = None
 
     def set_peers(self, hosts: Iterable[str]) -> None:
         """Take the gateways that take callers beside this one."""
         self._hosts = sorted({*hosts, self._own_host}, key=stable_hash)
         self._own_rank = self._hosts.index(self._own_host)
 
+    @property
+    def peers(self) -> list[str]:
+        """The hosts of all gateways but this one."""
+        return [host for host in self._hosts if host != self._own_host]
+
     def own(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that this gateway chooses from."""
         ring = self._ring(service)
@@ -95,8 +100,8 @@
 
     def _ring(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints that take work, in an order all agree on."""
-        if self._fingerprint != self._directory.fingerprint:
-            self._fingerprint = self._directory.fingerprint
+        if self._selection != self._directory.selection:
+            self._selection = self._directory.selection
             self._rings.clear()
             self._places.clear()
         ring = self._rings.get(service)
--- a/src/piershore/core/routes/service_spec.py
+++ b/src/piershore/core/routes/service_spec.py
@@ -28,7 +28,13 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """A service, and what its engines are if it has some."""
+    """A service, and what its engines are if it has some.
+
+    An endpoint is cold for `cold_start_seconds` after its start; it bears `cold_rate`
+    requests a second meanwhile, or any number if that is None.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    cold_start_seconds: float = 0.0
+    cold_rate: float | None = None
--- a/src/piershore/core/streams/silence.py
+++ b/src/piershore/core/streams/silence.py
@@ -20,17 +20,30 @@
 
 @dataclass(frozen=True)
 class EndpointReport:
-    """What an endpoint says of itself; `made_events` of its generations by request."""
+    """What an endpoint says of itself; `made_events` of its generations by request.
+
+    `born` is when the incarnation that tells began, in milliseconds; 0 if unknown.
+    """
 
     is_leaving: bool
     made_events: Mapping[str, int]
+    born: int = 0
+
+    def is_of_earlier(self, born: int) -> bool:
+        """Tell whether it is from before the incarnation that began at `born`."""
+        return 0 < self.born < born
+
+    def is_of_later(self, born: int) -> bool:
+        """Tell whether the incarnation that began at `born` has ended since."""
+        return 0 < born < self.born
 
 
 class SilenceVerdict(StrEnum):
     """What is done with the stream.
 
     `WAIT`: the endpoint works, or there is nowhere else to go on. `MOVE`: its events
-    don't come here, so the generation is moved. `GIVE_UP`: nobody is there.
+    don't come here, so the generation is moved. `GIVE_UP`: nobody is there, or the
+    endpoint has started anew and knows nothing of it.
     """
 
     WAIT = "wait"
@@ -40,11 +53,15 @@
 
 @dataclass(frozen=True)
 class SilentStream:
-    """A stream that waits; `last_event` is the number of the last that came."""
+    """A stream that waits; `last_event` is the number of the last that came.
+
+    `born` is when the incarnation of its endpoint began, in milliseconds.
+    """
 
     request: str
     last_event: int
     can_go_on_elsewhere: bool
+    born: int = 0
 
 
 def judge_silence(
@@ -56,6 +73,10 @@
         if is_given_up and stream.can_go_on_elsewhere:
             return SilenceVerdict.GIVE_UP
         return SilenceVerdict.WAIT
+    if report.is_of_later(stream.born):
+        return SilenceVerdict.GIVE_UP
+    if report.is_of_earlier(stream.born):
+        return SilenceVerdict.WAIT
     made = report.made_events.get(stream.request, 0)
     if made > stream.last_event + EVENTS_ON_THE_WAY:
         return SilenceVerdict.MOVE
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self._kept: dict[Address, list[ClientConnection]] = {}
+        self._retired: list[ClientConnection] = []
 
     async def take(self, address: Address, longest_idle: float) -> ClientConnection:
         """Return a kept connection that rested at most so long, or a new one."""
@@ -84,10 +85,14 @@
         for connection in self._kept.pop(address, []):
             await connection.close()
 
+    def retire(self, address: Address) -> None:
+        """Hand out none of the kept connections; the next sweep closes them."""
+        self._retired.extend(self._kept.pop(address, ()))
+
     async def close_idle(self) -> None:
-        """Close the connections that rested too long."""
+        """Close the connections that rested too long, and those that were retired."""
         now = trio.current_time()
-        idle: list[ClientConnection] = []
+        idle, self._retired = self._retired, []
         # All are taken out before the first wait: none may be handed out meanwhile.
         for address, kept in list(self._kept.items()):
             idle.extend(c for c in kept if not self._is_usable(c, now))
@@ -101,6 +106,8 @@
         """Close all connections."""
         for address in list(self._kept):
             await self.drop(address)
+        for connection in self._retired:
+            await connection.close()
 
     @staticmethod
     def _is_usable(connection: ClientConnection, now: float) -> bool:
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -40,6 +40,8 @@
         self.head: ResponseHead | None = None
         self.answer: EndpointAnswer | None = None
         self.may_have_run = False
+        # At once with the choice: others choose while this one connects.
+        state.cold.note_sent(endpoint, trio.current_time())
 
     @property
     def is_unanswered(self) -> bool:
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -4,12 +4,13 @@
 
 import gc
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from random import Random
 
 import trio
 
 from piershore.core.attempts.leaving import STILL_SENT_SECONDS
+from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
@@ -20,9 +21,10 @@
 from piershore.ingress.callers.status_service import StatusService
 from piershore.ingress.calls.call_forwarder import CallForwarder
 from piershore.ingress.followers.configuration_follower import ConfigurationFollower
+from piershore.ingress.followers.drain_follower import DrainFollower
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import LiveStreams
+from piershore.ingress.live_stream import LiveStream, LiveStreams
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.ingress.peers.load_notes import LoadNotes
 from piershore.ingress.peers.outage_watch import OutageWatch
@@ -30,6 +32,7 @@
 from piershore.ingress.peers.peer_link import PeerLink
 from piershore.ingress.ports import (
     ConfigurationFeed,
+    DrainFeed,
     EndpointFeed,
     EndpointReports,
     GenerationMover,
@@ -42,6 +45,7 @@
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import (
     EndpointLeft,
+    HallDrained,
     ProcessStarted,
     ProcessStopped,
     ProcessStopping,
@@ -50,6 +54,9 @@
 
 WATCH_SECONDS = 4.0
 """How long a watch waits: a silent cut shows after this; each call has a price."""
+DRAIN_WATCH_SECONDS = 12.0
+"""Longer, since drains are rare and each call has a price: a connection that has gone
+silent shows by its probes after 2 s, and what a watcher misses peers tell."""
 FRESH_SLACK_SECONDS = 1.5
 """How much longer than a watch waits its answer may take to count as fresh."""
 LEAVE_SECONDS = 2.6
@@ -71,6 +78,7 @@
         mover: GenerationMover,
         configuration_feed: ConfigurationFeed,
         endpoint_feed: EndpointFeed,
+        drain_feed: DrainFeed,
         endpoint_reports: EndpointReports,
         metrics_port: int | None = None,
         placement_policy: str = DEFAULT_PLACEMENT,
@@ -101,6 +109,9 @@
         self._endpoints = EndpointFollower(
             self._state, endpoint_feed, WATCH_SECONDS, self._on_departure
         )
+        self._drains = DrainFollower(
+            self._state, drain_feed, DRAIN_WATCH_SECONDS, self._on_drained
+        )
         self._endpoint_reports = endpoint_reports
         self._status = StatusService(self._is_ready)
         self._metrics_port = metrics_port
@@ -134,6 +145,7 @@
             self._reads_store,
             self._store_sign,
             self._endpoints.note_departed,
+            self._drains,
         )
         self._peers = link
         self._state.announce = link.announce
@@ -144,6 +156,7 @@
         self._state.seconds_until_taken = link.seconds_until_taken
         self._configuration.use_watchers(link.should_watch)
         self._endpoints.use_watchers(link.should_watch)
+        self._drains.use_watchers(link.should_watch)
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
         )
@@ -192,6 +205,8 @@
             await listeners.listen(
                 settings.host, self._metrics_port, self._status.serve_metrics
             )
+        if self._can_drain:
+            nursery.start_soon(self._supervise, self._drains.run)
         for task in (
             self._configuration.run,
             self._endpoints.run,
@@ -230,8 +245,32 @@
             not self._state.is_leaving
             and self._state.configuration.value is not None
             and self._endpoints.is_known
+            and (self._drains.is_known or not self._can_drain)
         )
 
+    @property
+    def _can_drain(self) -> bool:
+        return self._settings.drain_seconds is not None
+
+    def _on_drained(
+        self, view: DrainedHalls, before: frozenset[str], source: str
+    ) -> None:
+        """Send nothing more to drained halls; streams that run there go on.
+
+        They end by themselves, or move when their endpoint leaves.
+        """
+        drained = self._state.directory.set_drained(view.data_halls)
+        for endpoint in drained:
+            self._live.drop_backups(endpoint.identity)
+            self._state.pool.retire(endpoint.address)
+        streams = sum(len(self._live.at(e.identity)) for e in drained)
+        for data_hall in sorted(view.data_halls ^ before):
+            is_drained = data_hall in view.data_halls
+            event = HallDrained(data_hall, is_drained, streams, view.revision, source)
+            self._state.log.write(event, is_failure=True)
+        ingress_metrics.DRAINED_HALLS.set(len(view.data_halls))
+        self._state.announce()
+
     def _on_departure(self, departure: Departure) -> None:
         endpoint = departure.endpoint
         streams = self._live.at(endpoint.identity)
@@ -240,21 +279,37 @@
                 endpoint.identity,
                 endpoint.service,
                 departure.is_gone,
+                departure.is_restarted,
                 len(streams),
                 self._state.directory.revision,
             ),
             is_failure=True,
         )
         if self._peers is not None:
-            note = DepartureNote(endpoint.identity, departure.is_gone)
+            note = DepartureNote(
+                endpoint.identity, departure.is_gone, departure.is_restarted
+            )
             self._peers.note_departed(note)
         self._live.drop_backups(endpoint.identity)
-        self._moves.evacuate(endpoint)
+        if departure.is_restarted:
+            self._end_streams(streams)
+            self._state.pool.retire(endpoint.address)
+        else:
+            self._moves.evacuate(endpoint)
         if departure.is_gone:
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
             self._state.failures.forget(endpoint.identity)
 
+    @staticmethod
+    def _end_streams(streams: Iterable[LiveStream]) -> None:
+        """Wait no longer for streams whose endpoint has lost them.
+
+        They go on at their copy or backup, if they have one.
+        """
+        for stream in streams:
+            stream.give_up_endpoint()
+
     async def _sweep_connections(self) -> None:
         while True:
             await trio.sleep(SWEEP_SECONDS)
--- a/src/piershore/ingress/followers/endpoint_follower.py
+++ b/src/piershore/ingress/followers/endpoint_follower.py
@@ -66,6 +66,9 @@
     def note_departed(self, note: DepartureNote) -> None:
         """Note what a peer has seen: an endpoint leaves or is gone."""
         directory = self._state.directory
+        if note.is_restarted:
+            self._depart(directory.mark_restarted(note.identity))
+            return
         if not note.is_gone:
             self._depart(directory.mark_leaving(note.identity))
             return
@@ -74,6 +77,8 @@
 
     async def _read(self) -> int:
         endpoints, revision = await self._feed.read()
+        for endpoint in endpoints:
+            self._state.cold.note_entry(endpoint, trio.current_time())
         self._take_all(endpoints, revision, after_outage=self._is_after_outage())
         self._log_findings()
         return revision
@@ -97,29 +102,35 @@
     def _take_all(
         self, endpoints: tuple[Endpoint, ...], revision: int, *, after_outage: bool
     ) -> None:
+        now = trio.current_time()
+        if self._is_known:
+            self._note_starts(endpoints, now)
         departures = self._state.directory.replace_all(
-            endpoints, revision, trio.current_time(), after_outage=after_outage
+            endpoints, revision, now, after_outage=after_outage
         )
         self._is_known = True
         self._depart(departures)
 
+    def _note_starts(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Take those for cold that weren't known: a peer's list doesn't tell."""
+        for endpoint in endpoints:
+            if self._state.directory.get(endpoint.identity) is None:
+                self._state.cold.note_started(endpoint, now)
+
     def _take_changes(self, changes: tuple[EndpointChange, ...]) -> None:
         now = trio.current_time()
         doubtful = self._lapsed_services(changes)
         directory = self._state.directory
         for change in changes:
             if change.endpoint is not None:
+                self._state.cold.note_entry(change.endpoint, now)
                 self._depart(directory.put(change.endpoint))
                 continue
-            known = directory.get(change.identity)
-            in_doubt = known is not None and known.service in doubtful
-            self._depart(
-                directory.remove(
-                    change.identity,
-                    now,
-                    after_outage=in_doubt or self._is_after_outage(),
-                )
-            )
+            known = self._known(change)
+            if known is None:
+                continue
+            in_doubt = known.service in doubtful or self._is_after_outage()
+            self._depart(directory.remove(known.identity, now, after_outage=in_doubt))
 
     def _lapsed_services(self, changes: tuple[EndpointChange, ...]) -> set[str]:
         """Return the services of which too many endpoints go at once."""
@@ -128,7 +139,7 @@
             known.service
             for change in changes
             if change.endpoint is None
-            and (known := directory.get(change.identity)) is not None
+            and (known := self._known(change)) is not None
             and known.stage is EndpointStage.READY
         )
         return {
@@ -138,6 +149,11 @@
             and 2 * count >= sum(1 for _ in directory.of_service(service))
         }
 
+    def _known(self, change: EndpointChange) -> Endpoint | None:
+        """Return the endpoint that is listed under the name of what changed."""
+        directory = self._state.directory
+        return directory.get(directory.identity_of(change.name) or change.name)
+
     def _depart(self, departures: Iterable[Departure]) -> None:
         for departure in departures:
             self._on_departure(departure)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -10,6 +10,7 @@
 
 from piershore.core.attempts.leaving import AT_ONCE_SECONDS
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
@@ -87,6 +88,7 @@
 
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
+        self.cold = ColdStarts(self.host, self.subsets, self.configuration)
         self.placement = Placement(
             self.data_hall,
             self.directory,
@@ -96,6 +98,7 @@
             PLACEMENT_POLICIES[self.placement_policy](),
             self.stalls,
             self.subsets,
+            self.cold,
             self.disabled,
         )
 
--- a/src/piershore/ingress/peers/endpoint_document.py
+++ b/src/piershore/ingress/peers/endpoint_document.py
@@ -38,14 +38,15 @@
 def read_endpoints(document: Document) -> Iterator[Endpoint]:
     """Yield a peer's endpoints; raise ValueError if an entry can't be read."""
     for entry in join(document.parts)[FIELD]:
-        identity, service, address, data_hall, slots, stage = entry
+        name, service, address, data_hall, slots, stage, born = entry
         yield Endpoint(
-            identity,
+            name,
             service,
             Address.parse(address),
             data_hall,
             slots,
             EndpointStage(stage),
+            born,
         )
 
 
@@ -55,10 +56,11 @@
 
 def _entry(endpoint: Endpoint) -> list:
     return [
-        endpoint.identity,
+        endpoint.name,
         endpoint.service,
         str(endpoint.address),
         endpoint.data_hall,
         endpoint.slots,
         endpoint.stage,
+        endpoint.born,
     ]
--- a/src/piershore/ingress/peers/outage_watch.py
+++ b/src/piershore/ingress/peers/outage_watch.py
@@ -71,6 +71,8 @@
                 continue
             if self._state.directory.is_leaving(endpoint.identity):
                 continue
+            if self._state.directory.is_drained(endpoint):
+                continue
             has_work = self._state.fleet_load.at(endpoint.identity).requests > 0
             asker = rendezvous_order(f"ask/{endpoint.identity}", hosts)[0]
             if has_work and asker == self._host:
@@ -86,6 +88,8 @@
             except (ExchangeBrokenError, NotConnectedError):
                 # Traffic shows what else is wrong with it.
                 return
+            if report.is_of_earlier(endpoint.born) or report.is_of_later(endpoint.born):
+                return
             if report.is_leaving:
                 note = DepartureNote(endpoint.identity, is_gone=False)
                 self._endpoints.note_departed(note)
--- a/src/piershore/ingress/peers/peer_documents.py
+++ b/src/piershore/ingress/peers/peer_documents.py
@@ -106,13 +106,18 @@
         )
 
     def _ahead_in_endpoints(self, now: float) -> Peer | None:
-        """Return a peer with a newer list of endpoints that differs from ours."""
+        """Return a peer with a newer list of endpoints that differs from ours.
+
+        As long as none is known here, a list from before an outage is better than none:
+        a gateway that started in the outage served nobody until its end.
+        """
+        is_known = self._endpoints.is_known
         own = self._state.directory.fingerprint
         revision = self._state.directory.revision
         return self._pick(
             peer
             for peer in self._link.table.living(now)
-            if peer.report.reads_store
+            if (peer.report.reads_store or not is_known)
             and peer.report.endpoint_revision > revision
             and peer.report.fingerprint != own
         )
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -27,6 +27,7 @@
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.attempts.attempt_log import judge_shared
+from piershore.ingress.followers.drain_follower import DrainFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStreams
 from piershore.settings.box_settings import BoxSettings
@@ -60,6 +61,7 @@
         reads_store: Callable[[], bool],
         store_sign: Callable[[], StoreSign],
         on_departed: Callable[[DepartureNote], None],
+        drains: DrainFollower,
     ) -> None:
         self._state = state
         self.host = settings.host
@@ -71,6 +73,7 @@
         self._reads_store = reads_store
         self._store_sign = store_sign
         self._on_departed = on_departed
+        self._drains = drains
         self._departed: dict[DepartureNote, float] = {}
         self._heard: dict[DepartureNote, float] = {}
         self._wake, self._failed = trio.Event(), trio.Event()
@@ -232,6 +235,8 @@
             leaving=dict(self._leaving_notes()),
             departed=tuple(self._lately_departed(now)),
             outcomes=state.failures.report(now),
+            cold=state.cold.report(now),
+            drained=self._drains.view,
         )
 
     def _tells_members(self, now: float) -> bool:
@@ -298,6 +303,9 @@
         if self._state.uses(Mechanism.PEER_LOADS):
             self._state.fleet_load.take_report(report.host, report.loads, now)
         self._state.failures.take_report(report.host, report.outcomes, now)
+        self._state.cold.take_report(report.cold, now)
+        if report.drained is not None:
+            self._drains.take_from_peer(report.drained, report.host)
         for identity in report.outcomes:
             endpoint = self._state.directory.get(identity)
             if endpoint is not None:
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from piershore.core.documents.document import Document, DocumentPart
+from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint import Address, Endpoint
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.core.routes.configuration_piece import ConfigurationPiece
@@ -149,9 +150,11 @@
 
 @dataclass(frozen=True)
 class EndpointChange:
-    """An endpoint that was added or changed, or is gone (`endpoint` is None)."""
+    """An endpoint that was added or changed; `endpoint` is None if it is gone, or if
+    its entry can't be read.
+    """
 
-    identity: str
+    name: str
     endpoint: Endpoint | None
 
 
@@ -191,6 +194,22 @@
         """Join the decoded parts of a whole document."""
 
 
+class DrainFeed(StoreFeed):
+    """The data halls that are to get nothing new."""
+
+    @abstractmethod
+    async def read(self) -> DrainedHalls:
+        """Return the data halls that are drained."""
+
+    @abstractmethod
+    async def changes(self, revision: int, wait: float) -> DrainedHalls:
+        """Wait for changes; raise `WatchGapError` after a gap."""
+
+    @abstractmethod
+    def go_on_from(self, drained: DrainedHalls) -> None:
+        """Take what peers know, to watch for changes after it."""
+
+
 class EndpointFeed(StoreFeed):
     """The platform's list of endpoints."""
 
--- a/src/piershore/ingress/streams/silence_watch.py
+++ b/src/piershore/ingress/streams/silence_watch.py
@@ -96,7 +96,8 @@
         if stream.handover is not None or stream.is_given_up:
             return False
         identity = stream.endpoint.identity
-        if self._state.directory.is_leaving(identity):
+        directory = self._state.directory
+        if directory.is_leaving(identity) or directory.is_drained(stream.endpoint):
             return False
         limit = self._state.paces.longest_pause(identity)
         began = max(stream.waiting_since, self._awake_since)
@@ -156,6 +157,7 @@
             stream.exchange.identity,
             stream.delivered.last_number or 0,
             await self._can_go_on_elsewhere(stream),
+            stream.endpoint.born,
         )
         now = trio.current_time()
         if not self._is_silent(stream, now):
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -97,6 +97,8 @@
         self, endpoint: Endpoint, copy: MemoryCopy | None
     ) -> EndpointAttempt | None:
         """Send the request with its last event, and the copy to go on from."""
+        if self._state.directory.is_drained(endpoint):
+            return None
         exchange = self._stream.exchange
         last = self._stream.delivered.last_number
         backup = self._memory.choose_backup(endpoint, trio.current_time())
--- a/src/piershore/platform/box_settings_file.py
+++ b/src/piershore/platform/box_settings_file.py
@@ -50,6 +50,7 @@
         store_address=reader.address("platform.address"),
         stop_grace=reader.number("bounds.grace_s", 8.0),
         contact_seconds=reader.milliseconds("bounds.contact_ms", 3_000.0),
+        drain_seconds=reader.optional_milliseconds("bounds.evacuate_ms"),
         link_megabits=reader.number("limits.link_mbps", DEFAULT_LINK_MEGABITS),
         retry_limits=RetryLimits(
             ratio=reader.number("bounds.retry_budget_ratio", 0.2),
@@ -94,6 +95,9 @@
     def milliseconds(self, name: str, default: float) -> float:
         return self.number(name, default) / 1_000
 
+    def optional_milliseconds(self, name: str) -> float | None:
+        return self.milliseconds(name, 0.0) if self._fields.get(name) else None
+
     def address(self, name: str) -> Address:
         value = self.text(name)
         try:
--- a/src/piershore/platform/endpoint_codec.py
+++ b/src/piershore/platform/endpoint_codec.py
@@ -1,27 +1,108 @@
-"""The platform's list of endpoints, decoded into the product's types."""
+"""The platform's list of endpoints, decoded into the product's types.
+
+Anybody may write into the list: an entry that isn't as an endpoint writes it names no
+endpoint, however little is wrong with it.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from ipaddress import IPv4Address
+from math import isfinite
 
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.platform.exceptions import InvalidObjectError
 
+STAGES = {"ready": EndpointStage.READY, "draining": EndpointStage.LEAVING}
+LARGEST_PORT = 65_535
+MOST_SLOTS = 100_000
+"""Far above the batch of any engine."""
+LARGEST_COUNT = 2**63
+LATEST_BORN = 10**14
+"""Milliseconds since 1970: the year 5138."""
+LONGEST_COLD_MILLISECONDS = 3_600_000
+"""An hour; endpoints are cold for some seconds."""
+
 
 def decode_endpoint(name: str, spec: Mapping) -> Endpoint:
     """Decode one entry; raise `InvalidObjectError` if a field can't be read."""
-    try:
-        return Endpoint(
-            identity=name,
-            service=spec["service"],
-            address=Address.parse(spec["address"]),
-            data_hall=spec.get("zone", ""),
-            slots=int(spec.get("slots") or 1),
-            stage=_stage(spec.get("state")),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise InvalidObjectError(f"endpoint {name} can't be read: {error!r}") from error
-
-
-def _stage(state: str | None) -> EndpointStage:
-    return EndpointStage.LEAVING if state == "draining" else EndpointStage.READY
+    if not isinstance(spec, Mapping):
+        raise _invalid(name, "is no object")
+    reader = _EntryReader(name, spec)
+    reader.word("version")
+    reader.whole("sequence", 0, LARGEST_COUNT)
+    return Endpoint(
+        name=reader.own_name(),
+        service=reader.word("service"),
+        address=reader.address("address"),
+        data_hall=reader.word("zone"),
+        slots=reader.whole("slots", 1, MOST_SLOTS),
+        stage=reader.stage("state"),
+        born=reader.whole("born", 0, LATEST_BORN, default=0),
+        cold_seconds=reader.milliseconds("cold_remaining_ms"),
+    )
+
+
+class _EntryReader:
+    """Typed reading of one entry's fields."""
+
+    def __init__(self, name: str, spec: Mapping) -> None:
+        self._name = name
+        self._spec = spec
+
+    def own_name(self) -> str:
+        """Return the entry's name, which goes into heads of requests."""
+        if not _is_word(self._name):
+            raise _invalid(self._name, "has a name that can't be sent")
+        return self._name
+
+    def word(self, field: str) -> str:
+        value = self._spec.get(field)
+        if not isinstance(value, str) or not _is_word(value):
+            raise self._found(field, "is no word")
+        return value
+
+    def address(self, field: str) -> Address:
+        try:
+            address = Address.parse(self.word(field))
+            IPv4Address(address.host)
+        except ValueError as error:
+            raise self._found(field, str(error)) from error
+        if not 0 < address.port <= LARGEST_PORT:
+            raise self._found(field, "has no port")
+        return address
+
+    def whole(
+        self, field: str, least: int, most: int, default: int | None = None
+    ) -> int:
+        value = self._spec.get(field, default)
+        if type(value) is not int or not least <= value <= most:
+            raise self._found(field, f"is no whole number from {least} to {most}")
+        return value
+
+    def milliseconds(self, field: str) -> float:
+        """Return a time in seconds."""
+        value = self._spec.get(field)
+        if type(value) not in (int, float) or not isfinite(value):
+            raise self._found(field, "is no number")
+        if not 0 <= value <= LONGEST_COLD_MILLISECONDS:
+            raise self._found(field, "is no time that can be meant")
+        return value / 1_000
+
+    def stage(self, field: str) -> EndpointStage:
+        stage = STAGES.get(self.word(field))
+        if stage is None:
+            raise self._found(field, "is not known")
+        return stage
+
+    def _found(self, field: str, fault: str) -> InvalidObjectError:
+        return _invalid(self._name, f"{field} {fault}")
+
+
+def _invalid(name: str, fault: str) -> InvalidObjectError:
+    return InvalidObjectError(f"endpoint {name!r} can't be read: {fault}")
+
+
+def _is_word(text: str) -> bool:
+    """Tell whether a text has only visible ASCII characters, and at least one."""
+    return bool(text) and text.isascii() and text.isprintable() and " " not in text
--- a/src/piershore/platform/engine_reports.py
+++ b/src/piershore/platform/engine_reports.py
@@ -32,7 +32,13 @@
             raise ExchangeBrokenError(f"no report, status {head.status}")
         try:
             return _decode(orjson.loads(body))
-        except (ValueError, AttributeError, TypeError, LookupError) as error:
+        except (
+            ValueError,
+            AttributeError,
+            TypeError,
+            LookupError,
+            OverflowError,
+        ) as error:
             raise ExchangeBrokenError(f"not a report: {error!r}") from error
 
 
@@ -41,7 +47,9 @@
     leaves_in = report.get("leaves_ms")
     # Each run: request, tokens in memory, events made, priority.
     runs = report.get("runs") or ()
+    born = report.get("born")
     return EndpointReport(
         is_leaving=report.get("state") == LEAVING_STATE or bool(leaves_in),
         made_events={str(run[0]): int(run[2]) for run in runs},
+        born=born if type(born) is int else 0,
     )
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -8,11 +8,13 @@
 
 from piershore.core.documents.document import Document, DocumentPart
 from piershore.core.documents.splitting import split
+from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint import Address, Endpoint
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.core.routes.serving_configuration import ServingConfiguration
 from piershore.ingress.ports import (
     ConfigurationFeed,
+    DrainFeed,
     EndpointChange,
     EndpointFeed,
     StoreFeed,
@@ -31,6 +33,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 ENDPOINT_KIND = "servers"
+DRAIN_KIND = "evacuations"
+"""Objects that are each named after a data hall."""
 
 
 class _StoredFeed(StoreFeed):
@@ -85,19 +89,56 @@
 
 async def document_of(spec: Mapping, revision: int) -> Document:
     """Return the document of an object's fields, split in turns with other work."""
+    if not isinstance(spec, Mapping):
+        raise InvalidObjectError("the configuration is no object")
     return Document(revision, tuple([part async for part in in_turns(split(spec))]))
 
 
+class StoredDrainFeed(_StoredFeed, DrainFeed):
+    """The operators' requests that the endpoints of a data hall get nothing new."""
+
+    def __init__(self, store: Address) -> None:
+        super().__init__(store)
+        self._data_halls: set[str] = set()
+
+    async def read(self) -> DrainedHalls:
+        """Return the data halls that are drained."""
+        listed = await self._client.list(DRAIN_KIND)
+        self._data_halls = {item.name for item in listed.objects}
+        return self._view(listed.revision)
+
+    async def changes(self, revision: int, wait: float) -> DrainedHalls:
+        """Wait for a change; return the data halls that are drained after it."""
+        batch = await self._client.watch(DRAIN_KIND, revision, wait)
+        for change in batch.changes:
+            if change.is_gone:
+                self._data_halls.discard(change.object.name)
+            else:
+                self._data_halls.add(change.object.name)
+        return self._view(_reached(batch, revision))
+
+    def go_on_from(self, drained: DrainedHalls) -> None:
+        """Take what peers know, to watch for changes after it."""
+        self._data_halls = set(drained.data_halls)
+
+    def _view(self, revision: int) -> DrainedHalls:
+        return DrainedHalls(revision, frozenset(self._data_halls))
+
+
 class StoredEndpointFeed(_StoredFeed, EndpointFeed):
     """The entries that endpoints keep of themselves."""
 
     def __init__(self, store: Address) -> None:
         super().__init__(store)
         self._findings: list[str] = []
+        self._unreadable: dict[str, str] = {}
 
     async def read(self) -> tuple[tuple[Endpoint, ...], int]:
         """Return all endpoints and the revision."""
         listed = await self._client.list(ENDPOINT_KIND)
+        names = {item.name for item in listed.objects}
+        for gone in self._unreadable.keys() - names:
+            del self._unreadable[gone]
         endpoints = (self._decode(item) for item in listed.objects)
         return tuple(filter(None, endpoints)), listed.revision
 
@@ -106,27 +147,34 @@
     ) -> tuple[tuple[EndpointChange, ...], int]:
         """Wait for changes."""
         batch = await self._client.watch(ENDPOINT_KIND, revision, wait)
-        changes = filter(None, map(self._change, batch.changes))
-        return tuple(changes), _reached(batch, revision)
+        return tuple(map(self._change, batch.changes)), _reached(batch, revision)
 
     def take_findings(self) -> list[str]:
         """Return what was wrong with entries since the last call."""
         findings, self._findings = self._findings, []
         return findings
 
-    def _change(self, change: ObjectChange) -> EndpointChange | None:
+    def _change(self, change: ObjectChange) -> EndpointChange:
+        name = change.object.name
         if change.is_gone:
-            return EndpointChange(change.object.name, None)
-        endpoint = self._decode(change.object)
-        return EndpointChange(endpoint.identity, endpoint) if endpoint else None
+            self._unreadable.pop(name, None)
+            return EndpointChange(name, None)
+        return EndpointChange(name, self._decode(change.object))
 
     def _decode(self, item: PlatformObject) -> Endpoint | None:
-        """Decode an entry; one that is faulty must not hide the others."""
+        """Decode an entry; one that is faulty names no endpoint and hides no other.
+
+        A fault is told once, not at each read.
+        """
         try:
-            return decode_endpoint(item.name, item.spec)
+            endpoint = decode_endpoint(item.name, item.spec)
         except InvalidObjectError as error:
-            self._findings.append(error.message)
+            if self._unreadable.get(item.name) != error.message:
+                self._unreadable[item.name] = error.message
+                self._findings.append(error.message)
             return None
+        self._unreadable.pop(item.name, None)
+        return endpoint
 
 
 def _reached(batch: ObjectChanges, revision: int) -> int:
--- a/src/piershore/platform/gateway.py
+++ b/src/piershore/platform/gateway.py
@@ -9,7 +9,11 @@
 from piershore.platform.box_settings_file import load_box_settings
 from piershore.platform.engine_mover import EngineMover
 from piershore.platform.engine_reports import EngineReports
-from piershore.platform.feeds import StoredConfigurationFeed, StoredEndpointFeed
+from piershore.platform.feeds import (
+    StoredConfigurationFeed,
+    StoredDrainFeed,
+    StoredEndpointFeed,
+)
 from piershore.platform.headers import PlatformDialect
 
 
@@ -29,6 +33,7 @@
         EngineMover(),
         StoredConfigurationFeed(settings.store_address),
         StoredEndpointFeed(settings.store_address),
+        StoredDrainFeed(settings.store_address),
         EngineReports(),
         metrics_port,
         placement_policy,
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -94,7 +94,7 @@
             headers.append((b"content-length", _encode(body_length)))
         milliseconds = max(1, int(order.time_left * 1_000))
         headers.append((TIME_LEFT, _encode(milliseconds)))
-        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.identity)))
+        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.name)))
         if order.account is not None:
             headers.append((ACCOUNT, _encode(order.account.name)))
         if order.priority is not None:
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterator, Mapping
+import json
+from collections.abc import AsyncIterator, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import quote
 
 import orjson
@@ -43,10 +45,13 @@
 
 @dataclass(frozen=True)
 class PlatformObject:
-    """An object: its name, what was put there, and its last change's revision."""
+    """An object: its name, what was put there, and its last change's revision.
+
+    `spec` is any JSON value: anybody may write objects.
+    """
 
     name: str
-    spec: Mapping
+    spec: Any
     revision: int = 0
 
 
@@ -113,12 +118,14 @@
         objects: list[PlatformObject] = []
         after = ""
         while True:
-            query = f"?since_revision={quote(after)}" if after else ""
+            start = quote(after, errors="surrogatepass")
+            query = f"?since_revision={start}" if after else ""
             body = await self._get(f"/objects/{kind}{query}", CALL_SECONDS)
-            objects.extend(_object(item) for item in body["items"])
-            if not body.get("more") or not body["items"]:
-                return ObjectList(tuple(objects), int(body["at"]))
-            after = objects[-1].name
+            page = list(_objects(_entries(body, "items")))
+            objects.extend(page)
+            if not body.get("more") or not page:
+                return ObjectList(tuple(objects), _revision(body.get("at")))
+            after = page[-1].name
 
     async def watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
         """Wait for changes after `revision`, at most `wait` seconds.
@@ -128,7 +135,8 @@
         query = f"?watch={revision}&wait_ms={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
         body = await self._get(path, wait + WATCH_SLACK_SECONDS)
-        return ObjectChanges(tuple(_changes(body)), int(body["at"]))
+        changes = tuple(_changes(_entries(body, "events")))
+        return ObjectChanges(changes, _revision(body.get("at")))
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Read one object; None if there is none."""
@@ -240,18 +248,60 @@
         raise WatchGapError("the store no longer has these changes")
     if status not in ANSWERING_STATUSES:
         raise PlatformUnavailableError(f"the store answered {status}")
+    body = _decode(data) if data else {}
+    if not isinstance(body, Mapping):
+        raise PlatformUnavailableError("the store's answer is no object")
+    return ObjectAnswer(status, body)
+
+
+def _decode(data: bytes) -> Any:
+    """Decode JSON; bytes in it that are no text spoil just the text where they stand.
+
+    A list of all endpoints must not be lost for one entry that somebody else wrote.
+    """
     try:
-        return ObjectAnswer(status, orjson.loads(data) if data else {})
-    except orjson.JSONDecodeError as error:
-        raise PlatformUnavailableError("the store's answer is no JSON") from error
+        return orjson.loads(data)
+    except orjson.JSONDecodeError:
+        try:
+            return json.loads(data.decode("utf-8", "replace"))
+        except (ValueError, RecursionError) as error:
+            raise PlatformUnavailableError("the store's answer is no JSON") from error
+
+
+def _entries(body: Mapping, field: str) -> list:
+    entries = body.get(field)
+    if not isinstance(entries, list):
+        raise PlatformUnavailableError(f"the store's answer has no {field}")
+    return entries
+
+
+def _revision(value: Any) -> int:
+    if type(value) is not int:
+        raise PlatformUnavailableError("the store's answer has no revision")
+    return value
+
+
+def _object(item: Any) -> PlatformObject:
+    """Return an object; raise `PlatformUnavailableError` if it has no name."""
+    for found in _objects((item,)):
+        return found
+    raise PlatformUnavailableError("the store's answer names no object")
 
 
-def _object(item: Mapping) -> PlatformObject:
-    metadata = item["metadata"]
-    revision = int(metadata.get("revision") or 0)
-    return PlatformObject(metadata["name"], item.get("spec") or {}, revision)
+def _objects(items: Iterable[Any]) -> Iterator[PlatformObject]:
+    """Yield the objects that have a name; nothing else can be said of the others."""
+    for item in items:
+        metadata = item.get("metadata") if isinstance(item, Mapping) else None
+        name = metadata.get("name") if isinstance(metadata, Mapping) else None
+        if isinstance(name, str):
+            revision = metadata.get("revision")
+            known = revision if type(revision) is int else 0
+            yield PlatformObject(name, item.get("spec"), known)
 
 
-def _changes(body: Mapping) -> Iterator[ObjectChange]:
-    for event in body["events"]:
-        yield ObjectChange(_object(event["object"]), bool(event.get("gone")))
+def _changes(events: Iterable[Any]) -> Iterator[ObjectChange]:
+    for event in events:
+        if not isinstance(event, Mapping):
+            continue
+        for changed in _objects((event.get("object"),)):
+            yield ObjectChange(changed, bool(event.get("gone")))
--- a/src/piershore/platform/routing_codec.py
+++ b/src/piershore/platform/routing_codec.py
@@ -40,7 +40,7 @@
             limits=_limits(limits) if limits else None,
             requires_keys=bool(fields.get("tenants")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise _unreadable(error) from error
 
 
@@ -92,6 +92,8 @@
     return ServiceSpec(
         name=item["name"],
         engine=_engine(engine) if engine else None,
+        cold_start_seconds=float(item.get("cold_start_s") or 0.0),
+        cold_rate=float(item["cold_per_s"]) if item.get("cold_per_s") else None,
     )
 
 
--- a/src/piershore/settings/box_settings.py
+++ b/src/piershore/settings/box_settings.py
@@ -15,6 +15,8 @@
     `peer_ports` are free on every box for what processes of the system say to
     each other; `seeds` are boxes that may know others, perhaps out of date.
     `link_megabits` a second cross the box's own link in each direction.
+    `drain_seconds` is how soon nothing new may reach a data hall that operators drain;
+    None where the platform doesn't drain data halls.
     """
 
     name: str
@@ -29,5 +31,6 @@
     contact_seconds: float
     retry_limits: RetryLimits
     link_megabits: float = 1_000.0
+    drain_seconds: float | None = None
     service: str | None = None
     endpoint_address: Address | None = None
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -109,10 +109,26 @@
     endpoint: str
     service: str
     is_gone: bool
+    is_restarted: bool
     streams: int
     revision: int
 
 
+@dataclass(frozen=True)
+class HallDrained(LogEvent):
+    """Nothing new is sent to a data hall any more, or again if `is_drained` is false.
+
+    `streams` of this gateway go on in all drained halls; `source` is the store or a
+    peer.
+    """
+
+    data_hall: str
+    is_drained: bool
+    streams: int
+    revision: int
+    source: str
+
+
 @dataclass(frozen=True)
 class EndpointEjected(LogEvent):
     """An endpoint is left out for a while: it failed several times in a row, or it
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -84,6 +84,11 @@
     ["stage"],
     registry=REGISTRY,
 )
+DRAINED_HALLS = Gauge(
+    "piershore_ingress_drained_halls",
+    "Data halls that get nothing new, since operators drain them.",
+    registry=REGISTRY,
+)
 RETRIES_LEFT = Gauge(
     "piershore_ingress_retries_left",
     "Retries that this gateway may still make in the present window, by service.",
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -82,6 +82,9 @@
         self.open_streams = 0
         self.reports = 0
         self.state = "ready"
+        self.data_hall = "ikeja"
+        self.born: int | None = None
+        self.cold_milliseconds = 0
         self.move_seconds = 0.02
         self.move_answer: bytes | None = None
         self.stop_answer_seconds = 0.0
@@ -102,16 +105,26 @@
 
     def entry(self, state: str = "ready") -> dict:
         """Return what it writes of itself into the store."""
-        return {
+        entry = {
             "service": self.service,
             "address": self.listed_as(),
-            "zone": "ikeja",
+            "zone": self.data_hall,
             "version": "v1",
             "slots": 6,
             "state": state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_milliseconds,
             "sequence": 1,
         }
+        return entry if self.born is None else {**entry, "born": self.born}
+
+    def start_anew(self, born: int) -> None:
+        """Begin a new incarnation that knows nothing of the one before.
+
+        Streams under way fall silent: their ends are lost behind a cut.
+        """
+        self.born = born
+        self.made.clear()
+        self.silence = Silence.PAUSED
 
     def crash(self) -> None:
         """Close all connections and stop listening."""
@@ -264,7 +277,7 @@
         if self.silence is Silence.GONE:
             await trio.sleep_forever()
         runs = [[identity, 0, made, 5] for identity, made in self.made.items()]
-        report = {"state": self.state, "runs": runs}
+        report = {"state": self.state, "runs": runs, "born": self.born or 0}
         await self.respond(arrival, 200, orjson.dumps(report), seal=False)
 
     async def _move(self, arrival: Arrival) -> None:
