Placement asks once what may be chosen; gateways are ordered only when they change

set_peers sorted the same hosts with each report, a choice looked at excluded endpoints twice, and each judgement of one endpoint swept the outcomes of all.

--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from heapq import nsmallest
 from random import Random
@@ -128,30 +128,27 @@
         endpoints = self._directory.of_service(service)
         if self._uses_subsets and not anywhere:
             subset = self._subsets.own(service)
-            if any(self._is_sound(endpoint, now, excluded) for endpoint in subset):
+            if any(self._is_sound(e, now) for e in self._able(subset, now, excluded)):
                 endpoints = subset
         return self._cheapest(endpoints, now, excluded, cost, self._policy.sample)
 
-    def _is_sound(
-        self, endpoint: Endpoint, now: float, excluded: Collection[str]
-    ) -> bool:
-        if endpoint.identity in excluded or not self._cold.may_send(endpoint, now):
-            return False
+    def _able(
+        self, endpoints: Iterable[Endpoint], now: float, excluded: Collection[str]
+    ) -> Iterator[Endpoint]:
+        """Yield the endpoints that may be chosen; cold ones bear only so much."""
+        for endpoint in endpoints:
+            if endpoint.identity not in excluded and self._cold.may_send(endpoint, now):
+                yield endpoint
+
+    def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
         return not (self._ejects and self._health.is_ejected(endpoint.identity, now))
 
     def _cheapest(self, endpoints, now, excluded, cost, sample) -> Choice | None:
-        """Return the cheapest candidate; ejected endpoints only if all are.
-
-        Cold endpoints that can't bear more now are none.
-        """
-        endpoints = [
-            e
-            for e in endpoints
-            if e.identity not in excluded and self._cold.may_send(e, now)
-        ]
+        """Return the cheapest candidate; ejected endpoints only if all are."""
+        endpoints = list(self._able(endpoints, now, excluded))
         if len(endpoints) > MOST_COMPARED:
             endpoints = self._random.sample(endpoints, MOST_COMPARED)
-        sound = [e for e in endpoints if self._is_sound(e, now, excluded)]
+        sound = [e for e in endpoints if self._is_sound(e, now)]
         sampled = sample(sound or endpoints, self._random)
         candidates = (self._candidate(endpoint, cost) for endpoint in sampled)
         ranked = nsmallest(1 + MOST_OTHERS, candidates, key=lambda c: c.cost)
--- a/src/piershore/core/fleet/shared_failures.py
+++ b/src/piershore/core/fleet/shared_failures.py
@@ -88,12 +88,11 @@
 
     def are_failing(self, identity: str, now: float) -> bool:
         """Tell whether the fleet's outcomes show that an endpoint fails."""
-        self._forget(now)
-        told = (report for _, report in self._peers.values())
-        total = self._count(identity)
-        for report in told:
-            total += report.get(identity, NO_OUTCOMES)
-        return total.are_failing
+        start = now - WINDOW_SECONDS
+        self._forget_outcomes(identity, start)
+        told = (report for at, report in self._peers.values() if at >= start)
+        counts = (report.get(identity, NO_OUTCOMES) for report in told)
+        return sum(counts, self._count(identity)).are_failing
 
     def forget(self, identity: str) -> None:
         """Drop the own outcomes at an endpoint that has gone."""
@@ -106,15 +105,21 @@
 
     def _forget(self, now: float) -> None:
         start = now - WINDOW_SECONDS
-        for identity, outcomes in list(self._own.items()):
-            while outcomes and outcomes[0][0] < start:
-                outcomes.popleft()
-            if not outcomes:
-                del self._own[identity]
+        for identity in list(self._own):
+            self._forget_outcomes(identity, start)
         for peer, (at, _) in list(self._peers.items()):
             if at < start:
                 del self._peers[peer]
 
+    def _forget_outcomes(self, identity: str, start: float) -> None:
+        outcomes = self._own.get(identity)
+        if outcomes is None:
+            return
+        while outcomes and outcomes[0][0] < start:
+            outcomes.popleft()
+        if not outcomes:
+            del self._own[identity]
+
 
 def _failures(item: tuple[str, Outcomes]) -> int:
     return item[1].failures
--- a/src/piershore/core/fleet/subsetting.py
+++ b/src/piershore/core/fleet/subsetting.py
@@ -72,7 +72,10 @@
 
     def set_peers(self, hosts: Iterable[str]) -> None:
         """Take the gateways that take callers beside this one."""
-        self._hosts = sorted({*hosts, self._own_host}, key=stable_hash)
+        known = {*hosts, self._own_host}
+        if known == set(self._hosts):
+            return
+        self._hosts = sorted(known, key=stable_hash)
         self._own_rank = self._hosts.index(self._own_host)
 
     @property
