Learn spreads of output lengths, tell them to peers; reckon with the mean

Change: median and spreads by route and the guesses' errors are learned over three minutes and told to the peers once a second; what is left of an output is its mean given what was made. attempt_started tells what was expected; the verb beliefs and two counters tell how far that was off. Policies of a gateway are one type. The fleet experiment plays the shifted work.

--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -11,7 +11,12 @@
 from tabulate import tabulate
 
 from devtools.bench.fleet_plot import plot_fleet
-from devtools.bench.fleet_simulation import FleetRun, FleetSettings, FleetStream
+from devtools.bench.fleet_simulation import (
+    FleetRun,
+    FleetSettings,
+    FleetStream,
+    SHIFTED_WORK,
+)
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
 from piershore.core.fleet.report_pace import report_interval
 
@@ -65,6 +70,30 @@
     "crashes, backups": replace(FRESH, reclaim_every=6.0, notice=0.0),
     "crashes, no backups": replace(FRESH, reclaim_every=6.0, notice=0.0, moves=False),
 }
+SHIFTED = replace(
+    FRESH,
+    gateways=23,
+    engines=22,
+    rate=30.0,
+    report_interval=report_interval(22),
+    refuses=True,
+    work=SHIFTED_WORK,
+)
+RECLAIMED = replace(SHIFTED, reclaim_every=0.8)
+CROWDED = replace(RECLAIMED, rate=42.0)
+SITUATIONS |= {
+    f"{name}, {way}": replace(settings, **changed)
+    for name, settings in (
+        ("shifted, 17 % leave each 3.3 s", RECLAIMED),
+        ("shifted, the same and 1.4 times the load", CROWDED),
+    )
+    for way, changed in (
+        ("median", {"lengths": "median"}),
+        ("mean", {}),
+        ("median, waits", {"lengths": "median", "waits": True}),
+        ("mean, waits", {"waits": True}),
+    )
+}
 LARGEST = many(410, 2_300, 4.0)
 MINUTES_LONG = {
     "410 gateways, 2300 engines": LARGEST,
@@ -77,10 +106,10 @@
 class FleetFigures:
     """One run: shares of the long streams, preemptions of 1,000 streams.
 
-    A refused caller comes back once, and its times count from then on; `refused` are
-    those that were refused again. `excess` is how many more generations were at the
-    chosen engine than at the least loaded one, in the mean; `messages` were sent to
-    peers for each start.
+    A refused caller comes back once, and is in aim by its first try; its first token's
+    times count from its return. `refused` are those that were refused again. `excess`
+    is how many more generations were at the chosen engine than at the least loaded one,
+    in the mean; `messages` were sent to peers for each start.
     """
 
     in_aim: float
@@ -118,7 +147,8 @@
 def _is_in_aim(stream: FleetStream) -> bool:
     if not stream.is_whole or stream.longest_pause > PAUSE_AIM_SECONDS:
         return False
-    return stream.first_at - stream.arrived_at <= FIRST_AIM_SECONDS
+    waited = stream.came_back_after + stream.first_at - stream.arrived_at
+    return waited <= FIRST_AIM_SECONDS
 
 
 def main() -> None:
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -25,13 +25,21 @@
     StreamNote,
 )
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
-from piershore.core.fleet.generation_admission import come_back_seconds, has_memory
+from piershore.core.fleet.generation_admission import (
+    come_back_seconds,
+    has_memory,
+)
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.length_estimate import (
+    DEFAULT_EXPECTATION,
+    LENGTH_EXPECTATIONS,
+)
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
 from piershore.core.fleet.report_pace import SHORTEST_GAP_SECONDS
+from piershore.core.fleet.room_wait import RoomWait, waiting_seconds
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
@@ -60,12 +68,49 @@
 """As the users' sheets tell of their engines: 7 ms a step, 14 prompt tokens a ms,
 prompts read piece by piece between the tokens of others."""
 NETWORK_SECONDS = 0.001
+FIRST_AIM_SECONDS = 1.8
 BACKUP_DELAY_SECONDS = 0.8
 """A backup is complete so long after the first token."""
 REPLACED_AFTER_SECONDS = 4.0
 """Another engine comes so long after one was told to leave or has crashed."""
 
 
+@dataclass(frozen=True)
+class WorkMix:
+    """What callers ask for: sizes in tokens, spreads of logarithms.
+
+    `long_share` of the generations are long reviews, the others short checks.
+    """
+
+    long_share: float = 0.42
+    long_median: int = 700
+    long_most: int = 2_216
+    length_spread: float = 0.84
+    memory_tokens: int = 34_000
+
+    @property
+    def engine(self) -> EngineSpec:
+        """The engines that the work runs at."""
+        return replace(ENGINE, memory_tokens=self.memory_tokens)
+
+    @property
+    def steps(self) -> EngineSettings:
+        """Their step times."""
+        return replace(STEPS, capacity_tokens=self.memory_tokens)
+
+
+USUAL_WORK = WorkMix()
+"""The mix of the users' first sheets."""
+SHIFTED_WORK = WorkMix(
+    long_share=0.34,
+    long_median=464,
+    long_most=1_780,
+    length_spread=0.99,
+    memory_tokens=21_982,
+)
+"""The same customer's some months on, with lengths as they were logged."""
+
+
 @dataclass(frozen=True)
 class FleetSettings:
     """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
@@ -74,7 +119,8 @@
     several and some none; with 0 each generation comes to any gateway. Without
     `subsets` all choose from all engines, and starts are told to all. Every
     `reclaim_every`, `reclaim_count` engines are told to leave and are gone after
-    `notice`; a notice of 0 is a crash.
+    `notice`; a notice of 0 is a crash. A generation for which no engine has memory is
+    refused at once if `refuses`, or after it has waited a moment if it also `waits`.
     """
 
     policy: str
@@ -87,6 +133,9 @@
     subsets: bool = True
     moves: bool = True
     refuses: bool = False
+    waits: bool = False
+    work: WorkMix = USUAL_WORK
+    lengths: str = DEFAULT_EXPECTATION
     reclaim_every: float = 0.0
     reclaim_count: int = 1
     notice: float = 1.8
@@ -122,6 +171,7 @@
     work: GenerationWork
     length: int
     arrived_at: float
+    wait: RoomWait
     engine: SimulatedEngine | None = None
     backup: SimulatedEngine | None = None
     backup_work: BackupWork | None = None
@@ -131,6 +181,7 @@
     preemptions: int = 0
     moves: int = 0
     refusals: int = 0
+    came_back_after: float = 0.0
     is_whole: bool = False
     is_lost: bool = False
 
@@ -138,7 +189,7 @@
 class SimulatedEngine:
     """An engine with the streams that it runs."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, steps: EngineSettings) -> None:
         self.endpoint = Endpoint(
             f"i-{number}",
             SERVICE,
@@ -147,7 +198,7 @@
             ENGINE.slots,
             EndpointStage.READY,
         )
-        self.model = EngineModel(STEPS)
+        self.model = EngineModel(steps)
         self.streams: dict[str, FleetStream] = {}
         self.is_leaving = False
         self.is_gone = False
@@ -212,6 +263,8 @@
 
     def __init__(self, settings: FleetSettings, seed: int) -> None:
         self._settings = settings
+        self._engine = settings.work.engine
+        self._expectation = LENGTH_EXPECTATIONS[settings.lengths]()
         self._random = Random(seed)
         self._events: list[_Event] = []
         self._order = count()
@@ -258,7 +311,7 @@
         return self._now >= self._settings.seconds
 
     def _add_engine(self, number: int) -> None:
-        engine = SimulatedEngine(number)
+        engine = SimulatedEngine(number, self._settings.work.steps)
         self._engines[engine.endpoint.identity] = engine
         for gateway in self._gateways:
             gateway.directory.put(engine.endpoint)
@@ -271,11 +324,13 @@
     def _report(self, gateway: SimulatedGateway) -> None:
         """Tell the peers; what they get is as old as the network is slow."""
         loads = gateway.loads.own_loads()
+        lengths = gateway.lengths.report(self._now)
         for peer in self._gateways:
             if peer is not gateway:
                 self._at(
                     NETWORK_SECONDS, peer.loads.take_report, gateway.name, loads, 0.0
                 )
+                peer.lengths.take_report(gateway.name, lengths, self._now)
 
     def _tell_start(self, gateway: SimulatedGateway, endpoint: Endpoint) -> None:
         """Tell those who should know at once of the gateway's load at an engine."""
@@ -311,28 +366,31 @@
 
     def _new_stream(self, gateway: SimulatedGateway) -> FleetStream:
         """Return a long review or a short check, as the users' callers send them."""
-        random = self._random
-        is_long = random.random() < LONG_SHARE
-        median, most = (LONG_MEDIAN, LONG_MOST) if is_long else (SHORT_MEDIAN, 40)
-        length = min(most, 1 + int(median * random.lognormvariate(0, LENGTH_SPREAD)))
+        random, mix = self._random, self._settings.work
+        is_long = random.random() < mix.long_share
+        median, most = SHORT_MEDIAN, SHORT_MOST
+        if is_long:
+            median, most = mix.long_median, mix.long_most
+        length = 1 + int(median * random.lognormvariate(0, mix.length_spread))
+        length = min(most, length)
         guess = max(1, int(length * random.lognormvariate(0, GUESS_SPREAD)))
         prompt = min(6_000, int(PROMPT_MEDIAN * random.lognormvariate(0, 0.4)))
         size = GenerationSize(prompt, most, guess)
-        expected = gateway.lengths.expected(str(is_long), size)
-        work = GenerationWork(size, expected)
+        estimate = gateway.lengths.estimate(str(is_long), size, self._now)
+        work = GenerationWork(size, estimate, self._expectation)
         identity = f"s-{len(self.streams)}"
-        return FleetStream(identity, gateway, work, length, self._now)
+        wait = RoomWait(random)
+        return FleetStream(identity, gateway, work, length, self._now, wait)
 
     def _place(self, stream: FleetStream) -> None:
         gateway = stream.gateway
         choice = gateway.placement.for_generation(
-            SERVICE, stream.work, ENGINE, self._now
+            SERVICE, stream.work, self._engine, self._now
         )
         if choice is None:
             self._lose(stream)
             return
-        if self._settings.refuses and not has_memory(choice.load, stream.work, ENGINE):
-            self._refuse(stream, choice.load)
+        if self._settings.refuses and not self._takes_room(stream, choice.load):
             return
         engine = self._engines[choice.endpoint.identity]
         self._note_placing(engine, choice.load)
@@ -344,14 +402,30 @@
         least = min((len(other.streams) for other in staying), default=0)
         self.placings.append(Placing(len(engine.streams), load.requests, least))
 
+    def _takes_room(self, stream: FleetStream, load: EndpointLoad) -> bool:
+        """Tell whether a stream starts now; else it looks again, or is refused."""
+        has_room = has_memory(load, stream.work, self._engine)
+        pause = stream.wait.next_pause(has_room=has_room)
+        until = stream.arrived_at
+        if self._settings.waits:
+            until += waiting_seconds(FIRST_AIM_SECONDS)
+        if pause is not None and self._now + pause <= until:
+            self._at(pause, self._place, stream)
+            return False
+        if not has_room:
+            self._refuse(stream, load)
+        return has_room
+
     def _refuse(self, stream: FleetStream, load: EndpointLoad) -> None:
-        """Send the caller away; it comes back once, and counts from then on."""
+        """Send the caller away; it comes back once."""
         stream.refusals += 1
         if stream.refusals > 1:
             self._forget(stream)
             return
         seconds = come_back_seconds(load) * self._random.uniform(0.75, 1.25)
+        stream.came_back_after += self._now + seconds - stream.arrived_at
         stream.arrived_at = self._now + seconds
+        stream.wait = RoomWait(self._random)
         self._at(seconds, self._place, stream)
 
     def _run_at(
@@ -368,13 +442,19 @@
         self._wake(engine)
 
     def _back_up(self, stream: FleetStream, load: EndpointLoad) -> None:
-        if not self._settings.moves or not wants_backup(load, stream.work, ENGINE):
+        if not self._settings.moves or not wants_backup(
+            load, stream.work, self._engine
+        ):
             return
         gateway = stream.gateway
         choice = gateway.placement.for_generation(
-            SERVICE, stream.work, ENGINE, self._now, [stream.engine.endpoint.identity]
+            SERVICE,
+            stream.work,
+            self._engine,
+            self._now,
+            [stream.engine.endpoint.identity],
         )
-        if choice is None or not has_room(choice.load, stream.work, ENGINE):
+        if choice is None or not has_room(choice.load, stream.work, self._engine):
             return
         stream.backup = self._engines[choice.endpoint.identity]
         stream.backup_work = BackupWork(stream.work)
@@ -415,8 +495,11 @@
 
     def _finish(self, stream: FleetStream) -> None:
         stream.is_whole = True
-        is_long = stream.work.size.max_output_tokens == LONG_MOST
-        stream.gateway.lengths.record(str(is_long), stream.work.made_tokens)
+        work = stream.work
+        is_long = work.size.max_output_tokens != SHORT_MOST
+        stream.gateway.lengths.record(
+            str(is_long), work.size, work.made_tokens, self._now
+        )
         self._forget(stream)
 
     def _lose(self, stream: FleetStream) -> None:
@@ -462,7 +545,9 @@
         for gateway in self._gateways:
             targets = tuple(gateway.directory.of_service(SERVICE))
             loads = {t.identity: gateway.loads.at(t.identity) for t in targets}
-            for move in plan_evacuation(engine.endpoint, notes, targets, loads, ENGINE):
+            for move in plan_evacuation(
+                engine.endpoint, notes, targets, loads, self._engine
+            ):
                 stream = gateway.streams.get(move.request)
                 if stream is not None:
                     self._start_move(stream, engine, move)
@@ -477,7 +562,9 @@
         if target is None:
             return
         is_near = target.endpoint.data_hall == source.endpoint.data_hall
-        seconds = ENGINE.copy_seconds(stream.work.held_tokens, within_hall=is_near)
+        seconds = self._engine.copy_seconds(
+            stream.work.held_tokens, within_hall=is_near
+        )
         self._at(move.start + seconds, self._move, stream, source, target)
 
     def _move(
@@ -527,9 +614,8 @@
             self._lose(stream)
 
 
-LONG_SHARE = 0.42
-LONG_MEDIAN, LONG_MOST = 700, 2_216
-SHORT_MEDIAN = 9
-LENGTH_SPREAD, GUESS_SPREAD = 0.84, 1.2
+LONG_MOST = USUAL_WORK.long_most
+SHORT_MEDIAN, SHORT_MOST = 9, 40
+GUESS_SPREAD = 1.2
 PROMPT_MEDIAN = 2_600
-"""The mix of the users' sheets: lengths in tokens, spreads of their logarithms."""
+"""What the users' sheets have in common."""
--- a/features/losses.feature
+++ b/features/losses.feature
@@ -30,3 +30,8 @@
 
   Scenario: logs without a request, and a file that isn't there
     Then the verb says so with its exit code
+
+  Scenario: lengths that are not what was expected
+    Given logs in which 100 generations make twice the tokens that were expected
+    When the beliefs are asked for
+    Then 2.0 of what was expected came, and the verb fails without generations
--- a/features/steps/ingress_placement_steps.py
+++ b/features/steps/ingress_placement_steps.py
@@ -26,6 +26,7 @@
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
 from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.length_estimate import LengthEstimate
 from piershore.core.fleet.placement_policy import (
     PLACEMENT_POLICIES,
 )
@@ -139,7 +140,7 @@
         report = {f"i-{number % endpoints}": EndpointLoad(1, 100, 200, 0)}
         loads.take_report(f"peer-{number}", OnceReadLoads(report), 0.0)
     placement = placement_over(directory, loads)
-    work = GenerationWork(GenerationSize(100, 100), 50)
+    work = GenerationWork(GenerationSize(100, 100), LengthEstimate.exactly(50))
     choice = placement.for_generation("model", work, ENGINE, 0.0)
     assert choice.load.requests == 1
 
@@ -163,7 +164,7 @@
 
 @then("each policy of the setting ranks engines by what its name says")
 def check_policies(context):
-    work = GenerationWork(GenerationSize(100, 100), 50)
+    work = GenerationWork(GenerationSize(100, 100), LengthEstimate.exactly(50))
     assert PLACEMENT_POLICIES.keys() == POLICY_PREFERS.keys()
     assert tuple(flags.FLAGS[PLACEMENT.name].parser.enum_values) == tuple(
         PLACEMENT_POLICIES
@@ -195,7 +196,7 @@
     for listed in endpoints:
         directory.put(listed)
     placement = placement_over(directory, loads)
-    work = GenerationWork(GenerationSize(100, 100), 50)
+    work = GenerationWork(GenerationSize(100, 100), LengthEstimate.exactly(50))
     assert placement.for_generation("model", work, ENGINE, 0.0) is not None
     assert loads.lookups == 64
     source = endpoints[0]
@@ -237,6 +238,6 @@
 
 @then("the generation is placed at {hall}")
 def check_hall(context, hall):
-    work = GenerationWork(GenerationSize(100, 100), 50)
+    work = GenerationWork(GenerationSize(100, 100), LengthEstimate.exactly(50))
     choice = context.placement.for_generation("model", work, ENGINE, 0.0)
     assert choice.endpoint.data_hall == hall, choice
--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -17,6 +17,7 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.core.fleet.length_estimate import LengthEstimate
 from piershore.core.fleet.load_note import LoadNote
 from piershore.core.fleet.peer_table import PeerTable
 from piershore.core.fleet.placement_policy import (
@@ -27,7 +28,7 @@
 
 SEED = 68
 SERVICE = "model"
-SMALL = GenerationWork(GenerationSize(100, 100), 50)
+SMALL = GenerationWork(GenerationSize(100, 100), LengthEstimate.exactly(50))
 
 
 @given(
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -56,7 +56,11 @@
 
 
 def ask(*arguments):
-    command = [sys.executable, "-m", "piershore", "losses", *arguments]
+    return ask_verb("losses", *arguments)
+
+
+def ask_verb(verb, *arguments):
+    command = [sys.executable, "-m", "piershore", verb, *arguments]
     return subprocess.run(command, capture_output=True, text=True, check=False)
 
 
@@ -117,3 +121,36 @@
     assert empty.returncode == ExitCode.FAILED and "no line names" in empty.stderr
     missing = ask(str(context.file.with_name("none.log")))
     assert missing.returncode == ExitCode.FAILED and "none.log" in missing.stderr
+
+
+@given("logs in which {count:d} generations make twice the tokens that were expected")
+def given_longer(context, count):
+    lines = []
+    for number in range(count):
+        request, at = f"r-{number}", number * 0.1
+        sizes = {"expected_tokens": 100 + number, "hinted_tokens": 90}
+        lines.append(
+            line("attempt_started", at, request, route="review", endpoint="i", **sizes)
+        )
+        made = 2 * (100 + number)
+        lines.append(answered(request, at + 1.0, made_tokens=made))
+    context.file = Path(tempfile.mkdtemp(prefix="beliefs-")) / "front-1.log"
+    context.file.write_bytes(b"\n".join(lines) + b"\n")
+
+
+@when("the beliefs are asked for")
+def ask_beliefs(context):
+    context.asked = ask_verb(
+        "beliefs", str(context.file), "--window", "60", "--output", "json"
+    )
+    context.empty = ask_verb("beliefs", "/dev/null")
+
+
+@then("2.0 of what was expected came, and the verb fails without generations")
+def check_beliefs(context):
+    assert context.asked.returncode == ExitCode.OK, context.asked.stderr
+    (row,) = orjson.loads(context.asked.stdout)
+    assert row["route"] == "review"
+    assert row["generations"] == 100
+    assert row["made/expected"] == 2.0
+    assert context.empty.returncode == ExitCode.FAILED
--- /dev/null
+++ b/features/steps/output_length_steps.py
@@ -0,0 +1,134 @@
+"""Steps for the output lengths that are expected."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp, log
+from random import Random
+
+from behave import given, then, when
+from hypothesis import strategies as st
+from support.core_checks import checked
+
+from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.length_estimate import LengthEstimate
+from piershore.core.fleet.output_lengths import OutputLengths
+
+MOST = 1_780
+GUESS_SPREAD = 1.14
+ROUTE = "review"
+EVERY_SECONDS = 0.5
+MADE = 300
+
+
+@dataclass
+class Outputs:
+    """Outputs of one route, drawn from a seed, and what a gateway has learned."""
+
+    median: float
+    spread: float
+    lengths: OutputLengths
+    random: Random
+    now: float = 0.0
+
+    def draw(self):
+        """Return one more generation's size and length."""
+        self.now += EVERY_SECONDS
+        length = self.median * self.random.lognormvariate(0, self.spread)
+        length = max(1, min(MOST, round(length)))
+        guess = max(1, round(length * self.random.lognormvariate(0, GUESS_SPREAD)))
+        return GenerationSize(3_000, MOST, guess), length
+
+    def end(self, count):
+        """Let some generations end."""
+        for _ in range(count):
+            size, length = self.draw()
+            self.lengths.record(ROUTE, size, length, self.now)
+
+    def estimate(self, size):
+        """Return what the gateway expects."""
+        return self.lengths.estimate(ROUTE, size, self.now)
+
+
+@given(
+    "outputs of median {median:g} that differ by {spread:g}, of which {count:d} have"
+    " ended"
+)
+def given_outputs(context, median, spread, count):
+    context.outputs = Outputs(median, spread, OutputLengths(), Random(5))
+    context.outputs.end(count)
+
+
+@when("outputs of median {median:g} that differ by {spread:g} have come for 8 minutes")
+def shift(context, median, spread):
+    context.outputs.median, context.outputs.spread = median, spread
+    context.outputs.end(int(480 / EVERY_SECONDS))
+
+
+@when("a gateway starts and hears of them from a peer")
+def start_gateway(context):
+    outputs = context.outputs
+    told = outputs.lengths.report(outputs.now)
+    outputs.lengths = OutputLengths()
+    outputs.lengths.take_report("peer", told, outputs.now)
+
+
+@then("400 more come to 0.85 to 1.15 times the tokens expected of them")
+def check_sum(context):
+    drawn = [context.outputs.draw() for _ in range(400)]
+    # What a peer told counts for a time; nothing is learned from these.
+    context.outputs.now -= 400 * EVERY_SECONDS
+    context.drawn = drawn
+    expected = sum(context.outputs.estimate(s).mean_remaining(0) for s, _ in drawn)
+    ratio = sum(length for _, length in drawn) / expected
+    assert 0.85 < ratio < 1.15, ratio
+
+
+@then("so does what is left of them after 300 tokens")
+def check_rest(context):
+    longer = [(s, length) for s, length in context.drawn if length > MADE]
+    estimates = (context.outputs.estimate(size) for size, _ in longer)
+    expected = sum(estimate.mean_remaining(MADE) for estimate in estimates)
+    ratio = sum(length - MADE for _, length in longer) / expected
+    assert 0.8 < ratio < 1.2, ratio
+
+
+@then("what is left of an output is its mean given what was made, at any length")
+def check_mean(context):
+    @checked(
+        st.floats(1, 5_000),
+        st.floats(0.05, 2.0),
+        st.integers(0, 3_000),
+        st.integers(1, 4_000),
+        examples=200,
+    )
+    def check(median, spread, made, most):
+        estimate = LengthEstimate(median, spread, most)
+        rest = estimate.mean_remaining(made)
+        assert 0 <= rest <= max(0, most - made) + 1e-6
+        random = Random(1)
+        drawn = (
+            min(most, exp(random.gauss(log(median), spread))) for _ in range(3_000)
+        )
+        longer = [length - made for length in drawn if length > made]
+        if len(longer) < 500:
+            return
+        mean = sum(longer) / len(longer)
+        deviation = (sum((x - mean) ** 2 for x in longer) / len(longer)) ** 0.5
+        assert abs(rest - mean) <= 5 * deviation / len(longer) ** 0.5 + 0.5
+
+
+@then("the better the guesses were, the more an estimate follows them")
+def check_guesses(context):
+    medians = []
+    for guess_spread in (0.1, 0.6, 2.0):
+        lengths, random = OutputLengths(), Random(2)
+        for _ in range(100):
+            length = round(400 * random.lognormvariate(0, 0.9))
+            guess = round(length * random.lognormvariate(0, guess_spread))
+            size = GenerationSize(100, 20_000, max(1, guess))
+            lengths.record(ROUTE, size, length, 0.0)
+        size = GenerationSize(100, 20_000, 4_000)
+        medians.append(lengths.estimate(ROUTE, size, 0.0).median)
+    assert medians[0] > 3_000 and medians == sorted(medians, reverse=True), medians
+    assert medians[2] < 1_000, medians
--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -9,6 +9,7 @@
 from devtools.ports import free_port
 from piershore.core.attempts.retry_allowance import RetryLimits
 from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.policies import Policies
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.http1.message import RequestHead
@@ -178,7 +179,7 @@
             StoredDrainFeed(settings.store_address),
             EngineReports(),
             free_port() if self.has_metrics else None,
-            disabled=self.disabled,
+            policies=Policies(disabled=self.disabled),
         )
         if self.log_output is not None:
             daemon._log._output = self.log_output
--- a/src/piershore/commands/command.py
+++ b/src/piershore/commands/command.py
@@ -40,6 +40,7 @@
     "ingress": "ingress_command",
     "explain": "explain_command",
     "losses": "losses_command",
+    "beliefs": "beliefs_command",
     "validate": "validate_command",
     "template": "object_commands",
     "account": "object_commands",
--- a/src/piershore/commands/ingress_command.py
+++ b/src/piershore/commands/ingress_command.py
@@ -6,7 +6,7 @@
 
 from piershore.commands.command import Command, command, ExitCode
 from piershore.commands.exceptions import CommandError
-from piershore.commands.options import METRICS_PORT, PLACEMENT, WITHOUT
+from piershore.commands.options import LENGTHS, METRICS_PORT, PLACEMENT, WITHOUT
 from piershore.settings.exceptions import InvalidSettingsError
 
 
@@ -14,17 +14,22 @@
 class IngressCommand(Command):
     """Run a gateway on a box of the platform."""
 
-    usage = "ingress [--metrics_port PORT] [--placement POLICY] [--without NAME]"
+    usage = (
+        "ingress [--metrics_port PORT] [--placement POLICY] [--lengths EXPECTATION]"
+        " [--without NAME]"
+    )
     summary = "Run a gateway on a box of the platform, by the platform's settings."
     example = "piershore ingress --metrics_port 7215"
 
     def run(self, arguments: Sequence[str]) -> ExitCode:
         """Serve until SIGTERM."""
+        from piershore.core.fleet.policies import Policies
         from piershore.platform.gateway import run_gateway
 
         try:
             disabled = frozenset(WITHOUT.value)
-            run_gateway(METRICS_PORT.value, PLACEMENT.value, disabled)
+            policies = Policies(PLACEMENT.value, LENGTHS.value, disabled)
+            run_gateway(METRICS_PORT.value, policies)
         except InvalidSettingsError as error:
             raise CommandError(ExitCode.INVALID, error.message) from error
         return ExitCode.OK
--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -32,6 +32,12 @@
     ["projected_peak", "least_in_flight", "power_of_two", "memory_free_now"],
     "how a gateway of the platform ranks engines; all but the first are baselines",
 )
+LENGTHS = flags.DEFINE_enum(
+    "lengths",
+    "mean",
+    ["mean", "median"],
+    "what a gateway of the platform expects of outputs; the second is a baseline",
+)
 WITHOUT = flags.DEFINE_multi_enum_class(
     "without", [], Mechanism, "mechanisms that a gateway leaves out, for experiments"
 )
@@ -50,6 +56,7 @@
     "undo",
     "metrics_port",
     "placement",
+    "lengths",
     "without",
     "window",
     "longest_pause",
--- a/src/piershore/core/fleet/generation_work.py
+++ b/src/piershore/core/fleet/generation_work.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.length_estimate import (
+    LengthEstimate,
+    LengthExpectation,
+    MeanLength,
+)
 
 LONG_TOKENS = 100
 """A generation that can make at most this many more tokens ends soon: at some 10 ms a
@@ -25,12 +30,14 @@
 
 @dataclass
 class GenerationWork:
-    """Progress of one generation; `expected_output` is learned, in tokens."""
+    """Progress of one generation, and what its output is expected to be."""
 
     size: GenerationSize
-    expected_output: int
+    estimate: LengthEstimate
+    expectation: LengthExpectation = field(default_factory=MeanLength)
     made_tokens: int = 0
     has_begun: bool = False
+    _remaining: tuple[int, int] | None = None
 
     @property
     def held_tokens(self) -> int:
@@ -39,10 +46,14 @@
 
     @property
     def remaining_tokens(self) -> int:
-        """Output still to come, as far as can be told."""
-        if self.made_tokens < self.expected_output:
-            return self.expected_output - self.made_tokens
-        return self.most_remaining_tokens // 2
+        """Output still to come, as far as can be told.
+
+        It is asked for at each choice, and worked out once for each part that came.
+        """
+        if self._remaining is None or self._remaining[0] != self.made_tokens:
+            tokens = self.expectation.remaining(self.estimate, self.made_tokens)
+            self._remaining = self.made_tokens, round(tokens)
+        return self._remaining[1]
 
     @property
     def most_remaining_tokens(self) -> int:
--- a/src/piershore/core/fleet/output_lengths.py
+++ b/src/piershore/core/fleet/output_lengths.py
@@ -1,44 +1,146 @@
-"""Expected output lengths, from callers' guesses and from what came."""
+"""Expected output lengths, from callers' guesses and from what came.
+
+How long the outputs of a route are, how much they differ, and how far callers' guesses
+are off is learned while generations end, and told to the peers: a gateway of a large
+fleet sees one long generation in some seconds. What is old is forgotten, so that work
+which has shifted is known after some minutes.
+"""
 
 from __future__ import annotations
 
-from math import exp, log
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import exp, log, sqrt
 
 from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.length_estimate import LengthEstimate
 
 GUESS_SPREAD = 1.2
-"""Standard deviation of the logarithm of guess over length, from the first days
-played: a guess is right in the median and often far off."""
-LENGTH_SPREAD = 0.84
+"""Standard deviation of the logarithm of guess over length, before any were seen."""
+LENGTH_SPREAD = 0.9
 """The same of lengths of one route among themselves."""
 UNKNOWN_SHARE_OF_MOST = 0.3
 """Median length as a part of the most allowed, until lengths were seen."""
 PRIOR_COUNT = 4.0
-"""Seen lengths after which they weigh as much as that first assumption."""
+"""Seen lengths after which they weigh as much as these first assumptions."""
+MEMORY_SECONDS = 180.0
+"""Time after which a length weighs e times less: three minutes of a service's busy time
+are some hundred generations, and work shifts over hours."""
+TOLD_SECONDS = 30.0
+"""How long what a peer told counts: one that is gone saw the same work."""
+
+
+@dataclass(frozen=True)
+class LengthSums:
+    """Weighted sums over the generations of one route that ended.
+
+    Of logarithms of lengths, and of guess over length where there was a guess.
+    """
+
+    count: float = 0.0
+    logs: float = 0.0
+    squares: float = 0.0
+    guesses: float = 0.0
+    guess_squares: float = 0.0
+
+    def __add__(self, other: LengthSums) -> LengthSums:
+        return LengthSums(
+            self.count + other.count,
+            self.logs + other.logs,
+            self.squares + other.squares,
+            self.guesses + other.guesses,
+            self.guess_squares + other.guess_squares,
+        )
+
+    def scaled(self, weight: float) -> LengthSums:
+        """Return the sums with each generation weighing so much."""
+        return LengthSums(
+            self.count * weight,
+            self.logs * weight,
+            self.squares * weight,
+            self.guesses * weight,
+            self.guess_squares * weight,
+        )
+
+    @classmethod
+    def of(cls, tokens: int, guess: int | None) -> LengthSums:
+        """Return the sums of one generation."""
+        length = log(max(1, tokens))
+        if guess is None:
+            return cls(1.0, length, length**2)
+        error = log(max(1, guess)) - length
+        return cls(1.0, length, length**2, 1.0, error**2)
+
+
+NOTHING_SEEN = LengthSums()
+
+
+@dataclass(frozen=True)
+class LengthBelief:
+    """What is believed of a route's lengths; spreads are of logarithms."""
+
+    median: float
+    spread: float
+    guess_spread: float
+    seen: float
 
 
 class OutputLengths:
-    """Median lengths by route, learned from the generations that ended."""
+    """Learns from the generations that ended here and at the peers."""
 
     def __init__(self) -> None:
-        self._seen: dict[str, tuple[float, float]] = {}
+        self._own: dict[str, tuple[float, LengthSums]] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, LengthSums]]] = {}
+
+    def record(self, route: str, size: GenerationSize, tokens: int, now: float) -> None:
+        """Add the length of a generation that ended whole."""
+        seen = LengthSums.of(tokens, size.hinted_tokens)
+        self._own[route] = (now, self._own_sums(route, now) + seen)
 
-    def record(self, route: str, tokens: int) -> None:
-        """Add the length of a generation that ended."""
-        count, total = self._seen.get(route, (0.0, 0.0))
-        self._seen[route] = (count + 1, total + log(max(1, tokens)))
+    def report(self, now: float) -> dict[str, LengthSums]:
+        """Return what was seen here, by route."""
+        return {route: self._own_sums(route, now) for route in self._own}
 
-    def expected(self, route: str, size: GenerationSize) -> int:
-        """Return the median length given the guess, in tokens."""
+    def take_report(
+        self, peer: str, sums: Mapping[str, LengthSums], now: float
+    ) -> None:
+        """Replace what a peer has told."""
+        self._peers[peer] = (now, sums)
+
+    def belief(self, route: str, most: int, now: float) -> LengthBelief:
+        """Return what is believed of a route whose outputs may be `most` long."""
+        seen = self._all_sums(route, now)
+        first = log(max(1.0, UNKNOWN_SHARE_OF_MOST * max(1, most)))
+        count = PRIOR_COUNT + seen.count
+        middle = (PRIOR_COUNT * first + seen.logs) / count
+        # Around the mean of what was seen, to which the assumption adds its own spread.
+        around = max(0.0, seen.squares - seen.logs**2 / max(seen.count, 1e-9))
+        variance = (PRIOR_COUNT * LENGTH_SPREAD**2 + around) / count
+        guess_variance = (PRIOR_COUNT * GUESS_SPREAD**2 + seen.guess_squares) / (
+            PRIOR_COUNT + seen.guesses
+        )
+        return LengthBelief(
+            exp(middle), sqrt(variance), sqrt(guess_variance), seen.count
+        )
+
+    def estimate(self, route: str, size: GenerationSize, now: float) -> LengthEstimate:
+        """Return what can be told of a new generation's length."""
         most = max(1, size.max_output_tokens)
-        count, total = self._seen.get(route, (0.0, 0.0))
-        first = log(max(1.0, UNKNOWN_SHARE_OF_MOST * most))
-        median = (PRIOR_COUNT * first + total) / (PRIOR_COUNT + count)
-        if size.hinted_tokens is not None:
-            guess_weight = 1 / GUESS_SPREAD**2
-            own_weight = 1 / LENGTH_SPREAD**2
-            guess = log(max(1, size.hinted_tokens))
-            median = (guess_weight * guess + own_weight * median) / (
-                guess_weight + own_weight
-            )
-        return min(most, round(exp(median)))
+        belief = self.belief(route, most, now)
+        if size.hinted_tokens is None:
+            return LengthEstimate(belief.median, belief.spread, most)
+        guess_weight = 1 / belief.guess_spread**2
+        own_weight = 1 / belief.spread**2
+        total = guess_weight + own_weight
+        guess = log(max(1, size.hinted_tokens))
+        middle = (guess_weight * guess + own_weight * log(belief.median)) / total
+        return LengthEstimate(exp(middle), 1 / sqrt(total), most)
+
+    def _own_sums(self, route: str, now: float) -> LengthSums:
+        at, sums = self._own.get(route, (now, NOTHING_SEEN))
+        return sums.scaled(exp((at - now) / MEMORY_SECONDS))
+
+    def _all_sums(self, route: str, now: float) -> LengthSums:
+        told = (sums for at, sums in self._peers.values() if now - at < TOLD_SECONDS)
+        peers = (sums.get(route, NOTHING_SEEN) for sums in told)
+        return sum(peers, self._own_sums(route, now))
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 
 import orjson
 
 from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import StreamNote
+from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.shared_failures import Outcomes
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.errors import PiershoreError
@@ -17,6 +18,8 @@
 PLAIN_FIELDS = 12
 """Words and numbers that a report begins with."""
 NOTE_FLAGS = 2
+SUM_DIGITS = 2
+"""Digits of sums of logarithms; spreads come out right within some hundredths."""
 MOST_HALVINGS = 3
 """A report that is too large tells of the busiest endpoints: half, a quarter, an eighth
 of them."""
@@ -51,7 +54,8 @@
     its generations at endpoints that leave, `departed` the endpoints that left lately,
     `outcomes` its attempts at endpoints where anybody sees failures, `cold` the seconds
     that endpoints are still cold which it has seen itself, and `drained` the data halls
-    that get nothing new, if it knows.
+    that get nothing new, if it knows. `lengths` are those of the generations that ended
+    here, by route, told only now and then.
     """
 
     host: str
@@ -72,6 +76,7 @@
     outcomes: Mapping[str, Outcomes] = field(default_factory=dict)
     cold: Mapping[str, float] = field(default_factory=dict)
     drained: DrainedHalls | None = None
+    lengths: Mapping[str, LengthSums] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -121,6 +126,7 @@
                 },
                 {identity: round(left, 3) for identity, left in self.cold.items()},
                 _drained_fields(self.drained),
+                {route: _sums_fields(sums) for route, sums in self.lengths.items()},
             ]
         )
 
@@ -140,7 +146,7 @@
         """Yield the report, and then what is left without one part after the other."""
         report = self
         yield report
-        report = replace(report, outcomes={}, cold={})
+        report = replace(report, outcomes={}, cold={}, lengths={})
         yield report
         for halvings in range(1, MOST_HALVINGS + 1):
             yield replace(report, loads=self._busiest(len(self.loads) >> halvings))
@@ -157,8 +163,8 @@
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
         try:
             fields = orjson.loads(data)
-            members, loads, leaving, departed, outcomes = fields[PLAIN_FIELDS:-2]
-            cold, drained = fields[-2:]
+            members, loads, leaving, departed, outcomes = fields[PLAIN_FIELDS:-3]
+            cold, drained, lengths = fields[-3:]
             host, data_hall, incarnation, *numbers = fields[:PLAIN_FIELDS]
             number, version, revision, fingerprint = map(int, numbers[:4])
             return cls(
@@ -180,6 +186,7 @@
                 {k: Outcomes(*map(int, v)) for k, v in outcomes.items()},
                 {k: float(v) for k, v in cold.items()},
                 None if drained is None else _drained(drained),
+                {k: LengthSums(*map(float, v)) for k, v in lengths.items()},
             )
         except (
             ValueError,
@@ -198,6 +205,10 @@
     return StreamNote(str(request), int(held_tokens), *map(bool, flags))
 
 
+def _sums_fields(sums: LengthSums) -> list[float]:
+    return [round(value, SUM_DIGITS) for value in astuple(sums)]
+
+
 def _drained_fields(drained: DrainedHalls | None) -> list | None:
     return drained and [drained.revision, sorted(drained.data_halls)]
 
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -6,7 +6,7 @@
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import Candidate, Choice
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.callers.exchange import Exchange
@@ -29,9 +29,10 @@
     exchange: Exchange,
     choice: Choice,
     number: int,
-    size: GenerationSize | None = None,
+    work: GenerationWork | None = None,
 ) -> None:
     """Log the choice of an endpoint with what it was made by."""
+    size = work.size if work else None
     state.log.write(
         AttemptStarted(
             request=exchange.identity,
@@ -45,6 +46,7 @@
             prompt_tokens=size.prompt_tokens if size else 0,
             hinted_tokens=size.hinted_tokens if size else None,
             most_tokens=size.max_output_tokens if size else 0,
+            expected_tokens=work.remaining_tokens if work else 0,
             view_age=choice.view_age,
             others=tuple(map(_view, choice.others)),
             ejected=choice.ejected,
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -13,7 +13,7 @@
 from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
-from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
+from piershore.core.fleet.policies import Policies
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.callers.caller_service import CallerService
@@ -81,8 +81,7 @@
         drain_feed: DrainFeed,
         endpoint_reports: EndpointReports,
         metrics_port: int | None = None,
-        placement_policy: str = DEFAULT_PLACEMENT,
-        disabled: frozenset[Mechanism] = frozenset(),
+        policies: Policies | None = None,
     ) -> None:
         self._settings = settings
         self._log = EventLog(settings.name)
@@ -93,8 +92,7 @@
             self._log,
             Random(),
             settings.host,
-            placement_policy,
-            disabled,
+            policies or Policies(),
         )
         self._live = LiveStreams()
         self._moves = MoveCoordinator(self._state, self._live, mover)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -17,12 +17,11 @@
 from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
-from piershore.core.fleet.placement_policy import (
-    DEFAULT_PLACEMENT,
-    PLACEMENT_POLICIES,
-)
+from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
+from piershore.core.fleet.policies import Policies
 from piershore.core.fleet.shared_failures import SharedFailures
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
@@ -49,7 +48,7 @@
 class GatewayState:
     """Beliefs, decisions and connections of one gateway.
 
-    `disabled` mechanisms are left out for an experiment;
+    `policies` are the ways of deciding;
     `gateways` is how many gateways are thought to live, this one included;
     `host` is its own address among the peers; `announce` tells all peers soon of a
     configuration, `announce_failure` of a failed attempt, `tell_load` those who share
@@ -65,8 +64,7 @@
     log: EventLog
     random: Random
     host: str = ""
-    placement_policy: str = DEFAULT_PLACEMENT
-    disabled: frozenset[Mechanism] = frozenset()
+    policies: Policies = Policies()
     configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
@@ -88,6 +86,7 @@
 
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
+        self.expectation = LENGTH_EXPECTATIONS[self.policies.lengths]()
         self.cold = ColdStarts(self.host, self.subsets, self.configuration)
         self.placement = Placement(
             self.data_hall,
@@ -95,16 +94,16 @@
             self.fleet_load,
             self.health,
             self.random,
-            PLACEMENT_POLICIES[self.placement_policy](),
+            PLACEMENT_POLICIES[self.policies.placement](),
             self.stalls,
             self.subsets,
             self.cold,
-            self.disabled,
+            self.policies.disabled,
         )
 
     def uses(self, mechanism: Mechanism) -> bool:
         """Tell whether a mechanism is on."""
-        return mechanism not in self.disabled
+        return mechanism not in self.policies.disabled
 
     @property
     def is_leaving(self) -> bool:
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -10,6 +10,7 @@
 from piershore.core.attempts.leaving import come_back_seconds, START_SECONDS
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.load_note import LoadNote
+from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.peer_report import (
     DepartureNote,
     InvalidReportError,
@@ -41,8 +42,8 @@
 DEPARTED_SECONDS = 2.0
 """How long an endpoint is told to have left: some reports may be lost."""
 MEMBERS_EVERY = 10
-"""Only each tenth report names the members: in a fleet of 30 they are three quarters
-of a report."""
+"""Only each tenth report names the members and tells of lengths: in a fleet of 30 they
+are three quarters of a report."""
 MEMBERS_TOLD_SECONDS = 3.0
 """After a change of who lives, each report names them for so long."""
 LARGEST_DATAGRAM = 60_000
@@ -237,8 +238,14 @@
             outcomes=state.failures.report(now),
             cold=state.cold.report(now),
             drained=self._drains.view,
+            lengths=self._told_lengths(now),
         )
 
+    def _told_lengths(self, now: float) -> dict[str, LengthSums]:
+        if self._rounds % MEMBERS_EVERY:
+            return {}
+        return self._state.lengths.report(now)
+
     def _tells_members(self, now: float) -> bool:
         has_changed = now - self._living_changed_at < MEMBERS_TOLD_SECONDS
         return has_changed or self._rounds % MEMBERS_EVERY == 0
@@ -304,6 +311,8 @@
             self._state.fleet_load.take_report(report.host, report.loads, now)
         self._state.failures.take_report(report.host, report.outcomes, now)
         self._state.cold.take_report(report.cold, now)
+        if report.lengths:
+            self._state.lengths.take_report(report.host, report.lengths, now)
         if report.drained is not None:
             self._drains.take_from_peer(report.drained, report.host)
         for identity in report.outcomes:
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -39,8 +39,8 @@
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request, or raise `RequestRefusedError` before the first byte."""
         size = exchange.request.size or UNKNOWN_SIZE
-        expected = self._state.lengths.expected(exchange.route.name, size)
-        memory = StreamMemory(self._state, exchange, GenerationWork(size, expected))
+        work = self._expected_work(exchange, size)
+        memory = StreamMemory(self._state, exchange, work)
         opening = StreamOpening(self._state, exchange, memory)
         try:
             with trio.move_on_at(exchange.deadline):
@@ -53,6 +53,13 @@
         exchange.connection.must_close = True
         ingress_metrics.BROKEN_STREAMS.labels("timed_out").inc()
 
+    def _expected_work(
+        self, exchange: Exchange, size: GenerationSize
+    ) -> GenerationWork:
+        now = trio.current_time()
+        estimate = self._state.lengths.estimate(exchange.route.name, size, now)
+        return GenerationWork(size, estimate, self._state.expectation)
+
     async def _serve(
         self, exchange: Exchange, memory: StreamMemory, opening: StreamOpening
     ) -> None:
@@ -108,7 +115,13 @@
     def _note_answered(self, stream: LiveStream, attempts: int) -> None:
         exchange = stream.exchange
         self._state.note_success(stream.endpoint.identity)
-        self._state.lengths.record(exchange.route.name, stream.work.made_tokens)
+        work, route = stream.work, exchange.route.name
+        expected = work.expectation.remaining(work.estimate, 0)
+        ingress_metrics.EXPECTED_TOKENS.labels(route).inc(expected)
+        ingress_metrics.MADE_TOKENS.labels(route).inc(work.made_tokens)
+        self._state.lengths.record(
+            route, work.size, work.made_tokens, trio.current_time()
+        )
         ingress_metrics.FIRST_SECONDS.observe(stream.first_seconds)
         ingress_metrics.PAUSE_SECONDS.observe(stream.longest_pause)
         ingress_metrics.WHOLE_SECONDS.labels(exchange.route.kind).observe(exchange.age)
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -117,8 +117,7 @@
 
     async def _attempt(self, choice: Choice, number: int) -> EndpointAttempt | None:
         endpoint = choice.endpoint
-        size = self._memory.work.size
-        note_attempt(self._state, self._exchange, choice, number, size)
+        note_attempt(self._state, self._exchange, choice, number, self._memory.work)
         started = trio.current_time()
         backup = self._memory.choose_backup(endpoint, started)
         attempt = EndpointAttempt(
--- a/src/piershore/platform/gateway.py
+++ b/src/piershore/platform/gateway.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from piershore.core.mechanism import Mechanism
+from piershore.core.fleet.policies import Policies
 from piershore.ingress.daemon import IngressDaemon
 from piershore.platform.box_settings_file import load_box_settings
 from piershore.platform.engine_mover import EngineMover
@@ -17,15 +17,8 @@
 from piershore.platform.headers import PlatformDialect
 
 
-def run_gateway(
-    metrics_port: int | None,
-    placement_policy: str,
-    disabled: frozenset[Mechanism] = frozenset(),
-) -> None:
-    """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings.
-
-    `disabled` mechanisms are left out, for an experiment.
-    """
+def run_gateway(metrics_port: int | None, policies: Policies) -> None:
+    """Run until SIGTERM; raise `InvalidSettingsError` for faulty settings."""
     settings = load_box_settings()
     daemon = IngressDaemon(
         settings,
@@ -36,7 +29,6 @@
         StoredDrainFeed(settings.store_address),
         EngineReports(),
         metrics_port,
-        placement_policy,
-        disabled,
+        policies,
     )
     trio.run(daemon.run)
--- /dev/null
+++ b/src/piershore/telemetry/belief_review.py
@@ -0,0 +1,76 @@
+"""How far what gateways expected of generations was from what came, from logs."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import median
+
+from piershore.telemetry.request_story import LogLine
+
+
+@dataclass(frozen=True)
+class EndedGeneration:
+    """A generation that ended whole `seconds` after the first line, in tokens."""
+
+    route: str
+    seconds: float
+    expected: int
+    guess: int | None
+    made: int
+
+
+@dataclass(frozen=True)
+class BeliefReview:
+    """All generations of a span of logs that ended whole."""
+
+    generations: tuple[EndedGeneration, ...]
+
+    def by_moment(self, window: float) -> list[dict[str, object]]:
+        """Return for each route and window how much came of what was expected."""
+        groups: dict[tuple[str, int], list[EndedGeneration]] = defaultdict(list)
+        for generation in self.generations:
+            place = generation.route, int(generation.seconds // window)
+            groups[place].append(generation)
+        return [
+            _row(route, number * window, group)
+            for (route, number), group in sorted(groups.items())
+        ]
+
+
+def review_beliefs(lines: Iterable[LogLine]) -> BeliefReview:
+    """Pair what was expected at a generation's start with what it made."""
+    started: dict[tuple[str, str], LogLine] = {}
+    generations = []
+    first = None
+    for line in lines:
+        first = first or line.at
+        place = line.box, line.request
+        if line.event == "attempt_started" and line.fields.get("expected_tokens"):
+            started.setdefault(place, line)
+        elif line.event == "request_answered" and place in started:
+            begin = started.pop(place).fields
+            generations.append(
+                EndedGeneration(
+                    str(begin["route"]),
+                    (line.at - first).total_seconds(),
+                    int(begin["expected_tokens"]),
+                    begin.get("hinted_tokens"),
+                    int(line.fields["made_tokens"]),
+                )
+            )
+    return BeliefReview(tuple(generations))
+
+
+def _row(route: str, start: float, group: list[EndedGeneration]) -> dict[str, object]:
+    made = sum(generation.made for generation in group)
+    expected = sum(generation.expected for generation in group)
+    return {
+        "route": route,
+        "from_second": start,
+        "generations": len(group),
+        "made_tokens": made,
+        "median_made": median(generation.made for generation in group),
+        "made/expected": round(made / expected, 2) if expected else None,
+    }
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -155,7 +155,8 @@
     """An endpoint was chosen; costs compare it with what else there was.
 
     `others` are the next best ones, `ejected` those that were left out; `view_age`
-    is the age of the oldest report of a peer that the loads rest on.
+    is the age of the oldest report of a peer that the loads rest on. A generation's
+    output is expected to be `expected_tokens` long.
     """
 
     request: str
@@ -169,6 +170,7 @@
     prompt_tokens: int = 0
     hinted_tokens: int | None = None
     most_tokens: int = 0
+    expected_tokens: int = 0
     view_age: float = 0.0
     others: tuple[EndpointView, ...] = ()
     ejected: tuple[str, ...] = ()
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -84,6 +84,18 @@
     ["stage"],
     registry=REGISTRY,
 )
+EXPECTED_TOKENS = Counter(
+    "piershore_ingress_expected_tokens_total",
+    "Tokens that were expected of the generations that ended whole, by route.",
+    ["route"],
+    registry=REGISTRY,
+)
+MADE_TOKENS = Counter(
+    "piershore_ingress_made_tokens_total",
+    "Tokens that those generations made, by route.",
+    ["route"],
+    registry=REGISTRY,
+)
 DRAINED_HALLS = Gauge(
     "piershore_ingress_drained_halls",
     "Data halls that get nothing new, since operators drain them.",
