Back up what a notice saves only where there is plenty of room

Cause: a backup was made for each long generation whose engine could not be emptied into another data hall within 1 s, that is for nearly all: memory binds, and a copy holds it twice. The plan moves within the data hall when time is short. Change: what a notice can't save within the hall is backed up as before; what only a crash would lose, where at most 0.4 of the target's memory is wanted.

--- a/src/piershore/ingress/streams/stream_memory.py
+++ b/src/piershore/ingress/streams/stream_memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from piershore.core.fleet.backup_choice import has_room, wants_backup
+from piershore.core.fleet.backup_choice import backup_room, has_room
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import has_memory
@@ -87,9 +87,10 @@
         spec = self._exchange.configuration.services.get(endpoint.service)
         engine = spec.engine if spec else None
         load = self._state.fleet_load.at(endpoint.identity)
-        if engine is None or not wants_backup(load, self.work, engine):
+        room = backup_room(load, self.work, engine) if engine else None
+        if room is None:
             return None
         choice = self.choose(endpoint.service, [endpoint.identity], now)
-        if choice is None or not has_room(choice.load, self.work, engine):
+        if choice is None or not has_room(choice.load, self.work, engine, room):
             return None
         return choice.endpoint
