--- a/features/steps/ingress_document_steps.py
+++ b/features/steps/ingress_document_steps.py
@@ -20,7 +20,8 @@
 from standins.published_store import StoreFault
 
 KILOBYTE = 1_000
-KINDS_WATCHED = 2
+KINDS_WATCHED = 3
+"""The configuration, the endpoints, the drained data halls."""
 FIRST_VERSION = 4
 NEXT_VERSION = 8
 ADDED = "added"
