Cold endpoints and plans of moves call what was there already

The parts of cold endpoints ordered hosts as rendezvous_order does; the window was worked out twice. Plans of moves asked health by themselves, also with ejection left out for an experiment: placement tells which endpoints are sound.

--- a/src/piershore/core/fleet/cold_starts.py
+++ b/src/piershore/core/fleet/cold_starts.py
@@ -17,9 +17,9 @@
 from collections import deque
 from collections.abc import Mapping
 
+from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.subsetting import EndpointSubsets
-from piershore.core.hashing import stable_hash
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.service_spec import ServiceSpec
 
@@ -27,6 +27,8 @@
 """Endpoints bear so many requests in any second."""
 TRANSIT_SECONDS = 0.1
 """Requests may take this much longer or shorter to arrive than others."""
+COUNTED_SECONDS = WINDOW_SECONDS + TRANSIT_SECONDS
+"""Requests that were sent so lately may arrive in one second."""
 MOST_TOLD = 32
 """Cold endpoints that one report tells of, so that it fits a packet."""
 
@@ -93,8 +95,7 @@
         if spec is None or spec.cold_rate is None:
             return True
         sent = self._sent.get(endpoint.identity, ())
-        start = now - WINDOW_SECONDS - TRANSIT_SECONDS
-        lately = sum(at > start for at in sent)
+        lately = sum(at > now - COUNTED_SECONDS for at in sent)
         return lately < self._part(endpoint, spec)
 
     def note_sent(self, endpoint: Endpoint, now: float) -> None:
@@ -102,7 +103,7 @@
         if not self.is_cold(endpoint.identity, now):
             return
         sent = self._sent.setdefault(endpoint.identity, deque())
-        while sent and sent[0] <= now - WINDOW_SECONDS - TRANSIT_SECONDS:
+        while sent and sent[0] <= now - COUNTED_SECONDS:
             sent.popleft()
         sent.append(now)
 
@@ -110,10 +111,9 @@
         sharers = self._sharers(endpoint, spec)
         if sharers is None:
             return 0
-        hosts = [self._own_host, *sharers]
-        order = sorted(hosts, key=lambda host: stable_hash(endpoint.identity, host))
+        order = rendezvous_order(endpoint.identity, [self._own_host, *sharers])
         rank = order.index(self._own_host)
-        return part_of_rate(max(1, int(spec.cold_rate)), len(hosts), rank)
+        return part_of_rate(max(1, int(spec.cold_rate)), len(order), rank)
 
     def _sharers(self, endpoint: Endpoint, spec: ServiceSpec) -> list[str] | None:
         """Return the peers that choose from an endpoint; None if this one doesn't."""
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -133,6 +133,12 @@
                 endpoints = subset
         return self._cheapest(endpoints, now, excluded, cost, self._policy.sample)
 
+    def sound_of(self, service: str, now: float) -> Iterator[Endpoint]:
+        """Yield the endpoints of a service that are not left out for failures."""
+        for endpoint in self._directory.of_service(service):
+            if self._is_sound(endpoint, now):
+                yield endpoint
+
     def _able(
         self, endpoints: Iterable[Endpoint], now: float, excluded: Collection[str]
     ) -> Iterator[Endpoint]:
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -144,19 +144,15 @@
         source = evacuation.source
         notes = {note.request: note for note in self._live.notes(source.identity)}
         notes.update((n.request, n) for n in self._peers.notes_at(source.identity))
-        targets = choose_targets(source, self._sound_others(source))
+        # One that crashed is listed for seconds, and left out sooner.
+        now = trio.current_time()
+        sound = self._state.placement.sound_of(source.service, now)
+        targets = choose_targets(source, sound)
         loads = {t.identity: self._state.fleet_load.at(t.identity) for t in targets}
         return plan_evacuation(
             source, notes.values(), targets, loads, evacuation.engine
         )
 
-    def _sound_others(self, source: Endpoint) -> Iterator[Endpoint]:
-        """Yield where streams may go on; one that crashed is listed for seconds."""
-        now = trio.current_time()
-        for endpoint in self._state.directory.of_service(source.service):
-            if not self._state.health.is_ejected(endpoint.identity, now):
-                yield endpoint
-
     async def _move(
         self, stream: LiveStream, evacuation: Evacuation, planned: PlannedMove | None
     ) -> None:
