Logs tell what makes two requests the same

Cause: attempt_started named neither the account nor anything of the body, so logs couldn't tell whether the short generations under which engines crashed were one request that came again, or others of the same size. No logic changed.

--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -38,6 +38,8 @@
             request=exchange.identity,
             endpoint=choice.endpoint.identity,
             route=exchange.route.name,
+            account=exchange.account_name,
+            content=exchange.content,
             attempt=number,
             cost=choice.best.cost,
             known_requests=choice.load.requests,
--- a/src/piershore/ingress/callers/exchange.py
+++ b/src/piershore/ingress/callers/exchange.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 import trio
 
+from piershore.core.attempts.request_digest import request_digest
 from piershore.core.routes.route import Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -38,6 +40,16 @@
         """The caller's id of the request."""
         return self.request.identity
 
+    @cached_property
+    def content(self) -> str:
+        """What identifies the request when it comes again under another id."""
+        return request_digest(self.account_name, self.request.head.target, self.body)
+
+    @property
+    def account_name(self) -> str:
+        """The client account's name; empty where none is needed."""
+        return self.account.name if self.account else ""
+
     @property
     def age(self) -> float:
         """Seconds since the arrival."""
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -154,14 +154,17 @@
 class AttemptStarted(LogEvent):
     """An endpoint was chosen; costs compare it with what else there was.
 
-    `others` are the next best ones, `ejected` those that were left out; `view_age`
-    is the age of the oldest report of a peer that the loads rest on. A generation's
-    output is expected to be `expected_tokens` long.
+    `content` is the same for each request of an `account` with the same target and
+    body. `others` are the next best ones, `ejected` those that were left out;
+    `view_age` is the age of the oldest report of a peer that the loads rest on. A
+    generation's output is expected to be `expected_tokens` long.
     """
 
     request: str
     endpoint: str
     route: str
+    account: str
+    content: str
     attempt: int
     cost: float
     known_requests: int
