--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from devtools.soak.callers import Callers
 from devtools.soak.checks import find_broken
+from devtools.soak.crashing_caller import CrashingCaller
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from piershore.http1.client_connection import ClientConnection
@@ -54,8 +55,9 @@
     random = Random(seed)
     callers = Callers(fleet, random, options.callers)
     troubles = Troubles(fleet, random, options.gap)
+    crashing = CrashingCaller(fleet, callers, seed) if options.crashing else None
     try:
-        trio.run(_run, fleet, callers, troubles, options.seconds)
+        trio.run(_run, fleet, callers, crashing, troubles, options.seconds)
         findings = list(find_broken(fleet, callers, troubles))
     finally:
         fleet.close()
@@ -74,7 +76,11 @@
 
 
 async def _run(
-    fleet: Fleet, callers: Callers, troubles: Troubles, seconds: float
+    fleet: Fleet,
+    callers: Callers,
+    crashing: CrashingCaller | None,
+    troubles: Troubles,
+    seconds: float,
 ) -> None:
     with trio.fail_after(MOST_SECONDS):
         async with trio.open_nursery() as nursery:
@@ -83,6 +89,8 @@
             nursery.start_soon(troubles.watch_standstill)
             async with trio.open_nursery() as playing:
                 playing.start_soon(callers.run, seconds + QUIET_SECONDS)
+                if crashing is not None:
+                    playing.start_soon(crashing.run, seconds + QUIET_SECONDS)
                 playing.start_soon(troubles.run, seconds)
             nursery.cancel_scope.cancel()
 
@@ -124,6 +132,11 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--gap", type=float, default=0.25, help="between faults, s")
+    parser.add_argument(
+        "--crashing",
+        action="store_true",
+        help="a request comes under which endpoints crash",
+    )
     return parser.parse_args()
 
 
--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 
 import trio
@@ -65,9 +66,11 @@
                 connection = await self._connect(gateway)
                 if connection is None:
                     continue
-            call = self._new_call(gateway)
+            call = self._draw_call(gateway)
             with trio.move_on_after(DEADLINE_MS / 1_000 + 1):
-                if await self._exchange(connection, call) and connection.is_clean():
+                leaves_after = self._random.random() if self._leaves() else inf
+                is_done = await self._exchange(connection, call, leaves_after)
+                if is_done and connection.is_clean():
                     continue
             await connection.close()
             connection = None
@@ -80,35 +83,50 @@
         except NotConnectedError:
             return None
 
-    def _new_call(self, gateway: Gateway) -> Call:
+    async def call_once(self, gateway: Gateway, call: Call, body: bytes) -> None:
+        """Make one call on a connection of its own."""
+        connection = await self._connect(gateway)
+        if connection is None:
+            return
+        with trio.move_on_after(DEADLINE_MS / 1_000 + 1):
+            await self._exchange(connection, call, inf, body)
+        await connection.close()
+
+    def new_call(self, gateway: Gateway, kind: str, account: str) -> Call:
+        """Return a call that is to be made, and keep it."""
         self._next += 1
-        kind = self._random.choices(list(KINDS), KINDS.values())[0]
         call = Call(
             identity=f"{self._next:016x}",
             kind=kind,
-            account=self._random.choice(list(ACCOUNTS)),
+            account=account,
             gateway=gateway.name,
             life=gateway.lives,
             sent_at=trio.current_time(),
         )
+        self.calls.append(call)
+        return call
+
+    def _draw_call(self, gateway: Gateway) -> Call:
+        kind = self._random.choices(list(KINDS), KINDS.values())[0]
+        call = self.new_call(gateway, kind, self._random.choice(list(ACCOUNTS)))
         if kind == "stream":
             call.events_wanted = self._random.choice([3, 12, 60, 150])
         if kind == "version":
             call.version = self._random.randint(
                 max(1, self._fleet.config_version - 2), self._fleet.config_version
             )
-        self.calls.append(call)
         return call
 
-    def _head(self, call: Call) -> RequestHead:
+    def _head(self, call: Call, length: int) -> RequestHead:
         name = f"v{call.version}" if call.kind == "version" else call.kind
+        name = "stream" if call.events_wanted else name
         headers = [
             (b"host", HOST.encode()),
             (REQUEST_ID, call.identity.encode()),
             (b"deadline-ms", str(DEADLINE_MS).encode()),
             (b"authorization", f"Token {call.account}".encode()),
             (b"tenant", b"somebody-else"),
-            (b"content-length", b"2"),
+            (b"content-length", str(length).encode()),
         ]
         if call.events_wanted:
             prompt = self._random.choice([100, 2_000, 9_000])
@@ -116,12 +134,17 @@
             headers.append((b"token-usage", usage))
         return RequestHead(b"POST", f"/{name}/x".encode(), tuple(headers))
 
-    async def _exchange(self, connection: ClientConnection, call: Call) -> bool:
+    async def _exchange(
+        self,
+        connection: ClientConnection,
+        call: Call,
+        leaves_after: float,
+        body: bytes = b"{}",
+    ) -> bool:
         """Make one call; tell whether the connection may be used again."""
-        leaves_after = self._random.random() if self._leaves() else float("inf")
         try:
             with trio.move_on_after(leaves_after):
-                await connection.send(self._head(call), b"{}")
+                await connection.send(self._head(call, len(body)), body)
                 head = await connection.read_head()
                 call.status = head.status
                 call.headers = {k.decode(): v.decode() for k, v in head.headers}
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from devtools.soak.callers import Call, Callers
+from devtools.soak.crashing_caller import KIND as CRASHING
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet
 
@@ -13,6 +14,9 @@
 CONTACT_SECONDS = 3.0
 """A gateway that was disturbed is not held to times for so long."""
 DRAIN_SLACK_SECONDS = 0.5
+CRASHES_KNOWN, MOST_SENT_ON = 3, 3
+NEWS_SECONDS = 1.0
+"""Gateways know of a crash so long after it."""
 LEAST_SERVED_SHARE = 0.25
 
 
@@ -28,6 +32,7 @@
         yield from _one_call(call, runs[call.identity])
     yield from _versions(callers.calls)
     yield from _leaving(fleet, known, troubles)
+    yield from _crashing(fleet, known)
     yield from _service(callers.calls)
     yield from _faults_of_the_program(fleet)
 
@@ -102,7 +107,27 @@
                     yield f"{standin.identity}: new work {late:.1f} s after it left"
 
 
+def _crashing(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
+    """Once three endpoints have crashed under a request, hardly any gets it."""
+    crashes = sorted(s.crashed_at for s in fleet.standins() if s.crashed_at)
+    if len(crashes) < CRASHES_KNOWN:
+        return
+    disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
+    known_at = crashes[CRASHES_KNOWN - 1] + NEWS_SECONDS
+    arrivals = (arrival for s in fleet.standins() for arrival in s.arrivals)
+    late = [
+        arrival
+        for arrival in arrivals
+        if (call := known.get(arrival.identity)) is not None
+        and call.kind == CRASHING
+        and arrival.at > max(known_at, disturbed[call.gateway] + CONTACT_SECONDS)
+    ]
+    if len(late) > MOST_SENT_ON:
+        yield f"{len(crashes)} crashed under a request, sent {len(late)} times since"
+
+
 def _service(calls: list[Call]) -> Iterator[str]:
+    calls = [call for call in calls if call.kind != CRASHING]
     served = sum(call.status == 200 for call in calls)
     if served < LEAST_SERVED_SHARE * len(calls):
         yield f"only {served} of {len(calls)} requests were served"
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -222,7 +222,7 @@
     else:
         troubles.fleet.unlist_endpoint(endpoint)
     await trio.sleep(DRAIN_SECONDS + troubles.random.random())
-    await _replace(troubles, endpoint, standin)
+    await troubles.fleet.replace(endpoint, standin)
 
 
 @fault
@@ -235,14 +235,4 @@
         return
     standin.crash()
     await troubles.last(0.3, 1.0)
-    await _replace(troubles, endpoint, standin)
-
-
-async def _replace(troubles: Troubles, endpoint, standin) -> None:
-    if endpoint.standin is not standin:
-        return
-    standin.crash()
-    if standin.identity not in endpoint.left_at:
-        troubles.fleet.unlist_endpoint(endpoint)
-    endpoint.renew()
-    await troubles.fleet.start_endpoint(endpoint)
+    await troubles.fleet.replace(endpoint, standin)
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -180,6 +180,16 @@
         await self._nursery.start(endpoint.standin.serve)
         self.list_endpoint(endpoint, "ready")
 
+    async def replace(self, endpoint: SoakEndpoint, standin: PublishedEndpoint) -> None:
+        """Put a new incarnation in the place of `standin`, if that is still there."""
+        if endpoint.standin is not standin:
+            return
+        standin.crash()
+        if standin.identity not in endpoint.left_at:
+            self.unlist_endpoint(endpoint)
+        endpoint.renew()
+        await self.start_endpoint(endpoint)
+
     def list_endpoint(self, endpoint: SoakEndpoint, state: str) -> None:
         """Write an endpoint's entry."""
         standin = endpoint.standin
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -13,6 +13,10 @@
 TOKENS_AN_EVENT = 4
 PACE_SECONDS = 0.01
 BODY = b'{"from":"%s","request":"%s"}'
+CRASHING_BODY = b"crash whoever runs this"
+"""What the body of a request under which endpoints crash begins with."""
+CRASH_SECONDS = 0.02
+"""From the begin of such a run to the crash; 0.07 to 0.2 s were seen at engines."""
 
 
 class Silence(Enum):
@@ -78,6 +82,7 @@
         self.runs: Counter[str] = Counter()
         self.continued: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
+        self.crashed_at: float | None = None
         self.connections = 0
         self.open_streams = 0
         self.reports = 0
@@ -191,6 +196,9 @@
         name = self.faults.pop(0) if self.faults else ""
         if name:
             return await FAULTS[name](self, arrival)
+        if arrival.body.startswith(CRASHING_BODY):
+            await self._crash_under(arrival)
+            return False
         if "token-usage" in arrival.headers:
             await self._stream(arrival)
             return True
@@ -198,6 +206,13 @@
         await self.respond(arrival, 200, self.body(arrival))
         return True
 
+    async def _crash_under(self, arrival: Arrival) -> None:
+        """Begin to run a request, and crash with all else that runs here."""
+        self.note_run(arrival)
+        await trio.sleep(CRASH_SECONDS)
+        self.crashed_at = trio.current_time()
+        self.crash()
+
     def note_run(self, arrival: Arrival) -> None:
         """Count a run; one that goes on from a copy is the same run."""
         counter = self.continued if "kv-from" in arrival.headers else self.runs
