A scenario of a mended entry waits until the gateway has read it

Cause: it waited 0.2 s for a change of the list. In its first 3 s a gateway that serves nothing pauses 0.6 s between reads of the store, since it doesn't know yet who else watches: 6 of 25 changes were read after 0.57 to 0.59 s, the others after 0.006 s. Change: it waits for the change itself, at most the 4 s in which edits must be in force; what it checks is the same.

--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from support.core_checks import check_coded_errors, checked
 from support.ingress_world import IngressWorld
+from support.stream_reading import IN_FORCE_SECONDS
 
 from piershore.core.fleet.endpoint import EndpointStage
 from piershore.platform import object_client
@@ -136,18 +137,26 @@
         first = world.endpoints[0]
         sound = first.entry()
         world.store.put("servers", first.identity, {**sound, "state": "resting"})
-        await trio.sleep(0.2)
+        await _wait_listed(world, first, is_listed=False)
         first.runs.clear()
         context.replies = [await world.call("once") for _ in range(20)]
         context.meanwhile = first.runs.total()
         world.store.put("servers", first.identity, sound)
-        await trio.sleep(0.2)
+        await _wait_listed(world, first, is_listed=True)
         context.replies += [await world.call("once") for _ in range(20)]
         context.after = first.runs.total()
 
     context.ingress.run(script)
 
 
+async def _wait_listed(world, endpoint, *, is_listed):
+    """Wait for a change of the list: a gateway that has just started reads it seldom."""
+    directory = world.gateways[0][1]._state.directory
+    with trio.fail_after(IN_FORCE_SECONDS):
+        while (directory.get(endpoint.identity) is not None) is not is_listed:
+            await trio.sleep(0.005)
+
+
 @then("it gets no request meanwhile, and requests again after it")
 def check_mended(context):
     assert {reply.status for reply in context.replies} == {200}
