Hold requests under which two endpoints have crashed

Cause: callers sent one request again and again, under new ids and to any gateway, and each endpoint that began to run it crashed. A gateway judged endpoints and ids; nothing remembered what a request had done once it was answered, and nothing of it was told to peers. Ruled out: retries of our own (each id had one attempt that broke off; further ones only after not_sent) and crashes by load (engines with one request crashed as well as those with four; each had begun the same content 0.16 to 0.25 s before). Class: work that kills its worker, judged by the worker's health and the try's id only. Change: what runs at each endpoint is known by its content (account, target, body). An answer that breaks off makes its gateway check whether the endpoint is still there; if not, or if it went from the list unannounced or started anew, the runs that had just begun there are suspected. Two crashes without an answer in between, here or at peers, hold the request: 429 at once, with the time of the next probe (30 s, 120 s, 600 s later, one in the whole fleet). An answer excuses it. All ways to send ask at one place (EndpointAttempt). Peers are told by a datagram of its own, which older gateways pass over.

The step of 'at the same moment' now gives each gateway an engine of its own, as its title says; by chance two had met at one engine.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -23,3 +23,9 @@
     When a request that crashes engines is sent to all gateways at once, then 4 times
     Then at most 3 engines have crashed
     And the last 4 answers say that it has not run
+
+  Scenario: a gateway starts after the crashes
+    Given 3 gateways before 9 engines
+    When a request that crashes engines is sent 4 times, then to a gateway that starts
+    Then at most 3 engines have crashed
+    And the last 1 answers say that it has not run
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import trio
 from behave import given, then, when
 from support.ingress_world import IngressWorld
 from support.stream_reading import wait_for_peers
 
-from devtools.bench.crash_simulation import CrashRun
+from devtools.bench.crash_simulation import CrashRun, CrashSettings
 from devtools.bench.fleet_simulation import FleetSettings
 from piershore.core.attempts.attempt_outcome import NOT_RUN_STATUSES
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
@@ -25,7 +27,7 @@
 )
 def play_crashes(context, seconds, gap):
     settings = FleetSettings(DEFAULT_PLACEMENT, seconds, rate=6.0)
-    context.run = CrashRun(settings, SEED, gap)
+    context.run = CrashRun(settings, SEED, CrashSettings(gap))
     context.run.run()
 
 
@@ -48,6 +50,17 @@
     context.replies.append(reply)
 
 
+def with_own_halls(world):
+    """Let each gateway find the next engine in a data hall of its own."""
+    for number, (_, daemon) in world.gateways.items():
+        near = world.endpoints[number].identity
+        directory = daemon._state.directory
+        for endpoint in directory.of_service("model"):
+            hall = "own" if endpoint.name == near else "other"
+            directory.put(replace(endpoint, data_hall=hall))
+        daemon._state.placement._data_hall = "own"
+
+
 def play(context, script):
     context.replies = []
 
@@ -75,9 +88,12 @@
 )
 def send_at_once(context, times):
     async def script(world):
+        with_own_halls(world)
         async with trio.open_nursery() as nursery:
             for number in world.gateways:
                 nursery.start_soon(send_crashing, context, number)
+        crashed = [e for e in world.endpoints if e.crashed_at is not None]
+        assert len(crashed) == len(world.gateways), "one engine crashed for two"
         await trio.sleep(NEWS_SECONDS)
         for turn in range(times):
             await send_crashing(context, turn % len(world.gateways))
--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -25,12 +25,14 @@
 class AttemptOutcome(StrEnum):
     """What is known of one attempt.
 
-    Only `NOT_SENT` and `REJECTED` prove that the endpoint has not executed the
-    request and never will.
+    Only `NOT_SENT`, `REJECTED` and `HELD` prove that the endpoint has not executed the
+    request and never will. `HELD`: it goes to no endpoint, since some have crashed
+    under it.
     """
 
     NOT_SENT = "not_sent"
     REJECTED = "rejected"
+    HELD = "held"
     MAYBE_RUN = "maybe_run"
     ANSWERED = "answered"
     FAILED_ANSWER = "failed_answer"
@@ -40,12 +42,17 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the request has certainly not been executed."""
-        return self in (AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED)
+        return self in PROOFS_OF_NO_RUN
+
+
+PROOFS_OF_NO_RUN = frozenset(
+    {AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED, AttemptOutcome.HELD}
+)
 
 
 def may_try_again(kind: RequestKind, outcome: AttemptOutcome) -> bool:
     """Tell whether another endpoint may get the request after this outcome."""
-    if outcome is AttemptOutcome.ANSWERED:
+    if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.HELD):
         return False
     if outcome.proves_not_run:
         return True
--- /dev/null
+++ b/src/piershore/core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which endpoints crash: who is suspected, and what is not sent on."""
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -74,6 +74,15 @@
         """Whether nothing came since the last answer, the peer's close included."""
         return not self._has_trailing and not self._stream.socket.is_readable()
 
+    async def closes_within(self, seconds: float) -> bool:
+        """Wait for the peer's close of a connection on which nothing was sent."""
+        with trio.move_on_after(seconds):
+            try:
+                return not await self._receive()
+            except ExchangeBrokenError:
+                return True
+        return False
+
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a whole request; raise `ExchangeBrokenError` if that fails."""
         self._head, self._body = head, body
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -14,6 +14,8 @@
 CONNECT_SECONDS = 0.35
 """A connection in one region comes up in a few ms; a lost first packet is sent
 again only after a second, and by then another endpoint is the better choice."""
+CLOSED_AT_ONCE_SECONDS = 0.03
+"""A balancer closes a new connection that leads nowhere within some ms."""
 LONGEST_IDLE_SECONDS = 4.0
 """Longest rest of a kept connection; endpoints may forget one sooner."""
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
@@ -70,6 +72,23 @@
         await connection.close()
         return True
 
+    async def is_there(self, address: Address) -> bool | None:
+        """Tell whether anybody serves at an address; None if nothing is heard.
+
+        Whoever refuses a connection, or closes a new one at once as a balancer before
+        a process that has ended does, isn't there.
+        """
+        try:
+            connection = await ClientConnection.open(
+                address.host, address.port, CONNECT_SECONDS
+            )
+        except NotConnectedError as error:
+            return None if error.timed_out else False
+        try:
+            return not await connection.closes_within(CLOSED_AT_ONCE_SECONDS)
+        finally:
+            await connection.close()
+
     async def give_back(
         self, address: Address, connection: ClientConnection, *, reusable: bool
     ) -> None:
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -20,6 +20,7 @@
     EndpointView,
 )
 
+NO_FAULT_OF_ENDPOINT = (AttemptOutcome.REJECTED, AttemptOutcome.HELD)
 COST_DIGITS = 3
 """Digits of costs in logs; ties are decided by less than that."""
 
@@ -65,7 +66,7 @@
 ) -> None:
     """Count and log a failed attempt, and judge the endpoint by it."""
     log_failure(state, exchange, endpoint, error, seconds)
-    if error.outcome is not AttemptOutcome.REJECTED:
+    if error.outcome not in NO_FAULT_OF_ENDPOINT:
         judge_failing(state, endpoint)
 
 
--- /dev/null
+++ b/src/piershore/ingress/attempts/crash_watch.py
@@ -0,0 +1,136 @@
+"""Finds out whether an endpoint crashed, and lays it to the requests that ran there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.quarantine.endpoint_runs import EndpointRuns, REMEMBERED_SECONDS
+from piershore.core.quarantine.quarantine import Quarantine
+from piershore.http1.connection_pool import ConnectionPool
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.event_log import EventLog
+from piershore.telemetry.events import RequestExcused, RequestSuspected
+
+WAIT_SECONDS = 0.1
+"""Longest wait for the answer whether an endpoint is there, before its request is sent
+on: an endpoint that crashed refuses connections within some ms."""
+SWEEP_SECONDS = 2.0
+
+
+class CrashWatch:
+    """Checks endpoints whose answers broke off."""
+
+    def __init__(
+        self,
+        runs: EndpointRuns,
+        quarantine: Quarantine,
+        directory: EndpointDirectory,
+        pool: ConnectionPool,
+        log: EventLog,
+    ) -> None:
+        self._runs = runs
+        self._quarantine = quarantine
+        self._directory = directory
+        self._pool = pool
+        self._log = log
+        self._checks: dict[str, trio.Event] = {}
+        self._crashed: dict[str, float] = {}
+        self._nursery: trio.Nursery | None = None
+        self._tell: Callable[[str], None] = _tell_nobody
+
+    def start(self, nursery: trio.Nursery, tell: Callable[[str], None]) -> None:
+        """Run checks in a nursery; `tell` gets the content of what peers must know."""
+        self._nursery = nursery
+        self._tell = tell
+
+    def note_break(self, endpoint: Endpoint) -> None:
+        """Check an endpoint at which an answer broke off.
+
+        One that has said that it leaves ends as planned.
+        """
+        identity = endpoint.identity
+        if identity in self._crashed:
+            self._blame(identity)
+            return
+        if identity in self._checks or self._nursery is None:
+            return
+        if self._directory.is_leaving(identity):
+            return
+        self._checks[identity] = trio.Event()
+        self._nursery.start_soon(self._check, endpoint)
+
+    def note_gone(self, endpoint: Endpoint) -> None:
+        """Take an endpoint that went without a notice for crashed.
+
+        One that serves on excuses its requests when it answers them.
+        """
+        if endpoint.stage is not EndpointStage.LEAVING:
+            self._note_crash(endpoint.identity)
+
+    def note_sent(self, content: str) -> None:
+        """Note that a request goes to an endpoint."""
+        if self._quarantine.note_sent(content, trio.current_time()):
+            self._tell(content)
+
+    def note_whole(self, request: str, content: str) -> None:
+        """Note that an endpoint has run a request to its end."""
+        if not self._quarantine.note_whole(content):
+            return
+        self._log.write(RequestExcused(request, content), is_failure=True)
+        ingress_metrics.QUARANTINED.set(len(self._quarantine))
+        self._tell(content)
+
+    async def wait_checked(self, endpoint: Endpoint) -> None:
+        """Wait a moment until it is known whether an endpoint crashed."""
+        check = self._checks.get(endpoint.identity)
+        if check is not None:
+            with trio.move_on_after(WAIT_SECONDS):
+                await check.wait()
+
+    async def sweep(self) -> None:
+        """Forget old runs and crashes, for ever."""
+        while True:
+            await trio.sleep(SWEEP_SECONDS)
+            now = trio.current_time()
+            self._runs.sweep(now)
+            for identity, until in list(self._crashed.items()):
+                if until < now:
+                    del self._crashed[identity]
+
+    async def _check(self, endpoint: Endpoint) -> None:
+        try:
+            is_there = await self._pool.is_there(endpoint.address)
+        finally:
+            self._checks.pop(endpoint.identity).set()
+        if is_there is False:
+            self._note_crash(endpoint.identity)
+        elif is_there:
+            self._runs.clear(endpoint.identity)
+
+    def _note_crash(self, identity: str) -> None:
+        self._crashed[identity] = trio.current_time() + REMEMBERED_SECONDS
+        self._blame(identity)
+
+    def _blame(self, identity: str) -> None:
+        """Suspect the requests that the endpoint had just begun to run."""
+        now, quarantine = trio.current_time(), self._quarantine
+        for run in list(self._runs.suspects(identity, now)):
+            crashes = quarantine.note_crash(run.content, identity, now)
+            if not crashes:
+                continue
+            held = quarantine.seconds_held(run.content, now)
+            self._log.write(
+                RequestSuspected(run.request, identity, run.content, crashes, held),
+                is_failure=True,
+            )
+            ingress_metrics.SUSPECTED.inc()
+            ingress_metrics.QUARANTINED.set(len(quarantine))
+            self._tell(run.content)
+
+
+def _tell_nobody(content: str) -> None:
+    """Tell nobody: there are no peers yet."""
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import trio
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.quarantine.endpoint_runs import EndpointRun
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
@@ -37,6 +39,8 @@
         self._longest_idle = longest_idle
         self._connection: ClientConnection | None = None
         self._is_whole = False
+        self._is_broken = False
+        self._run: EndpointRun | None = None
         self.head: ResponseHead | None = None
         self.answer: EndpointAnswer | None = None
         self.may_have_run = False
@@ -60,6 +64,7 @@
             )
         except NotConnectedError as error:
             raise AttemptFailedError(AttemptOutcome.NOT_SENT, error.message) from error
+        self._begin_run()
         head = self._state.dialect.for_endpoint(
             exchange.request, len(exchange.body), self.endpoint, order
         )
@@ -68,6 +73,7 @@
             await self._send(head)
             self.head = await self._connection.read_head(self._is_own)
         except ExchangeBrokenError as error:
+            self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
         self.answer = self._state.dialect.read_answer(self.head)
         if self.answer.was_not_run:
@@ -84,18 +90,25 @@
         try:
             body = await self._connection.read_body()
         except ExchangeBrokenError as error:
+            self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
         self._is_whole = True
         return body
 
     async def read_parts(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise `ExchangeBrokenError` if it breaks."""
-        async for part in self._connection.read_parts():
-            yield part
+        try:
+            async for part in self._connection.read_parts():
+                self._run.note_part(trio.current_time())
+                yield part
+        except ExchangeBrokenError:
+            self._is_broken = True
+            raise
         self._is_whole = True
 
     async def close(self) -> None:
         """Give the connection back, or close it if the exchange isn't over."""
+        self._end_run()
         connection, self._connection = self._connection, None
         if connection is None:
             return
@@ -106,6 +119,37 @@
                 reusable=self._is_whole and not self._ends_here(),
             )
 
+    def _begin_run(self) -> None:
+        """Note that the endpoint gets the request, unless it is held.
+
+        All ways to send a request lead through here: first tries and retries, streams
+        that go on from a copy or a backup, and those that run anew.
+        """
+        state, exchange = self._state, self._exchange
+        if exchange.seconds_held(state.quarantine) is not None:
+            raise AttemptFailedError(
+                AttemptOutcome.HELD, "endpoints have crashed under this request"
+            )
+        state.crash_watch.note_sent(exchange.content)
+        self._run = state.runs.begin(
+            self.endpoint.identity, exchange.identity, exchange.content
+        )
+
+    def _end_run(self) -> None:
+        """Note how the run ended, and what that tells of request and endpoint."""
+        run, self._run = self._run, None
+        if run is None:
+            return
+        state, identity = self._state, self.endpoint.identity
+        if self._is_whole or not self.may_have_run:
+            state.runs.end(identity, run)
+        else:
+            state.runs.leave(identity, run, trio.current_time())
+        if self._is_broken:
+            state.crash_watch.note_break(self.endpoint)
+        elif self._is_whole and self.answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            state.crash_watch.note_whole(run.request, run.content)
+
     def _ends_here(self) -> bool:
         if len(self._exchange.body) > SENT_AT_ONCE_BYTES:
             return True
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -178,7 +178,22 @@
                 state.seconds_until_taken(),
             )
 
+    def _check_held(self, exchange: Exchange) -> None:
+        """Refuse at once a request under which endpoints have crashed.
+
+        Each try that was sent on ended one more endpoint with all that it ran.
+        """
+        seconds = exchange.seconds_held(self._state.quarantine)
+        if seconds is not None:
+            raise RequestRefusedError(
+                HTTPStatus.TOO_MANY_REQUESTS,
+                "endpoints_crashed",
+                "endpoints have crashed under this request; it is not sent on for now",
+                seconds,
+            )
+
     async def _forward(self, exchange: Exchange) -> None:
+        self._check_held(exchange)
         if exchange.route.kind is RequestKind.STREAM:
             await self._streams.serve(exchange)
             return
--- a/src/piershore/ingress/callers/exchange.py
+++ b/src/piershore/ingress/callers/exchange.py
@@ -8,6 +8,7 @@
 import trio
 
 from piershore.core.attempts.request_digest import request_digest
+from piershore.core.quarantine.quarantine import Quarantine
 from piershore.core.routes.route import Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -45,6 +46,10 @@
         """What identifies the request when it comes again under another id."""
         return request_digest(self.account_name, self.request.head.target, self.body)
 
+    def seconds_held(self, quarantine: Quarantine) -> float | None:
+        """Return in how many seconds the request may go to an endpoint; None if now."""
+        return quarantine.seconds_held(self.content, trio.current_time())
+
     @property
     def account_name(self) -> str:
         """The client account's name; empty where none is needed."""
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -128,6 +128,7 @@
             answer = await self._attempt(choice)
             if answer is not None:
                 return answer
+            await self._state.crash_watch.wait_checked(choice.endpoint)
             if not self._may_go_on(service):
                 return self._failed_answer
 
@@ -145,6 +146,8 @@
             return False
         if self._runs >= self._exchange.route.max_attempts:
             return False
+        if self._exchange.seconds_held(self._state.quarantine) is not None:
+            return False
         unrun = sum(outcome.proves_not_run for outcome in self.outcomes)
         if unrun >= MOST_PROVEN_UNRUN or not self._state.may_retry(service):
             return False
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -26,6 +26,7 @@
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
+from piershore.ingress.peers.crash_news import CrashNews
 from piershore.ingress.peers.load_notes import LoadNotes
 from piershore.ingress.peers.outage_watch import OutageWatch
 from piershore.ingress.peers.peer_documents import PeerDocuments
@@ -149,6 +150,7 @@
         self._state.announce = link.announce
         self._state.announce_failure = link.announce_failure
         notes = LoadNotes(self._state, link)
+        news = CrashNews(self._state, link)
         if self._state.uses(Mechanism.SUBSETS):
             self._state.tell_load = notes.note_new_work
         self._state.seconds_until_taken = link.seconds_until_taken
@@ -172,6 +174,10 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._moves.start(nursery, link)
+                self._state.crash_watch.start(nursery, news.tell)
+                news.start(nursery)
+                nursery.start_soon(self._supervise, self._state.crash_watch.sweep)
+                nursery.start_soon(self._supervise, news.run)
                 await self._start(nursery, link, notes, documents)
                 if self._state.uses(Mechanism.OUTAGE_QUESTIONS):
                     nursery.start_soon(self._supervise, outages.run)
@@ -295,6 +301,7 @@
         else:
             self._moves.evacuate(endpoint)
         if departure.is_gone:
+            self._state.crash_watch.note_gone(endpoint)
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
             self._state.failures.forget(endpoint.identity)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -25,8 +25,11 @@
 from piershore.core.fleet.shared_failures import SharedFailures
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
+from piershore.core.quarantine.endpoint_runs import EndpointRuns
+from piershore.core.quarantine.quarantine import Quarantine
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
+from piershore.ingress.attempts.crash_watch import CrashWatch
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry.event_log import EventLog
 
@@ -73,6 +76,8 @@
     stalls: HallStalls = field(default_factory=HallStalls)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
+    runs: EndpointRuns = field(default_factory=EndpointRuns)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     leaving_since: float | None = None
     stops_at: float = float("inf")
@@ -87,6 +92,9 @@
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
         self.expectation = LENGTH_EXPECTATIONS[self.policies.lengths]()
+        self.crash_watch = CrashWatch(
+            self.runs, self.quarantine, self.directory, self.pool, self.log
+        )
         self.cold = ColdStarts(self.host, self.subsets, self.configuration)
         self.placement = Placement(
             self.data_hall,
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -27,6 +27,11 @@
 from piershore.core.fleet.store_silence import seems_silent, StoreSign
 from piershore.core.fleet.watchers import WatcherView, watches_store
 from piershore.core.mechanism import Mechanism
+from piershore.core.quarantine.crash_note import (
+    CrashNote,
+    decode_notes,
+    is_crash_news,
+)
 from piershore.ingress.attempts.attempt_log import judge_shared
 from piershore.ingress.followers.drain_follower import DrainFollower
 from piershore.ingress.gateway_state import GatewayState
@@ -89,6 +94,17 @@
         self._living: set[str] = set()
         self._leaving_since: dict[str, float] = {}
         self._living_changed_at = float("-inf")
+        self._take_crash_notes: Callable[[tuple[CrashNote, ...]], None] = _ignore
+        self._greet: Callable[[str], None] = _ignore
+
+    def use_crash_news(
+        self,
+        take: Callable[[tuple[CrashNote, ...]], None],
+        greet: Callable[[str], None],
+    ) -> None:
+        """Set what takes peers' notes of crashes, and what tells new peers of them."""
+        self._take_crash_notes = take
+        self._greet = greet
 
     async def start(self) -> None:
         """Take the port."""
@@ -115,7 +131,9 @@
                 continue
 
     def _take_datagram(self, data: bytes) -> None:
-        if LoadNote.is_note(data):
+        if is_crash_news(data):
+            self._take_crash_notes(decode_notes(data))
+        elif LoadNote.is_note(data):
             self._take_note(LoadNote.decode(data))
         else:
             self._take(PeerReport.decode(data))
@@ -329,6 +347,7 @@
     def _note_living(self, now: float) -> None:
         living = {peer.host for peer in self.table.living(now)}
         for host in living - self._living:
+            self._greet(host)
             self._state.log.write(DependencyRegained(f"peer {host}", 0.0))
         for host in self._living - living:
             self._state.log.write(DependencyLost(f"peer {host}", "silent"))
@@ -350,6 +369,10 @@
                 del self._leaving_since[host]
 
 
+def _ignore(news: object) -> None:
+    """Take no news of crashes: nothing that keeps them runs yet."""
+
+
 def _drop_old(notes: dict[DepartureNote, float], now: float) -> None:
     for note in [note for note, until in notes.items() if until < now]:
         del notes[note]
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -8,6 +8,7 @@
 
 from piershore.core.attempts.attempt_outcome import (
     AttemptOutcome,
+    may_try_again,
     MOST_PROVEN_UNRUN,
     NOT_RUN_STATUSES,
 )
@@ -111,7 +112,8 @@
     def _check_may_go_on(self, service: str) -> None:
         outcome = self._outcomes[-1]
         is_last = len(self._outcomes) >= MOST_PROVEN_UNRUN
-        if not outcome.proves_not_run or is_last or not self._state.may_retry(service):
+        may_go_on = may_try_again(self._exchange.route.kind, outcome) and not is_last
+        if not may_go_on or not self._state.may_retry(service):
             raise self.refusal()
         ingress_metrics.RETRIES.labels(outcome).inc()
 
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -190,6 +190,39 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class RequestSuspected(LogEvent):
+    """An endpoint crashed while it began to run a request.
+
+    It is the request's `crashes`-th; `held` is for how many seconds it is not sent
+    on now, or None if it still is.
+    """
+
+    request: str
+    endpoint: str
+    content: str
+    crashes: int
+    held: float | None
+
+
+@dataclass(frozen=True)
+class RequestHeld(LogEvent):
+    """Peers told of crashes under a request, so it `is_held` now, or no longer."""
+
+    content: str
+    is_held: bool
+    endpoints: tuple[str, ...]
+    held: float | None
+
+
+@dataclass(frozen=True)
+class RequestExcused(LogEvent):
+    """A request that was suspected has run well."""
+
+    request: str
+    content: str
+
+
 @dataclass(frozen=True)
 class RequestRefused(LogEvent):
     """The gateway answered by itself."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -101,6 +101,16 @@
     "Data halls that get nothing new, since operators drain them.",
     registry=REGISTRY,
 )
+SUSPECTED = Counter(
+    "piershore_ingress_suspected_requests_total",
+    "Requests that endpoints had just begun to run when they crashed.",
+    registry=REGISTRY,
+)
+QUARANTINED = Gauge(
+    "piershore_ingress_quarantined_requests",
+    "Requests that are not sent on, since endpoints crashed under them.",
+    registry=REGISTRY,
+)
 RETRIES_LEFT = Gauge(
     "piershore_ingress_retries_left",
     "Retries that this gateway may still make in the present window, by service.",
