Event loops count the time in which the box was suspended

Cause: trio's clock is the steady one, which stands still while a box is suspended; all ages, deadlines, leases and time-outs of gateways and agents are its differences. On waking a process took callers who had left, watches that were lost and views that were old for fresh. Class: a clock that doesn't count what the rest of the world counts. Change: all processes run by the time since the box's start (CLOCK_BOOTTIME). Red with trio's own clock: a request was sent to a second endpoint after its time (2 arrivals instead of 1), and an endpoint that had left was known after 3.3 s; both pass now.

--- a/features/support/ingress_world.py
+++ b/features/support/ingress_world.py
@@ -122,6 +122,7 @@
         self.log_output = None
         self.has_metrics = False
         self.disabled = frozenset()
+        self.clock = None
 
     def add_endpoints(self, service, number, faults=()):
         for _ in range(number):
@@ -131,7 +132,7 @@
 
     def run(self, script):
         """Play `script` with everything started."""
-        trio.run(self._run, script)
+        trio.run(self._run, script, clock=self.clock)
 
     async def _run(self, script):
         with trio.fail_after(LONGEST_SCRIPT_SECONDS):
--- a/src/piershore/commands/agent_command.py
+++ b/src/piershore/commands/agent_command.py
@@ -21,9 +21,11 @@
         import trio
 
         from piershore.agent.daemon import AgentDaemon
+        from piershore.boot_clock import BootClock
         from piershore.telemetry.logs import set_up
 
         document = load_settings("Agent")
         set_up(document.spec.log_format)
-        trio.run(AgentDaemon(document.name, document.spec).run)
+        daemon = AgentDaemon(document.name, document.spec)
+        trio.run(daemon.run, clock=BootClock())
         return ExitCode.OK
--- a/src/piershore/commands/gateway_command.py
+++ b/src/piershore/commands/gateway_command.py
@@ -20,10 +20,12 @@
         """Serve until SIGTERM."""
         import trio
 
+        from piershore.boot_clock import BootClock
         from piershore.gateway.daemon import GatewayDaemon
         from piershore.telemetry.logs import set_up
 
         document = load_settings("Gateway")
         set_up(document.spec.log_format)
-        trio.run(GatewayDaemon(document.name, document.spec).run)
+        daemon = GatewayDaemon(document.name, document.spec)
+        trio.run(daemon.run, clock=BootClock())
         return ExitCode.OK
--- a/src/piershore/platform/gateway.py
+++ b/src/piershore/platform/gateway.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from piershore.boot_clock import BootClock
 from piershore.core.fleet.policies import Policies
 from piershore.ingress.daemon import IngressDaemon
 from piershore.platform.box_settings_file import load_box_settings
@@ -31,4 +32,4 @@
         metrics_port,
         policies,
     )
-    trio.run(daemon.run)
+    trio.run(daemon.run, clock=BootClock())
