Scenarios of what is held and what isn't; the product's own interface holds too

Elsewhere, the same cause: a generation of the product's own interface was sent to one engine after the other as each was lost under it, up to the retry allowance (6 of 6 before, scenario). Now two losses hold its content at that gateway: 429 quarantined, unrun. Scenarios: one try of a call that may go to 5 endpoints ends 2; others of the same caller are served; news in any order, late, twice or lost; halls and thirds of a fleet that crash while 200 callers come again hold nobody; probes, bounds and what peers may send.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -29,3 +29,49 @@
     When a request that crashes engines is sent 4 times, then to a gateway that starts
     Then at most 3 engines have crashed
     And the last 1 answers say that it has not run
+
+  Scenario: a repeatable call may be sent to many endpoints
+    Given 1 gateway before 6 endpoints of the desk, up to 5 for each call
+    When a caller sends a call that crashes them
+    Then at most 2 endpoints have crashed
+    And the call is answered 502 without a time to come back
+
+  Scenario: other requests of the same caller while one is held
+    Given 3 gateways before 9 engines
+    When a request that crashes engines is held, and then others are sent
+    Then the held one is refused within 0.2 s with 429 and the time of the next probe
+    And those with another body or another path are served
+
+  Scenario: an engine goes from the list and starts anew, and refuses no connection
+    Then a request that had just begun there is suspected, and a long one isn't
+
+  Scenario Outline: <news> reach gateways late, twice, in any order or not at all
+    Then with <news> all gateways that hear of everything agree
+
+    Examples:
+      | news                |
+      | crashes             |
+      | crashes and excuses |
+
+  Scenario: many endpoints fail, and no request is at fault
+    Then no request is held when a whole hall crashes while its callers come again
+    And no request is held when a third of the engines is killed twice
+    And no stream is held that three engines lost after it had run for 2 s there
+
+  Scenario: many ask for the same, and another request crashes the engines
+    Then what has run well in the last 30 s is not held, whoever hears of the crashes first
+
+  Scenario: engines have been mended
+    Then a held request is let through after 30 s, once in the whole fleet, and excused
+
+  Scenario: engines crash under a flood of different requests
+    Then of 5000 suspected requests 2048 are remembered, and those that are held
+
+  Scenario: whatever peers send
+    Then notes of crashes are read or refused with their code
+
+  # The product's own interface retried at one engine after the other.
+  Scenario: generations of the product's own interface
+    When an order is sent under which each engine of 6 is lost
+    Then 2 engines were lost, and the caller is told engine_lost
+    And the next order of that content is refused at once with quarantined, unrun
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -128,3 +128,73 @@
     statuses = [reply.status for reply in context.replies]
     assert all(s in NOT_RUN_STATUSES for s in statuses[-count:]), statuses
     assert all("retry-after" in r.headers for r in context.replies[-count:])
+
+
+@given("1 gateway before {count:d} endpoints of the desk, up to {most:d} for each call")
+def given_desk(context, count, most):
+    context.ingress = IngressWorld()
+    context.ingress.add_endpoints("desk", count)
+    context.ingress.configuration["routes"][1]["max_attempts"] = most
+
+
+@when("a caller sends a call that crashes them")
+def send_call(context):
+    async def script(world):
+        context.reply = await world.call("repeatable", body=CRASHING_BODY)
+
+    context.ingress.run(script)
+
+
+@then("at most {most:d} endpoints have crashed")
+def check_endpoints(context, most):
+    check_crashed(context, most)
+
+
+@then("the call is answered 502 without a time to come back")
+def check_failed(context):
+    assert context.reply.status == 502, vars(context.reply)
+    assert "retry-after" not in context.reply.headers
+
+
+@when("a request that crashes engines is held, and then others are sent")
+def send_others(context):
+    async def script(world):
+        for number in range(2):
+            await send_crashing(context, number)
+            await trio.sleep(NEWS_SECONDS)
+        sent_at = trio.current_time()
+        await send_crashing(context, 2)
+        context.refused_after = trio.current_time() - sent_at
+        context.others = [
+            await world.call("stream", size=SMALL, body=b"another prompt", number=2),
+            await world.call("stream", size=SMALL, body=b"a third one", number=0),
+        ]
+        names = {"path_prefix": "/other/", "name": "other"}
+        changed = {**world.configuration["routes"][2], **names}
+        world.configuration["routes"].append(changed)
+        world.configuration["version"] += 1
+        world.store.put("config", "main", world.configuration)
+        await trio.sleep(NEWS_SECONDS)
+        for endpoint in world.endpoints:
+            endpoint.crashing_body = None
+        context.others.append(
+            await world.call("other", size=SMALL, body=CRASHING_BODY, number=1)
+        )
+
+    play(context, script)
+
+
+@then(
+    "the held one is refused within {seconds:g} s with 429 and the time of the next probe"
+)
+def check_held(context, seconds):
+    reply = context.replies[-1]
+    assert reply.status == 429, vars(reply)
+    assert b'"endpoints_crashed"' in reply.body
+    assert 25.0 < float(reply.headers["retry-after"]) <= 30.0
+    assert context.refused_after < seconds
+
+
+@then("those with another body or another path are served")
+def check_others(context):
+    assert [reply.status for reply in context.others] == [200] * 3
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,289 @@
+"""Steps for what gateways believe of requests under which endpoints crash."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+from behave import then, when
+from hypothesis import strategies as st
+from support.core_checks import check_coded_errors, checked
+
+from piershore.core.outcome import Outcome
+from piershore.core.quarantine.crash_note import (
+    CrashNote,
+    decode_notes,
+    encode_notes,
+    MARK,
+)
+from piershore.core.quarantine.endpoint_runs import EndpointRuns
+from piershore.core.quarantine.quarantine import (
+    MOST_CRASHES,
+    MOST_RECORDS,
+    PROBE_SECONDS,
+    Quarantine,
+)
+from piershore.core.refusal_reason import RefusalReason
+from piershore.gateway.exceptions import RequestRefusedError
+from piershore.gateway.generation_order import GenerationOrder
+from piershore.gateway.generation_service import GenerationService
+from piershore.wire.link_pb2 import Accepted, Ended
+
+CONTENT = "c0ffee"
+ENGINES = ("e-1", "e-2", "e-3", "e-4")
+NOTES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(),
+    lambda inner: st.lists(inner, max_size=5),
+)
+
+
+@then("a request that had just begun there is suspected, and a long one isn't")
+def check_fresh(context):
+    runs = EndpointRuns()
+    new = runs.begin("e-1", "r-new", "new")
+    long = runs.begin("e-1", "r-long", "long")
+    waiting = runs.begin("e-1", "r-waiting", "waiting")
+    done = runs.begin("e-1", "r-done", "done")
+    long.note_part(1.0)
+    new.note_part(2.9)
+    runs.end("e-1", done)
+    runs.leave("e-1", new, 3.0)
+    assert list(runs.suspects("e-1", 3.5)) == [new, waiting]
+    assert not list(runs.suspects("e-2", 3.5))
+    runs.clear("e-1")
+    assert list(runs.suspects("e-1", 3.5)) == [waiting]
+
+
+@then("with {news} all gateways that hear of everything agree")
+def check_order(context, news):
+    @checked(st.integers(0, 10_000))
+    def check(seed):
+        random = Random(seed)
+        gateways = [Quarantine() for _ in range(3)]
+        notes = []
+        for engine in ENGINES[: random.randint(2, 4)]:
+            seer = random.choice(gateways)
+            seer.note_crash(CONTENT, engine, 1.0)
+            notes.append(seer.note(CONTENT))
+            if "excuses" in news and random.random() < 0.4:
+                teller = random.choice(gateways)
+                if teller.note_whole(CONTENT, 1.5):
+                    notes.append(teller.note(CONTENT))
+        told = [random.sample(notes * 2, len(notes) * 2) for _ in gateways]
+        for gateway, heard in zip(gateways, told, strict=True):
+            for note in heard:
+                gateway.take(decode_notes(encode_notes([note]))[0], 2.0)
+        # What was told once more by those who have merged it all.
+        last = [gateway.note(CONTENT) for gateway in gateways]
+        for gateway in gateways:
+            for note in last:
+                gateway.take(note, 2.5)
+        assert len({gateway.note(CONTENT) for gateway in gateways}) == 1
+        assert len({gateway.is_held(CONTENT) for gateway in gateways}) == 1
+
+
+@then("no request is held when a whole hall crashes while its callers come again")
+def check_hall(context):
+    _play_crashes(crashing=ENGINES[:2], rounds=1)
+
+
+@then("no request is held when a third of the engines is killed twice")
+def check_third(context):
+    _play_crashes(crashing=ENGINES[:1], rounds=2)
+
+
+def _play_crashes(crashing, rounds):
+    """Kill engines with 200 requests on them; all come again until they are served."""
+    random, quarantine, runs = Random(3), Quarantine(), EndpointRuns()
+    waiting = [f"request-{number}" for number in range(200)]
+    for number in range(rounds):
+        now = 10.0 * number
+        at = {content: random.choice(ENGINES) for content in waiting}
+        open_runs = {c: runs.begin(f"{e}@{number}", c, c) for c, e in at.items()}
+        for engine in crashing:
+            identity = f"{engine}@{number}"
+            for run in list(runs.suspects(identity, now)):
+                quarantine.note_crash(run.content, identity, now)
+                runs.leave(identity, run, now)
+        lost = [content for content, engine in at.items() if engine in crashing]
+        assert not any(quarantine.is_held(content) for content in lost)
+        for content in at.keys() - set(lost):
+            runs.end(f"{at[content]}@{number}", open_runs[content])
+            quarantine.note_whole(content, now)
+        again = [c for c in lost if quarantine.seconds_held(c, now) is None]
+        assert again == lost
+        for content in again:
+            quarantine.note_whole(content, now + 1.0)
+    assert not len(quarantine)
+
+
+@then("no stream is held that three engines lost after it had run for 2 s there")
+def check_long(context):
+    quarantine, runs = Quarantine(), EndpointRuns()
+    for number, engine in enumerate(ENGINES[:3]):
+        began = 10.0 * number
+        run = runs.begin(engine, "r", CONTENT)
+        run.note_part(began)
+        runs.leave(engine, run, began + 2.0)
+        for suspect in runs.suspects(engine, began + 2.0):
+            quarantine.note_crash(suspect.content, engine, began + 2.0)
+    assert not quarantine.is_held(CONTENT)
+
+
+@then(
+    "what has run well in the last {seconds:g} s is not held, whoever hears of the"
+    " crashes first"
+)
+def check_sound(context, seconds):
+    knows, new = Quarantine(), Quarantine()
+    knows.note_whole(CONTENT, 0.0)
+    for engine in ENGINES[:MOST_CRASHES]:
+        assert knows.note_crash(CONTENT, engine, 1.0) == 0
+        new.note_crash(CONTENT, engine, 1.0)
+    assert not knows.is_held(CONTENT)
+    assert new.is_held(CONTENT)
+    new.take(knows.note(CONTENT), 1.1)
+    assert not new.is_held(CONTENT)
+    late = seconds + 1.0
+    assert knows.note_crash(CONTENT, "e-8", late) == 1
+    assert knows.note_crash(CONTENT, "e-9", late) == 2
+    assert knows.is_held(CONTENT)
+
+
+@then(
+    "a held request is let through after {seconds:g} s, once in the whole fleet, and"
+    " excused"
+)
+def check_probe(context, seconds):
+    one, other = Quarantine(), Quarantine()
+    for engine in ENGINES[:MOST_CRASHES]:
+        one.note_crash(CONTENT, engine, 0.0)
+    other.take(one.note(CONTENT), 0.0)
+    assert other.seconds_held(CONTENT, 1.0) == seconds - 1.0
+    assert one.seconds_held(CONTENT, seconds) is None
+    assert one.note_sent(CONTENT, seconds)
+    other.take(one.note(CONTENT), seconds)
+    assert other.seconds_held(CONTENT, seconds) == PROBE_SECONDS[1]
+    one.note_whole(CONTENT, seconds + 0.5)
+    other.take(one.note(CONTENT), seconds + 0.5)
+    assert other.seconds_held(CONTENT, seconds + 0.6) is None
+    # Each probe in vain makes the next one later, and the last one is the last.
+    for number in range(len(PROBE_SECONDS) + 1):
+        one.note_crash(CONTENT, f"f-{number}", 100.0)
+        one.note_crash(CONTENT, f"g-{number}", 100.0)
+    assert one.seconds_held(CONTENT, 100.0 + max(PROBE_SECONDS)) is not None
+
+
+@then(
+    "of {suspected:d} suspected requests {most:d} are remembered, and those that are held"
+)
+def check_flood(context, suspected, most):
+    assert most == MOST_RECORDS
+    quarantine = Quarantine()
+    for engine in ENGINES[:MOST_CRASHES]:
+        quarantine.note_crash(CONTENT, engine, 0.0)
+    for number in range(suspected):
+        quarantine.note_crash(f"flood-{number}", "e-1", 1.0)
+    assert quarantine.is_held(CONTENT)
+    assert len(quarantine._records) == most
+    assert quarantine.note(f"flood-{suspected - 1}") is not None
+    assert quarantine.note("flood-0") is None
+
+
+@then("notes of crashes are read or refused with their code")
+def check_notes(context):
+    check_coded_errors(lambda data: decode_notes(MARK + data), st.binary())
+    check_coded_errors(_decode, st.lists(st.lists(NOTES, max_size=5), max_size=3))
+    note = CrashNote(CONTENT, frozenset(ENGINES), frozenset(ENGINES[:1]), 2)
+    assert decode_notes(encode_notes([note])) == (note,)
+
+
+def _decode(fields):
+    return decode_notes(MARK + repr(fields).replace("'", '"').encode())
+
+
+class _LostLink:
+    """A link to an agent whose engine is lost under each order."""
+
+    def __init__(self, name, lost):
+        self.state = type("State", (), {"name": name})()
+        self.newest_incarnation = "i"
+        self._lost = lost
+
+    def open_request(self):
+        self._lost.append(self.state.name)
+        return _LostRequest()
+
+
+class _LostRequest:
+    """Accepted, then ended by the loss of the engine."""
+
+    number = 1
+
+    def __init__(self):
+        self._frames = [
+            Accepted(request=1, generation="g"),
+            Ended(request=1, reason=RefusalReason.ENGINE_LOST),
+        ]
+
+    def send(self, **frame):
+        """Take an order, and do nothing."""
+
+    def close(self, **how):
+        """Close nothing."""
+
+    async def receive(self):
+        return self._frames.pop(0)
+
+
+class _Links:
+    """Links to engines that are all lost, chosen one after the other."""
+
+    def __init__(self, names):
+        self.lost = []
+        self._links = [_LostLink(name, self.lost) for name in names]
+
+    def choose(self, service, prompt, excluded):
+        left = (link for link in self._links if link.state.name not in excluded)
+        return next(left, None)
+
+
+class _ManyRetries:
+    """Retries without a bound."""
+
+    def note_request(self):
+        """Count nothing."""
+
+    def spend(self):
+        return True
+
+
+@when("an order is sent under which each engine of {count:d} is lost")
+def send_orders(context, count):
+    context.links = _Links([f"agent-{number}" for number in range(count)])
+    service = GenerationService(context.links, _ManyRetries(), 5.0)
+    order = GenerationOrder("surulere", "model", "review", 1, "a prompt", 10)
+    context.errors = []
+
+    async def send():
+        for _ in range(2):
+            try:
+                await service.complete(order)
+            except RequestRefusedError as error:
+                context.errors.append(error)
+
+    trio.run(send)
+
+
+@then("{count:d} engines were lost, and the caller is told {code}")
+def check_lost(context, count, code):
+    assert len(context.links.lost) == count, context.links.lost
+    assert context.errors[0].code == code
+    assert context.errors[0].outcome is Outcome.UNKNOWN
+
+
+@then("the next order of that content is refused at once with {code}, unrun")
+def check_next(context, code):
+    assert context.errors[1].code == code
+    assert context.errors[1].outcome is Outcome.NOT_RUN
+    assert 0 < context.errors[1].retry_after <= PROBE_SECONDS[0]
--- a/src/piershore/core/refusal_reason.py
+++ b/src/piershore/core/refusal_reason.py
@@ -40,6 +40,7 @@
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_FAILED = "endpoint_failed"
     ENGINE_LOST = "engine_lost"
+    QUARANTINED = "quarantined"
     AGENT_LOST = "agent_lost"
     GENERATION_UNKNOWN = "generation_unknown"
     RESUME_WINDOW_PASSED = "resume_window_passed"
--- a/src/piershore/gateway/generation_order.py
+++ b/src/piershore/gateway/generation_order.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from piershore.core.attempts.request_digest import request_digest
+
 
 @dataclass(frozen=True)
 class GenerationOrder:
@@ -17,6 +19,12 @@
     max_tokens: int
     first_token_seconds: float = 0.0
 
+    @property
+    def content(self) -> str:
+        """What identifies the request when it comes again."""
+        target = f"{self.service}/{self.kind}/{self.max_tokens}"
+        return request_digest(self.account, target.encode(), self.prompt.encode())
+
 
 @dataclass(frozen=True)
 class ShownTokens:
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -8,6 +8,7 @@
 import trio
 
 from piershore.core.outcome import Outcome
+from piershore.core.quarantine.quarantine import Quarantine
 from piershore.core.refusal_reason import RefusalReason
 from piershore.core.streams.event_id import EventId
 from piershore.gateway.agent_link import AgentLink, LinkRequest
@@ -37,6 +38,7 @@
         self._links = links
         self._retries = retries
         self._timeout = timeout
+        self._quarantine = Quarantine()
 
     async def stream(self, order: GenerationOrder) -> AsyncIterator[ShownTokens]:
         """Yield the tokens once, in order, from one generation.
@@ -44,6 +46,7 @@
         Before the first token another endpoint may be tried; after it, a lost
         generation ends the stream with the error that says so.
         """
+        self._check_held(order)
         tries = Tries(self._links, self._retries)
         while True:
             shown = False
@@ -52,14 +55,16 @@
                     async for item in tokens:
                         shown = True
                         yield item
+                self._quarantine.note_whole(order.content, trio.current_time())
                 return
             except RequestRefusedError as error:
                 if shown:
                     raise
-                tries.failed(error)
+                self._note_failed(tries, order, error)
 
     async def complete(self, order: GenerationOrder) -> tuple[str, ...]:
         """Return all tokens of one whole generation."""
+        self._check_held(order)
         tries = Tries(self._links, self._retries)
         while True:
             collected: list[str] = []
@@ -67,9 +72,10 @@
                 async with aclosing(self._try(tries, order, resumable=False)) as tokens:
                     async for item in tokens:
                         collected.extend(item.tokens)
+                self._quarantine.note_whole(order.content, trio.current_time())
                 return tuple(collected)
             except RequestRefusedError as error:
-                tries.failed(error)
+                self._note_failed(tries, order, error)
 
     async def resume(
         self, account: str, event_id: EventId
@@ -89,10 +95,37 @@
             async for shown in tokens:
                 yield shown
 
+    def _check_held(self, order: GenerationOrder) -> None:
+        """Refuse at once a request under which engines have been lost.
+
+        Each retry would take another engine away, with all that it generates.
+        """
+        seconds = self._quarantine.seconds_held(order.content, trio.current_time())
+        if seconds is not None:
+            raise RequestRefusedError(
+                RefusalReason.QUARANTINED,
+                "engines were lost under this request; it is not sent on for now",
+                retry_after=seconds,
+            )
+
+    def _note_failed(
+        self, tries: Tries, order: GenerationOrder, error: RequestRefusedError
+    ) -> None:
+        """Spend a retry, or raise `error` if there may be none."""
+        now = trio.current_time()
+        if error.reason is RefusalReason.ENGINE_LOST:
+            # An engine that is back keeps its agent's name.
+            lost = f"{tries.endpoint}@{now}"
+            self._quarantine.note_crash(order.content, lost, now)
+        tries.failed(error)
+        if self._quarantine.seconds_held(order.content, now) is not None:
+            raise error
+
     async def _try(
         self, tries: Tries, order: GenerationOrder, *, resumable: bool
     ) -> AsyncIterator[ShownTokens]:
         link = tries.next_link(order.service, order.prompt)
+        self._quarantine.note_sent(order.content, trio.current_time())
         reader = _GenerationReader(link, order.account, self._timeout, resumable)
         reader.submit(order)
         async with aclosing(reader.read()) as tokens:
--- a/src/piershore/gateway/problem.py
+++ b/src/piershore/gateway/problem.py
@@ -31,6 +31,7 @@
     RefusalReason.INVALID_EVENT_ID: 400,
     RefusalReason.RATE_LIMITED: 429,
     RefusalReason.CONCURRENCY_LIMITED: 429,
+    RefusalReason.QUARANTINED: 429,
     RefusalReason.TOO_LONG_FOR_ENGINE: 422,
     RefusalReason.MINT_TIME_TOO_OLD: 409,
     RefusalReason.ALREADY_RUN: 409,
--- a/src/piershore/gateway/tries.py
+++ b/src/piershore/gateway/tries.py
@@ -16,6 +16,8 @@
 class Tries:
     """Chooses an endpoint for each try and knows what the earlier ones mean.
 
+    `endpoint` is the name of the last one.
+
     Once a try may have run, no later refusal can say that the request did not.
     """
 
@@ -23,6 +25,7 @@
         self._links = links
         self._retries = retries
         self._tried: set[str] = set()
+        self.endpoint = ""
         self._last: RequestRefusedError | None = None
         self._outcome = Outcome.NOT_RUN
         retries.note_request()
@@ -31,7 +34,8 @@
         """Return the link for the next try; raise the last refusal if none is left."""
         link = self._links.choose(service, prompt, self._tried)
         if link is not None:
-            self._tried.add(link.state.name)
+            self.endpoint = link.state.name
+            self._tried.add(self.endpoint)
             return link
         raise self._last or RequestRefusedError(
             RefusalReason.NO_ENDPOINT,
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -82,6 +82,7 @@
         self.runs: Counter[str] = Counter()
         self.continued: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
+        self.crashing_body: bytes | None = CRASHING_BODY
         self.crashed_at: float | None = None
         self.connections = 0
         self.open_streams = 0
@@ -196,7 +197,7 @@
         name = self.faults.pop(0) if self.faults else ""
         if name:
             return await FAULTS[name](self, arrival)
-        if arrival.body.startswith(CRASHING_BODY):
+        if self.crashing_body and arrival.body.startswith(self.crashing_body):
             await self._crash_under(arrival)
             return False
         if "token-usage" in arrival.headers:
