An order that every engine has refused spends no more retries

Found by leaving the quarantine out (mutant): a scenario didn't end. Cause: with no endpoint left, the last refusal was raised again and taken for a new one, so that one order spent the gateway's whole retry allowance without being sent. Class: a retry that retries nothing. Change: the last refusal once more ends the request. Red before: 51 retries spent by one order before 6 engines; now 6 at most. Four mutants of the quarantine; the crash simulation refuses what has no memory, as gateways do.

--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -43,6 +43,7 @@
 TABLE = "core/ownership/slot_table.py"
 VIEW = "core/configuration/config_view.py"
 GENERATION = "core/streams/generation.py"
+QUARANTINE = "core/quarantine/quarantine.py"
 
 MUTANTS = (
     Mutant(
@@ -383,6 +384,34 @@
         "",
         "ingress_store",
     ),
+    Mutant(
+        "requests that crash endpoints are sent on",
+        QUARANTINE,
+        "return self.crashes >= self.most_crashes",
+        "return False",
+        "crashing_requests",
+    ),
+    Mutant(
+        "peers aren't told of crashes",
+        "ingress/peers/crash_news.py",
+        "self._nursery.start_soon(self._spread, content)",
+        "pass",
+        "crashing_requests",
+    ),
+    Mutant(
+        "whatever runs at a crash is suspected",
+        "core/quarantine/endpoint_runs.py",
+        "return min(now, self.ended_at) - self.first_at <= FRESH_SECONDS",
+        "return True",
+        "crashing_requests",
+    ),
+    Mutant(
+        "an answer excuses nothing",
+        QUARANTINE,
+        "        self.excused |= self.crashed\n",
+        "",
+        "crashing_requests",
+    ),
 )
 SOAK = "soak"
 """The name that stands for the soak in place of a feature."""
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -75,3 +75,9 @@
     When an order is sent under which each engine of 6 is lost
     Then 2 engines were lost, and the caller is told engine_lost
     And the next order of that content is refused at once with quarantined, unrun
+
+  # The last refusal was taken for a new one as long as there were retries: one order spent
+  # all 50 without being sent anywhere.
+  Scenario: an order that every engine has refused spends no more retries
+    When an order is sent that each engine of 6 refuses
+    Then 6 retries were spent at most, and the caller is told queue_full
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -26,7 +26,7 @@
     " that run it"
 )
 def play_crashes(context, seconds, gap):
-    settings = FleetSettings(DEFAULT_PLACEMENT, seconds, rate=6.0)
+    settings = FleetSettings(DEFAULT_PLACEMENT, seconds, rate=6.0, refuses=True)
     context.run = CrashRun(settings, SEED, CrashSettings(gap))
     context.run.run()
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -27,7 +27,7 @@
 from piershore.gateway.exceptions import RequestRefusedError
 from piershore.gateway.generation_order import GenerationOrder
 from piershore.gateway.generation_service import GenerationService
-from piershore.wire.link_pb2 import Accepted, Ended
+from piershore.wire.link_pb2 import Accepted, Ended, Refused
 
 CONTENT = "c0ffee"
 ENGINES = ("e-1", "e-2", "e-3", "e-4")
@@ -202,29 +202,36 @@
     return decode_notes(MARK + repr(fields).replace("'", '"').encode())
 
 
-class _LostLink:
-    """A link to an agent whose engine is lost under each order."""
+ENGINE_LOST = (
+    Accepted(request=1, generation="g"),
+    Ended(request=1, reason=RefusalReason.ENGINE_LOST),
+)
+QUEUE_FULL = (
+    Refused(request=1, reason=RefusalReason.QUEUE_FULL, outcome=Outcome.NOT_RUN),
+)
+
+
+class _Link:
+    """A link to an agent that answers each order with the same frames."""
 
-    def __init__(self, name, lost):
+    def __init__(self, name, frames, sent):
         self.state = type("State", (), {"name": name})()
         self.newest_incarnation = "i"
-        self._lost = lost
+        self._frames = frames
+        self._sent = sent
 
     def open_request(self):
-        self._lost.append(self.state.name)
-        return _LostRequest()
+        self._sent.append(self.state.name)
+        return _Request(self._frames)
 
 
-class _LostRequest:
-    """Accepted, then ended by the loss of the engine."""
+class _Request:
+    """Answered by some frames."""
 
     number = 1
 
-    def __init__(self):
-        self._frames = [
-            Accepted(request=1, generation="g"),
-            Ended(request=1, reason=RefusalReason.ENGINE_LOST),
-        ]
+    def __init__(self, frames):
+        self._frames = list(frames)
 
     def send(self, **frame):
         """Take an order, and do nothing."""
@@ -237,11 +244,12 @@
 
 
 class _Links:
-    """Links to engines that are all lost, chosen one after the other."""
+    """Links to some agents, chosen one after the other."""
 
-    def __init__(self, names):
-        self.lost = []
-        self._links = [_LostLink(name, self.lost) for name in names]
+    def __init__(self, count, frames):
+        self.sent = []
+        names = (f"agent-{number}" for number in range(count))
+        self._links = [_Link(name, frames, self.sent) for name in names]
 
     def choose(self, service, prompt, excluded):
         left = (link for link in self._links if link.state.name not in excluded)
@@ -249,24 +257,38 @@
 
 
 class _ManyRetries:
-    """Retries without a bound."""
+    """More retries than a request should need."""
+
+    def __init__(self):
+        self.spent = 0
 
     def note_request(self):
         """Count nothing."""
 
     def spend(self):
-        return True
+        self.spent += 1
+        return self.spent <= 50
 
 
 @when("an order is sent under which each engine of {count:d} is lost")
-def send_orders(context, count):
-    context.links = _Links([f"agent-{number}" for number in range(count)])
-    service = GenerationService(context.links, _ManyRetries(), 5.0)
+def send_lost(context, count):
+    send_orders(context, 2, _Links(count, ENGINE_LOST))
+
+
+@when("an order is sent that each engine of {count:d} refuses")
+def send_refused(context, count):
+    send_orders(context, 1, _Links(count, QUEUE_FULL))
+
+
+def send_orders(context, times, links):
+    context.links = links
+    context.retries = _ManyRetries()
+    service = GenerationService(links, context.retries, 5.0)
     order = GenerationOrder("surulere", "model", "review", 1, "a prompt", 10)
     context.errors = []
 
     async def send():
-        for _ in range(2):
+        for _ in range(times):
             try:
                 await service.complete(order)
             except RequestRefusedError as error:
@@ -277,7 +299,7 @@
 
 @then("{count:d} engines were lost, and the caller is told {code}")
 def check_lost(context, count, code):
-    assert len(context.links.lost) == count, context.links.lost
+    assert len(context.links.sent) == count, context.links.sent
     assert context.errors[0].code == code
     assert context.errors[0].outcome is Outcome.UNKNOWN
 
@@ -287,3 +309,10 @@
     assert context.errors[1].code == code
     assert context.errors[1].outcome is Outcome.NOT_RUN
     assert 0 < context.errors[1].retry_after <= PROBE_SECONDS[0]
+
+
+@then("{most:d} retries were spent at most, and the caller is told {code}")
+def check_spent(context, most, code):
+    assert context.retries.spent <= most, context.retries.spent
+    assert context.errors[0].code == code
+    assert context.errors[0].outcome is Outcome.NOT_RUN
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -113,7 +113,7 @@
     ) -> None:
         """Spend a retry, or raise `error` if there may be none."""
         now = trio.current_time()
-        if error.reason is RefusalReason.ENGINE_LOST:
+        if error.reason is RefusalReason.ENGINE_LOST and not tries.is_last(error):
             # An engine that is back keeps its agent's name.
             lost = f"{tries.endpoint}@{now}"
             self._quarantine.note_crash(order.content, lost, now)
--- a/src/piershore/gateway/tries.py
+++ b/src/piershore/gateway/tries.py
@@ -43,12 +43,17 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
+    def is_last(self, error: RequestRefusedError) -> bool:
+        """Tell whether this is the refusal of an earlier try once more."""
+        return error is self._last
+
     def failed(self, error: RequestRefusedError) -> None:
         """Spend a retry on a failed try; raise `error` if there may be none."""
         if error.outcome is not Outcome.NOT_RUN:
             self._outcome = error.outcome
         error.outcome = self._outcome
-        if error.reason not in RETRYABLE_REASONS:
+        # The last refusal again: no endpoint is left, and nothing was sent.
+        if self.is_last(error) or error.reason not in RETRYABLE_REASONS:
             raise error
         if not self._retries.spend():
             reason = RefusalReason.RETRY_BUDGET_SPENT
