--- a/devtools/bench/crash_simulation.py
+++ b/devtools/bench/crash_simulation.py
@@ -6,13 +6,15 @@
 from dataclasses import dataclass, field, replace
 from itertools import count
 
-from devtools.bench.fleet_simulation import (
-    FleetRun,
+from devtools.bench.fleet_settings import (
     FleetSettings,
-    FleetStream,
     NETWORK_SECONDS,
     REPLACED_AFTER_SECONDS,
     SERVICE,
+)
+from devtools.bench.fleet_simulation import FleetRun
+from devtools.bench.simulated_fleet import (
+    FleetStream,
     SimulatedEngine,
     SimulatedGateway,
 )
--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -11,12 +11,9 @@
 from tabulate import tabulate
 
 from devtools.bench.fleet_plot import plot_fleet
-from devtools.bench.fleet_simulation import (
-    FleetRun,
-    FleetSettings,
-    FleetStream,
-    SHIFTED_WORK,
-)
+from devtools.bench.fleet_settings import FleetSettings, SHIFTED_WORK
+from devtools.bench.fleet_simulation import FleetRun
+from devtools.bench.simulated_fleet import FleetStream
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
 from piershore.core.fleet.report_pace import report_interval
 
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -7,248 +7,47 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
 
+from devtools.bench.fleet_settings import (
+    BACKUP_DELAY_SECONDS,
+    FIRST_AIM_SECONDS,
+    FleetSettings,
+    GUESS_SPREAD,
+    NETWORK_SECONDS,
+    PROMPT_MEDIAN,
+    REPLACED_AFTER_SECONDS,
+    SERVICE,
+    SHORT_MEDIAN,
+    SHORT_MOST,
+    STEPS,
+)
+from devtools.bench.simulated_fleet import (
+    FleetStream,
+    Placing,
+    SimulatedEngine,
+    SimulatedGateway,
+)
 from piershore.core.fleet.backup_choice import backup_room, has_room
-from piershore.core.fleet.cold_starts import ColdStarts
-from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
-from piershore.core.fleet.endpoint_directory import EndpointDirectory
-from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import (
     MoveWay,
     plan_evacuation,
     PlannedMove,
-    StreamNote,
 )
-from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
+from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import (
     come_back_seconds,
     has_memory,
 )
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
-from piershore.core.fleet.hall_stalls import HallStalls
-from piershore.core.fleet.length_estimate import (
-    DEFAULT_EXPECTATION,
-    LENGTH_EXPECTATIONS,
-)
-from piershore.core.fleet.output_lengths import OutputLengths
-from piershore.core.fleet.placement import Placement
-from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
+from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.report_pace import SHORTEST_GAP_SECONDS
 from piershore.core.fleet.room_wait import RoomWait, waiting_seconds
-from piershore.core.fleet.subsetting import EndpointSubsets
-from piershore.core.mechanism import Mechanism
-from piershore.core.routes.current_configuration import CurrentConfiguration
-from piershore.core.routes.service_spec import EngineSpec
-from standins.engine_model import EngineModel, EngineSettings
-
-SERVICE = "model"
-HALLS = ("north", "south", "west")
-ENGINE = EngineSpec(
-    slots=24,
-    memory_tokens=34_000,
-    token_bytes=327_680,
-    link_bytes_per_second=5.9e9,
-    can_move=True,
-    can_back_up=True,
-)
-STEPS = EngineSettings(
-    capacity_tokens=ENGINE.memory_tokens,
-    most_batched=ENGINE.slots,
-    step_base=0.007,
-    step_per_sequence=0.00012,
-    step_per_context_token=0.000000004,
-    prefill_per_token=0.0000714,
-    prefill_chunk=112,
-)
-"""As the users' sheets tell of their engines: 7 ms a step, 14 prompt tokens a ms,
-prompts read piece by piece between the tokens of others."""
-NETWORK_SECONDS = 0.001
-FIRST_AIM_SECONDS = 1.8
-BACKUP_DELAY_SECONDS = 0.8
-"""A backup is complete so long after the first token."""
-REPLACED_AFTER_SECONDS = 4.0
-"""Another engine comes so long after one was told to leave or has crashed."""
-
-
-@dataclass(frozen=True)
-class WorkMix:
-    """What callers ask for: sizes in tokens, spreads of logarithms.
-
-    `long_share` of the generations are long reviews, the others short checks.
-    """
-
-    long_share: float = 0.42
-    long_median: int = 700
-    long_most: int = 2_216
-    length_spread: float = 0.84
-    memory_tokens: int = 34_000
-
-    @property
-    def engine(self) -> EngineSpec:
-        """The engines that the work runs at."""
-        return replace(ENGINE, memory_tokens=self.memory_tokens)
-
-    @property
-    def steps(self) -> EngineSettings:
-        """Their step times."""
-        return replace(STEPS, capacity_tokens=self.memory_tokens)
-
-
-USUAL_WORK = WorkMix()
-"""The mix of the users' first sheets."""
-SHIFTED_WORK = WorkMix(
-    long_share=0.34,
-    long_median=464,
-    long_most=1_780,
-    length_spread=0.99,
-    memory_tokens=21_982,
-)
-"""The same customer's some months on, with lengths as they were logged."""
-
-
-@dataclass(frozen=True)
-class FleetSettings:
-    """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
-
-    `callers_a_gateway` callers stay at gateways picked at random, so that some have
-    several and some none; with 0 each generation comes to any gateway. Without
-    `subsets` all choose from all engines, and starts are told to all. Every
-    `reclaim_every`, `reclaim_count` engines are told to leave and are gone after
-    `notice`; a notice of 0 is a crash. A generation for which no engine has memory is
-    refused at once if `refuses`, or after it has waited a moment if it also `waits`.
-    """
-
-    policy: str
-    seconds: float
-    gateways: int = 6
-    engines: int = 7
-    rate: float = 6.0
-    report_interval: float = 0.1
-    tells_starts: bool = True
-    subsets: bool = True
-    moves: bool = True
-    refuses: bool = False
-    waits: bool = False
-    work: WorkMix = USUAL_WORK
-    lengths: str = DEFAULT_EXPECTATION
-    reclaim_every: float = 0.0
-    reclaim_count: int = 1
-    notice: float = 1.8
-    callers_a_gateway: float = 0.0
-
-    def lasting(self, seconds: float) -> FleetSettings:
-        """Return the same run for another time."""
-        return replace(self, seconds=seconds)
-
-
-@dataclass(frozen=True)
-class Placing:
-    """A choice beside the truth: generations at the engine, known there, and at the
-    least loaded one.
-    """
-
-    there: int
-    known: int
-    least: int
-
-    @property
-    def excess(self) -> int:
-        """How many more generations were there than at the best choice."""
-        return self.there - self.least
-
-
-@dataclass
-class FleetStream:
-    """One generation, and what its caller saw; times in virtual seconds."""
-
-    identity: str
-    gateway: SimulatedGateway
-    work: GenerationWork
-    length: int
-    arrived_at: float
-    wait: RoomWait
-    engine: SimulatedEngine | None = None
-    backup: SimulatedEngine | None = None
-    backup_work: BackupWork | None = None
-    first_at: float | None = None
-    last_at: float = 0.0
-    longest_pause: float = 0.0
-    preemptions: int = 0
-    moves: int = 0
-    refusals: int = 0
-    came_back_after: float = 0.0
-    is_whole: bool = False
-    is_lost: bool = False
-
-
-class SimulatedEngine:
-    """An engine with the streams that it runs."""
-
-    def __init__(self, number: int, steps: EngineSettings) -> None:
-        self.endpoint = Endpoint(
-            f"i-{number}",
-            SERVICE,
-            Address("10.0.0.1", number + 1),
-            HALLS[number % len(HALLS)],
-            ENGINE.slots,
-            EndpointStage.READY,
-        )
-        self.model = EngineModel(steps)
-        self.streams: dict[str, FleetStream] = {}
-        self.is_leaving = False
-        self.is_gone = False
-        self.is_stepping = False
-
-    def submit(self, stream: FleetStream, held_tokens: int, length: int) -> None:
-        """Run a generation, or what is left of it, from `held_tokens` of memory."""
-        self.streams[stream.identity] = stream
-        self.model.submit(stream.identity, stream.identity, held_tokens, length, 1)
-
-
-class SimulatedGateway:
-    """A gateway's view and choices."""
-
-    def __init__(self, number: int, settings: FleetSettings, seed: int) -> None:
-        self.name = gateway_name(number)
-        self.directory = EndpointDirectory()
-        self.subsets = EndpointSubsets(self.name, self.directory)
-        self.subsets.set_peers(map(gateway_name, range(settings.gateways)))
-        self.loads = FleetLoad()
-        self.lengths = OutputLengths()
-        self.streams: dict[str, FleetStream] = {}
-        self.placement = Placement(
-            HALLS[number % len(HALLS)],
-            self.directory,
-            self.loads,
-            EndpointHealth(),
-            Random(seed + number),
-            PLACEMENT_POLICIES[settings.policy](),
-            HallStalls(),
-            self.subsets,
-            ColdStarts(self.name, self.subsets, CurrentConfiguration()),
-            frozenset() if settings.subsets else {Mechanism.SUBSETS},
-        )
-
-    def notes_at(self, engine: SimulatedEngine) -> Iterator[StreamNote]:
-        """Yield what this gateway tells of its streams at an engine that leaves."""
-        for stream in self.streams.values():
-            if stream.engine is engine:
-                yield StreamNote(
-                    stream.identity,
-                    stream.work.held_tokens,
-                    stream.work.has_begun,
-                    stream.backup is not None,
-                )
-
-
-def gateway_name(number: int) -> str:
-    """Return the name of a gateway, by which all order them."""
-    return f"gateway-{number}"
 
 
 @dataclass(order=True)
@@ -611,10 +410,3 @@
             self._go_on(stream, stream.backup)
         else:
             self._lose(stream)
-
-
-LONG_MOST = USUAL_WORK.long_most
-SHORT_MEDIAN, SHORT_MOST = 9, 40
-GUESS_SPREAD = 1.2
-PROMPT_MEDIAN = 2_600
-"""What the users' sheets have in common."""
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -10,7 +10,7 @@
 from support.stream_reading import wait_for_peers
 
 from devtools.bench.crash_simulation import CrashRun, CrashSettings
-from devtools.bench.fleet_simulation import FleetSettings
+from devtools.bench.fleet_settings import FleetSettings
 from piershore.core.attempts.attempt_outcome import NOT_RUN_STATUSES
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
 from standins.published_endpoint import CRASHING_BODY
--- a/features/steps/large_fleet_steps.py
+++ b/features/steps/large_fleet_steps.py
@@ -11,7 +11,8 @@
 from support.peer_reports import peer_report
 from support.placements import placement_over
 
-from devtools.bench.fleet_simulation import FleetRun, FleetSettings, LONG_MOST
+from devtools.bench.fleet_settings import FleetSettings, LONG_MOST
+from devtools.bench.fleet_simulation import FleetRun
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_load import EndpointLoad
