Soak: an endpoint that is being replaced isn't told to leave

Cause: the drawn endpoint had just crashed under a request, and its next incarnation wasn't in the list yet. Change: such a one is left alone, as it is by the crash.

--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -215,7 +215,7 @@
     """An endpoint says that it leaves, or only goes from the list, and is replaced."""
     endpoint = troubles.random.choice(troubles.fleet.endpoints)
     standin = endpoint.standin
-    if standin.identity in endpoint.left_at:
+    if standin.identity in endpoint.left_at or not endpoint.is_listed:
         return
     if troubles.random.random() < 0.5:
         troubles.fleet.list_endpoint(endpoint, "draining")
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -123,7 +123,10 @@
 
 
 class SoakEndpoint:
-    """An endpoint behind its link; a restart is another endpoint."""
+    """An endpoint behind its link; a restart is another endpoint.
+
+    It `is_listed` once its present incarnation has been.
+    """
 
     def __init__(self, number: int, service: str, memory: EngineMemory) -> None:
         self._number = number
@@ -134,6 +137,7 @@
         self.past: list[PublishedEndpoint] = []
         self.standin = self._new()
         self.left_at: dict[str, float] = {}
+        self.is_listed = False
 
     def _new(self) -> PublishedEndpoint:
         self._lives += 1
@@ -145,6 +149,7 @@
     def renew(self) -> None:
         """Put a new incarnation in its place."""
         self.past.append(self.standin)
+        self.is_listed = False
         self.standin = self._new()
 
 
@@ -193,6 +198,7 @@
     def list_endpoint(self, endpoint: SoakEndpoint, state: str) -> None:
         """Write an endpoint's entry."""
         standin = endpoint.standin
+        endpoint.is_listed = True
         if state != "ready":
             endpoint.left_at.setdefault(standin.identity, trio.current_time())
         self.store.put("servers", standin.identity, standin.entry(state))
