An endpoint that closes new connections at once isn't taken for crashed

Cause: a call whose connection was closed at once, since its endpoint had all that it bears, counted as one under which the endpoint had crashed: the check met the same close. One call that tried two such endpoints was held: 502, 429, 429, 429 (scenario, red before). Change: a connection that is closed at once tells nothing; refused ones and entries that go still do. After: the call is served as soon as an endpoint takes it.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -58,6 +58,12 @@
     And no request is held when a third of the engines is killed twice
     And no stream is held that three engines lost after it had run for 2 s there
 
+  # An endpoint with all the connections that it bears closes each further one at once.
+  Scenario: endpoints close new connections, since they have too many
+    Given 1 gateway before 6 endpoints of the desk, up to 2 for each call
+    When a caller sends a call 3 times while they close new connections, and once later
+    Then the last one is served
+
   Scenario: many ask for the same, and another request crashes the engines
     Then what has run well in the last 30 s is not held, whoever hears of the crashes first
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -198,3 +198,25 @@
 @then("those with another body or another path are served")
 def check_others(context):
     assert [reply.status for reply in context.others] == [200] * 3
+
+
+@when(
+    "a caller sends a call {times:d} times while they close new connections, and once"
+    " later"
+)
+def send_to_closing(context, times):
+    async def script(world):
+        for endpoint in world.endpoints:
+            endpoint.closes_new = True
+        context.replies = [await world.call("repeatable") for _ in range(times)]
+        for endpoint in world.endpoints:
+            endpoint.closes_new = False
+        context.replies.append(await world.call("repeatable"))
+
+    context.ingress.run(script)
+
+
+@then("the last one is served")
+def check_last(context):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses[-1] == 200, statuses
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -15,7 +15,7 @@
 """A connection in one region comes up in a few ms; a lost first packet is sent
 again only after a second, and by then another endpoint is the better choice."""
 CLOSED_AT_ONCE_SECONDS = 0.03
-"""A balancer closes a new connection that leads nowhere within some ms."""
+"""Who has too many connections, or leads nowhere, closes a new one within some ms."""
 LONGEST_IDLE_SECONDS = 4.0
 """Longest rest of a kept connection; endpoints may forget one sooner."""
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
@@ -73,10 +73,10 @@
         return True
 
     async def is_there(self, address: Address) -> bool | None:
-        """Tell whether anybody serves at an address; None if nothing is heard.
+        """Tell whether anybody serves at an address; None if that isn't known.
 
-        Whoever refuses a connection, or closes a new one at once as a balancer before
-        a process that has ended does, isn't there.
+        Who refuses a connection isn't there. One that is closed at once tells nothing:
+        its endpoint may have too many, or a balancer before it has lost it.
         """
         try:
             connection = await ClientConnection.open(
@@ -85,7 +85,8 @@
         except NotConnectedError as error:
             return None if error.timed_out else False
         try:
-            return not await connection.closes_within(CLOSED_AT_ONCE_SECONDS)
+            is_closed = await connection.closes_within(CLOSED_AT_ONCE_SECONDS)
+            return None if is_closed else True
         finally:
             await connection.close()
 
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -84,6 +84,7 @@
         self.arrivals: list[Arrival] = []
         self.crashing_body: bytes | None = CRASHING_BODY
         self.crashed_at: float | None = None
+        self.closes_new = False
         self.connections = 0
         self.open_streams = 0
         self.reports = 0
@@ -147,6 +148,9 @@
 
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        if self.closes_new:
+            await trio.aclose_forcefully(stream)
+            return
         connection = h11.Connection(h11.SERVER)
         try:
             while await self._exchange(stream, connection):
