One bounded memory, one way to open a pooled connection

Found on reading the change again: the quarantine wrote anew what the list of endpoints had (note as the newest, drop the oldest), the pool opened connections in three places, and two steps of the scenarios had the same loop. Each stands once now (core/remembering.py).

--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -50,6 +50,13 @@
     context.replies.append(reply)
 
 
+async def send_in_turn(context, times):
+    """Send the request to one gateway after the other, when each knows the news."""
+    for turn in range(times):
+        await send_crashing(context, turn % len(context.ingress.gateways))
+        await trio.sleep(NEWS_SECONDS)
+
+
 def with_own_halls(world):
     """Let each gateway find the next engine in a data hall of its own."""
     for number, (_, daemon) in world.gateways.items():
@@ -76,9 +83,7 @@
 )
 def send_elsewhere(context, times):
     async def script(world):
-        for turn in range(times):
-            await send_crashing(context, turn % len(world.gateways))
-            await trio.sleep(NEWS_SECONDS)
+        await send_in_turn(context, times)
 
     play(context, script)
 
@@ -106,9 +111,7 @@
 )
 def send_to_new(context, times):
     async def script(world):
-        for turn in range(times):
-            await send_crashing(context, turn % len(world.gateways))
-            await trio.sleep(NEWS_SECONDS)
+        await send_in_turn(context, times)
         number = len(world.gateways)
         await world.start_gateway(number)
         await wait_for_peers(world)
@@ -159,9 +162,7 @@
 @when("a request that crashes engines is held, and then others are sent")
 def send_others(context):
     async def script(world):
-        for number in range(2):
-            await send_crashing(context, number)
-            await trio.sleep(NEWS_SECONDS)
+        await send_in_turn(context, 2)
         sent_at = trio.current_time()
         await send_crashing(context, 2)
         context.refused_after = trio.current_time() - sent_at
--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -4,12 +4,10 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
-from typing import TypeVar
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.hashing import stable_hash
-
-Kept = TypeVar("Kept")
+from piershore.core.remembering import remember
 
 LAPSE_SECONDS = 1.7
 """How long an entry that may only have lapsed is kept. It is back some 2 s after an
@@ -166,7 +164,7 @@
             return departures
         if endpoint.identity in self._leaving:
             return departures
-        _remember(self._leaving, endpoint.identity, None)
+        remember(self._leaving, endpoint.identity, None, DEPARTED_KEPT)
         if previous:
             departures.append(Departure(endpoint, is_gone=False))
         return departures
@@ -208,7 +206,7 @@
     def _end_earlier(self, endpoint: Endpoint) -> list[Departure]:
         """Drop the incarnation that had the name until now, if it is another one."""
         if endpoint.born:
-            _remember(self._newest_born, endpoint.name, endpoint.born)
+            remember(self._newest_born, endpoint.name, endpoint.born, DEPARTED_KEPT)
         known = self._identities.get(endpoint.name, endpoint.identity)
         return [] if known == endpoint.identity else self.mark_restarted(known)
 
@@ -222,13 +220,5 @@
         self._identities.pop(endpoint.name, None)
         self._note_change()
         if endpoint.stage is EndpointStage.LEAVING:
-            _remember(self._leaving, identity, None)
+            remember(self._leaving, identity, None, DEPARTED_KEPT)
         return [Departure(endpoint, is_gone=True, is_restarted=is_restarted)]
-
-
-def _remember(kept: dict[str, Kept], key: str, value: Kept) -> None:
-    """Note something as the newest of those that are kept."""
-    kept.pop(key, None)
-    kept[key] = value
-    while len(kept) > DEPARTED_KEPT:
-        del kept[next(iter(kept))]
--- a/src/piershore/core/quarantine/quarantine.py
+++ b/src/piershore/core/quarantine/quarantine.py
@@ -15,6 +15,7 @@
 from math import inf
 
 from piershore.core.quarantine.crash_note import CrashNote, MOST_ENDPOINTS
+from piershore.core.remembering import remember
 
 MOST_CRASHES = 2
 """Endpoints that may crash under a request before it is held. One may crash by chance;
@@ -135,10 +136,7 @@
 
     def note_whole(self, content: str, now: float) -> bool:
         """Note that a request ran well; tell whether that excuses it of crashes."""
-        self._sound.pop(content, None)
-        self._sound[content] = now
-        if len(self._sound) > MOST_SOUND:
-            del self._sound[next(iter(self._sound))]
+        remember(self._sound, content, now, MOST_SOUND)
         record = self._records.get(content)
         return record is not None and record.excuse(now)
 
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -42,7 +42,7 @@
             ):
                 return connection
             await connection.close()
-        return await ClientConnection.open(address.host, address.port, CONNECT_SECONDS)
+        return await self._open(address)
 
     @asynccontextmanager
     async def borrow(
@@ -64,9 +64,7 @@
     async def can_connect(self, address: Address) -> bool:
         """Tell whether a new connection comes up, and close it."""
         try:
-            connection = await ClientConnection.open(
-                address.host, address.port, CONNECT_SECONDS
-            )
+            connection = await self._open(address)
         except NotConnectedError:
             return False
         await connection.close()
@@ -79,9 +77,7 @@
         its endpoint may have too many, or a balancer before it has lost it.
         """
         try:
-            connection = await ClientConnection.open(
-                address.host, address.port, CONNECT_SECONDS
-            )
+            connection = await self._open(address)
         except NotConnectedError as error:
             return None if error.timed_out else False
         try:
@@ -129,6 +125,10 @@
         for connection in self._retired:
             await connection.close()
 
+    @staticmethod
+    async def _open(address: Address) -> ClientConnection:
+        return await ClientConnection.open(address.host, address.port, CONNECT_SECONDS)
+
     @staticmethod
     def _is_usable(connection: ClientConnection, now: float) -> bool:
         longest = LONGEST_IDLE_SECONDS
