Sight: a line and a counter when an answer says that its endpoint leaves or wants rest

What callers saw: calls to an endpoint that had said that it leaves, and refusals while a third of a service asked for rest. The logs had the status of a refused attempt only, and nothing of the heads of answers, so that 'not read' and 'read and lost' looked alike.

All answers of endpoints (to requests, questions and moves) come over the pool's connections, so heads are noted in one place there. No decision changes with this.

--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -23,6 +23,7 @@
 UNANSWERED_PROBES = 1
 
 IsOwnAnswer = Callable[[ResponseHead], bool]
+OnHead = Callable[[ResponseHead], None]
 
 
 def any_answer(head: ResponseHead) -> bool:
@@ -30,10 +31,15 @@
     return True
 
 
+def _ignore(head: ResponseHead) -> None:
+    """Take no note of a head."""
+
+
 class ClientConnection:
     """Sends a request at a time and reads its answer.
 
-    `last_used` is the time of the last exchange's end, by trio's clock.
+    `last_used` is the time of the last exchange's end, by trio's clock; `on_head` gets
+    the head of each answer that was taken.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -44,6 +50,7 @@
         self._has_trailing = False
         self.last_used = trio.current_time()
         self.keep_alive: float | None = None
+        self.on_head: OnHead = _ignore
 
     @classmethod
     async def open(
@@ -96,6 +103,7 @@
         for _ in range(MOST_FOREIGN_ANSWERS):
             head = await self._read_any_head()
             if is_own(head):
+                self.on_head(head)
                 return head
             await self._skip_answer()
         raise ExchangeBrokenError("only answers to other requests came")
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 
 import trio
 
-from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.endpoint import Address, Endpoint
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import NotConnectedError
+from piershore.http1.message import ResponseHead
 
 CONNECT_SECONDS = 0.35
 """A connection in one region comes up in a few ms; a lost first packet is sent
@@ -24,15 +26,36 @@
 """Kept connections to one endpoint; more would be idle at the usual load."""
 
 
+OnEndpointHead = Callable[[Endpoint, ResponseHead], None]
+
+
+def _ignore(endpoint: Endpoint, head: ResponseHead) -> None:
+    """Take no note of an endpoint's head."""
+
+
 class ConnectionPool:
-    """Hands out one connection at a time and takes back those that are sound."""
+    """Hands out one connection at a time and takes back those that are sound.
+
+    All that endpoints answer comes over these connections: requests, questions and
+    moves alike.
+    """
 
     def __init__(self) -> None:
+        self._on_head: OnEndpointHead = _ignore
         self._kept: dict[Address, list[ClientConnection]] = {}
         self._retired: list[ClientConnection] = []
 
-    async def take(self, address: Address, longest_idle: float) -> ClientConnection:
+    def listen(self, on_head: OnEndpointHead) -> None:
+        """Let `on_head` get the head of each answer with the endpoint that gave it."""
+        self._on_head = on_head
+
+    async def take(self, endpoint: Endpoint, longest_idle: float) -> ClientConnection:
         """Return a kept connection that rested at most so long, or a new one."""
+        connection = await self._take(endpoint.address, longest_idle)
+        connection.on_head = partial(self._on_head, endpoint)
+        return connection
+
+    async def _take(self, address: Address, longest_idle: float) -> ClientConnection:
         now = trio.current_time()
         kept = self._kept.get(address, [])
         while kept:
@@ -46,20 +69,20 @@
 
     @asynccontextmanager
     async def borrow(
-        self, address: Address, longest_idle: float
+        self, endpoint: Endpoint, longest_idle: float
     ) -> AsyncIterator[ClientConnection]:
         """Lend a connection for one exchange; it is kept if that ends well.
 
         Raise `NotConnectedError` if there is none.
         """
-        connection = await self.take(address, longest_idle)
+        connection = await self.take(endpoint, longest_idle)
         is_done = False
         try:
             yield connection
             is_done = True
         finally:
             with trio.CancelScope(shield=True):
-                await self.give_back(address, connection, reusable=is_done)
+                await self.give_back(endpoint.address, connection, reusable=is_done)
 
     async def can_connect(self, address: Address) -> bool:
         """Tell whether a new connection comes up, and close it."""
--- a/src/piershore/http1/message.py
+++ b/src/piershore/http1/message.py
@@ -59,6 +59,10 @@
         """Return the first value of a header, or None."""
         return find_header(self.headers, name)
 
+    def values(self, name: bytes) -> Iterator[bytes]:
+        """Yield all values of a header."""
+        return (value for key, value in self.headers if key == name)
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None."""
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -60,7 +60,7 @@
         exchange = self._exchange
         try:
             self._connection = await self._state.pool.take(
-                self.endpoint.address, self._longest_idle
+                self.endpoint, self._longest_idle
             )
         except NotConnectedError as error:
             raise AttemptFailedError(AttemptOutcome.NOT_SENT, error.message) from error
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -30,6 +30,7 @@
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.attempts.crash_watch import CrashWatch
+from piershore.ingress.attempts.endpoint_notices import EndpointNotices
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry.event_log import EventLog
 
@@ -95,6 +96,8 @@
         self.crash_watch = CrashWatch(
             self.runs, self.quarantine, self.directory, self.pool, self.log
         )
+        self.notices = EndpointNotices(self.dialect, self.log)
+        self.pool.listen(self.notices.take)
         self.cold = ColdStarts(self.host, self.subsets, self.configuration)
         self.placement = Placement(
             self.data_hall,
--- a/src/piershore/ingress/moves/copy_calls.py
+++ b/src/piershore/ingress/moves/copy_calls.py
@@ -49,7 +49,8 @@
     async def release(self, request: str, handover: Handover, copy: MemoryCopy) -> None:
         """Free the copy of a stream that ended meanwhile."""
         try:
-            async with self._state.pool.borrow(copy.holder, IDLE_SECONDS) as connection:
+            source = handover.source
+            async with self._state.pool.borrow(source, IDLE_SECONDS) as connection:
                 await self._mover.release(connection, copy)
         except (ExchangeBrokenError, NotConnectedError) as error:
             self._log_end(request, handover, error.message, 0.0)
@@ -57,13 +58,13 @@
     async def _move(
         self, request: str, handover: Handover, *, is_last: bool
     ) -> MoveResult | None:
-        source = handover.source.address
+        source = handover.source
         with trio.move_on_after(MOVE_SECONDS):
             try:
                 async with self._state.pool.borrow(source, IDLE_SECONDS) as connection:
                     return await self._mover.move(
                         connection,
-                        source,
+                        source.address,
                         request,
                         handover.target.address,
                         is_last=is_last,
--- a/src/piershore/ingress/peers/outage_watch.py
+++ b/src/piershore/ingress/peers/outage_watch.py
@@ -82,7 +82,7 @@
         with trio.move_on_after(ANSWER_SECONDS):
             try:
                 async with self._state.pool.borrow(
-                    endpoint.address, IDLE_SECONDS
+                    endpoint, IDLE_SECONDS
                 ) as connection:
                     report = await self._reports.ask(connection, endpoint.address)
             except (ExchangeBrokenError, NotConnectedError):
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -9,6 +9,7 @@
 from piershore.core.documents.document import Document, DocumentPart
 from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint import Address, Endpoint
+from piershore.core.fleet.endpoint_notice import EndpointNotice
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.core.routes.serving_configuration import (
@@ -104,6 +105,10 @@
     def read_answer(self, head: ResponseHead) -> EndpointAnswer:
         """Decode the head of an endpoint's answer."""
 
+    @abstractmethod
+    def read_notice(self, head: ResponseHead) -> EndpointNotice:
+        """Decode what an endpoint asks beside its answer."""
+
     @abstractmethod
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Return the endpoint's headers that the caller gets."""
--- a/src/piershore/ingress/streams/silence_watch.py
+++ b/src/piershore/ingress/streams/silence_watch.py
@@ -141,7 +141,7 @@
         with trio.move_on_after(ANSWER_SECONDS):
             try:
                 async with self._state.pool.borrow(
-                    endpoint.address, IDLE_SECONDS
+                    endpoint, IDLE_SECONDS
                 ) as connection:
                     return await self._reports.ask(connection, endpoint.address)
             except NotConnectedError as error:
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from http import HTTPStatus
+from math import isfinite
 
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import end_to_end, Headers, RequestHead, ResponseHead
@@ -34,6 +37,9 @@
 CONTINUE_FROM = b"kv-from"
 BACK_UP_AT = b"kv-backup"
 RETRY_AFTER = b"retry-after"
+LEAVES = b"server-leaving"
+DENIALS = frozenset({b"", b"0", b"false"})
+"""Values with which a header says that something is not so."""
 
 OF_THE_SYSTEM = frozenset(
     {
@@ -125,6 +131,18 @@
             is_sound=is_plain and (is_sealed or not is_success),
         )
 
+    def read_notice(self, head: ResponseHead) -> EndpointNotice:
+        """Decode what the endpoint asks beside its answer."""
+        if head.status == MISDIRECTED:
+            # Another endpoint has the address now, and speaks of itself.
+            return NO_NOTICE
+        leaves = head.header(LEAVES)
+        is_leaving = leaves is not None and leaves.strip().lower() not in DENIALS
+        rest = None
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            rest = max(_rests(head), default=None)
+        return EndpointNotice(is_leaving, rest)
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Return the endpoint's headers that the caller gets."""
         kept = end_to_end(head.headers, frozenset())
@@ -157,6 +175,17 @@
     return int(text) / 1_000
 
 
+def _rests(head: ResponseHead) -> Iterator[float]:
+    """Yield the times to rest, in seconds; a date or other text asks for none."""
+    for value in head.values(RETRY_AFTER):
+        try:
+            seconds = float(value)
+        except ValueError:
+            continue
+        if isfinite(seconds) and seconds > 0:
+            yield seconds
+
+
 def _key(value: bytes | None) -> str | None:
     if value is None:
         return None
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -114,6 +114,20 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class EndpointTold(LogEvent):
+    """An endpoint's answer with this status said something new of the endpoint itself.
+
+    It leaves, or wants nothing from this gateway for `rest_seconds`.
+    """
+
+    endpoint: str
+    service: str
+    status: int
+    is_leaving: bool
+    rest_seconds: float | None
+
+
 @dataclass(frozen=True)
 class HallDrained(LogEvent):
     """Nothing new is sent to a data hall any more, or again if `is_drained` is false.
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -84,6 +84,12 @@
     ["stage"],
     registry=REGISTRY,
 )
+NOTICES = Counter(
+    "piershore_ingress_notices_total",
+    "Answers in which endpoints said that they leave, or asked for rest.",
+    ["kind"],
+    registry=REGISTRY,
+)
 EXPECTED_TOKENS = Counter(
     "piershore_ingress_expected_tokens_total",
     "Tokens that were expected of the generations that ended whole, by route.",
--- a/src/piershore/telemetry/request_story.py
+++ b/src/piershore/telemetry/request_story.py
@@ -17,6 +17,7 @@
         "dependency_regained",
         "endpoint_ejected",
         "endpoint_left",
+        "endpoint_told",
         "process_started",
         "process_stopping",
         "process_stopped",
