--- /dev/null
+++ b/devtools/bench/call_simulation.py
@@ -0,0 +1,257 @@
+"""Several gateways before a plain service whose endpoints ask for something.
+
+An endpoint says in its answers that it leaves, while the store can't say so, or turns
+calls away and asks for rest. Gateways choose by the product's own code.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from devtools.bench.fleet_settings import HALLS, NETWORK_SECONDS
+from devtools.bench.simulated_fleet import gateway_name
+from devtools.bench.virtual_time import VirtualTime
+from piershore.core.attempts.attempt_outcome import MOST_PROVEN_UNRUN
+from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.cold_starts import ColdStarts
+from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_notice import EndpointNotice
+from piershore.core.fleet.fleet_load import FleetLoad, PlainWork
+from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.heard_notices import HeardNotices
+from piershore.core.fleet.placement import Placement
+from piershore.core.fleet.placement_policy import (
+    DEFAULT_PLACEMENT,
+    PLACEMENT_POLICIES,
+)
+from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.routes.current_configuration import CurrentConfiguration
+
+SERVICE = "desk"
+REPORT_SECONDS = 0.1
+REFUSING_SECONDS = 0.001
+"""An endpoint that turns a call away does so at once."""
+IN_TRANSIT_SECONDS = 0.5
+"""Calls on their way may reach an endpoint so long after it has asked for rest."""
+
+
+@dataclass(frozen=True)
+class CallSettings:
+    """One run; times in seconds, as the users' sheets tell of their plain services.
+
+    From `begins` to `ends`, the `asking` first endpoints turn every call away and ask
+    for `rest` with it (for nothing if it is None); or, if `leaves`, they serve on and
+    say in their answers that they leave.
+    """
+
+    seconds: float = 24.0
+    gateways: int = 6
+    endpoints: int = 3
+    slots: int = 6
+    rate: float = 23.0
+    work_seconds: float = 0.045
+    begins: float = 6.0
+    ends: float = 15.0
+    asking: int = 1
+    rest: float | None = 3.0
+    leaves: bool = False
+    retries: RetryLimits = field(
+        default_factory=lambda: RetryLimits(ratio=0.2, slack=58, window=10)
+    )
+
+
+@dataclass
+class Call:
+    """One call of a caller, from the first try on."""
+
+    gateway: _Gateway
+    arrived_at: float
+    tried: list[str] = field(default_factory=list)
+    answered_at: float | None = None
+    is_refused: bool = False
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A call that reached an endpoint from a gateway."""
+
+    gateway: str
+    endpoint: str
+    at: float
+    call_arrived_at: float
+
+
+class _Gateway:
+    def __init__(self, number: int, settings: CallSettings, seed: int) -> None:
+        self.name = gateway_name(number)
+        self.directory = EndpointDirectory()
+        self.loads = FleetLoad()
+        self.allowance = RetryAllowance(settings.retries)
+        self.heard = HeardNotices()
+        subsets = EndpointSubsets(self.name, self.directory)
+        self.placement = Placement(
+            HALLS[number % len(HALLS)],
+            self.directory,
+            self.loads,
+            EndpointHealth(),
+            Random(seed + number),
+            PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
+            HallStalls(),
+            subsets,
+            ColdStarts(self.name, subsets, CurrentConfiguration()),
+        )
+
+
+class CallRun(VirtualTime):
+    """One run; `calls` are all that came, `arrivals` what reached endpoints."""
+
+    def __init__(self, settings: CallSettings, seed: int) -> None:
+        super().__init__()
+        self._settings = settings
+        self._random = Random(seed)
+        self._gateways = [
+            _Gateway(number, settings, seed) for number in range(settings.gateways)
+        ]
+        self._endpoints = [_endpoint(n, settings) for n in range(settings.endpoints)]
+        self._asking = {e.identity for e in self._endpoints[: settings.asking]}
+        self._busy: dict[str, int] = defaultdict(int)
+        self.calls: list[Call] = []
+        self.arrivals: list[Arrival] = []
+        self.asked_at: dict[tuple[str, str], list[float]] = defaultdict(list)
+        for gateway in self._gateways:
+            for endpoint in self._endpoints:
+                gateway.directory.put(endpoint)
+
+    def run(self) -> None:
+        """Play until the time is over and all calls have ended."""
+        self._at(0.0, self._arrive)
+        self._at(0.0, self._report)
+        self._play()
+
+    @property
+    def refused(self) -> int:
+        """Calls that were refused."""
+        return sum(call.is_refused for call in self.calls)
+
+    def rest_arrivals(self) -> Iterator[int]:
+        """Yield how many calls of a gateway came within each rest that it was asked."""
+        for (gateway, endpoint), asked in self.asked_at.items():
+            for at in asked:
+                until = at + (self._settings.rest or 0.0)
+                yield self._count(gateway, endpoint, at + IN_TRANSIT_SECONDS, until)
+
+    def late_arrivals(self, allowed: float) -> Iterator[Arrival]:
+        """Yield the calls sent so long after the endpoint had told the gateway."""
+        for arrival in self.arrivals:
+            asked = self.asked_at.get((arrival.gateway, arrival.endpoint))
+            if asked and arrival.call_arrived_at > asked[0] + allowed:
+                yield arrival
+
+    def _count(self, gateway: str, endpoint: str, after: float, until: float) -> int:
+        return sum(
+            a.gateway == gateway and a.endpoint == endpoint and after < a.at < until
+            for a in self.arrivals
+        )
+
+    @property
+    def _is_over(self) -> bool:
+        return self._now >= self._settings.seconds
+
+    def _arrive(self) -> None:
+        if self._is_over:
+            return
+        self._at(self._random.expovariate(self._settings.rate), self._arrive)
+        call = Call(self._random.choice(self._gateways), self._now)
+        self.calls.append(call)
+        call.gateway.allowance.note_request(self._now)
+        self._try(call)
+
+    def _report(self) -> None:
+        if self._is_over:
+            return
+        self._at(REPORT_SECONDS, self._report)
+        for gateway in self._gateways:
+            for peer in self._others(gateway):
+                loads = gateway.loads.own_loads()
+                peer.loads.take_report(gateway.name, loads, self._now)
+
+    def _others(self, gateway: _Gateway) -> Iterable[_Gateway]:
+        return (peer for peer in self._gateways if peer is not gateway)
+
+    def _try(self, call: Call) -> None:
+        choice = call.gateway.placement.for_call(SERVICE, self._now, call.tried)
+        if choice is None:
+            call.is_refused = True
+            return
+        call.tried.append(choice.endpoint.identity)
+        work = PlainWork()
+        call.gateway.loads.add(choice.endpoint.identity, work)
+        self._at(NETWORK_SECONDS, self._reach, call, choice.endpoint, work)
+
+    def _reach(self, call: Call, endpoint: Endpoint, work: PlainWork) -> None:
+        identity = endpoint.identity
+        self.arrivals.append(
+            Arrival(call.gateway.name, identity, self._now, call.arrived_at)
+        )
+        is_asking = identity in self._asking and self._asks()
+        if is_asking and not self._settings.leaves:
+            self._at(REFUSING_SECONDS, self._turn_away, call, endpoint, work)
+            return
+        self._busy[identity] += 1
+        crowd = max(1.0, self._busy[identity] / self._settings.slots)
+        seconds = self._settings.work_seconds * crowd
+        self._at(seconds, self._answer, call, endpoint, work, is_asking)
+
+    def _asks(self) -> bool:
+        return self._settings.begins <= self._now < self._settings.ends
+
+    def _turn_away(self, call: Call, endpoint: Endpoint, work: PlainWork) -> None:
+        notice = EndpointNotice(rest_seconds=self._settings.rest)
+        self._at(NETWORK_SECONDS, self._take_refusal, call, endpoint, work, notice)
+        if self._settings.rest:
+            self.asked_at[call.gateway.name, endpoint.identity].append(self._now)
+
+    def _take_refusal(
+        self, call: Call, endpoint: Endpoint, work: PlainWork, notice: EndpointNotice
+    ) -> None:
+        gateway = call.gateway
+        gateway.loads.remove(endpoint.identity, work)
+        gateway.heard.take(endpoint, notice, self._now)
+        is_last = len(call.tried) >= MOST_PROVEN_UNRUN
+        if is_last or not gateway.allowance.spend(self._now, len(self._gateways)):
+            call.is_refused = True
+            return
+        self._try(call)
+
+    def _answer(
+        self, call: Call, endpoint: Endpoint, work: PlainWork, is_leaving: bool
+    ) -> None:
+        self._busy[endpoint.identity] -= 1
+        self._at(NETWORK_SECONDS, self._take_answer, call, endpoint, work, is_leaving)
+
+    def _take_answer(
+        self, call: Call, endpoint: Endpoint, work: PlainWork, is_leaving: bool
+    ) -> None:
+        gateway = call.gateway
+        gateway.loads.remove(endpoint.identity, work)
+        call.answered_at = self._now
+        if is_leaving:
+            self.asked_at[gateway.name, endpoint.identity].append(self._now)
+            notice = EndpointNotice(is_leaving=True)
+            gateway.heard.take(endpoint, notice, self._now)
+
+
+def _endpoint(number: int, settings: CallSettings) -> Endpoint:
+    return Endpoint(
+        f"i-{number}",
+        SERVICE,
+        Address("10.0.0.1", number + 1),
+        HALLS[number % len(HALLS)],
+        settings.slots,
+        EndpointStage.READY,
+    )
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from collections.abc import Iterator
 from itertools import count
 from random import Random
 
@@ -31,6 +29,7 @@
     SimulatedEngine,
     SimulatedGateway,
 )
+from devtools.bench.virtual_time import VirtualTime
 from piershore.core.fleet.backup_choice import backup_room, has_room
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
@@ -50,25 +49,16 @@
 from piershore.core.fleet.room_wait import RoomWait, waiting_seconds
 
 
-@dataclass(order=True)
-class _Event:
-    at: float
-    order: int
-    action: Callable[[], None] = field(compare=False)
-
-
-class FleetRun:
+class FleetRun(VirtualTime):
     """One run; `streams` are all that arrived."""
 
     def __init__(self, settings: FleetSettings, seed: int) -> None:
+        super().__init__()
         self._settings = settings
         self._engine = settings.work.engine
         self._expectation = LENGTH_EXPECTATIONS[settings.lengths]()
         self._random = Random(seed)
-        self._events: list[_Event] = []
-        self._order = count()
         self._numbers = count(settings.engines)
-        self._now = 0.0
         self.streams: list[FleetStream] = []
         self.placings: list[Placing] = []
         self._engines: dict[str, SimulatedEngine] = {}
@@ -92,19 +82,9 @@
         self._at(self._random.expovariate(settings.rate), self._arrive)
         if settings.reclaim_every:
             self._at(settings.reclaim_every, self._reclaim)
-        while self._events:
-            event = heappop(self._events)
-            self._now = event.at
-            event.action()
+        self._play()
         return self.streams
 
-    def _at(self, seconds: float, action: Callable[..., None], *arguments) -> None:
-        """Do something so many seconds from now."""
-        event = _Event(
-            self._now + seconds, next(self._order), lambda: action(*arguments)
-        )
-        heappush(self._events, event)
-
     @property
     def _is_over(self) -> bool:
         return self._now >= self._settings.seconds
--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -40,7 +40,14 @@
     counts += run_models()
     counts += run_behave()
     counts += run_step(
-        "soak", sys.executable, "-m", "devtools.soak", "--seeds", "3", "--crashing"
+        "soak",
+        sys.executable,
+        "-m",
+        "devtools.soak",
+        "--seeds",
+        "3",
+        "--crashing",
+        "--asking",
     )
     if KNOWN_RED.exists():
         print("known red:", KNOWN_RED.read_text(), sep="\n")
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from devtools.soak.asking_endpoints import AskingEndpoints
 from devtools.soak.callers import Callers
 from devtools.soak.checks import find_broken
 from devtools.soak.crashing_caller import CrashingCaller
@@ -55,9 +56,13 @@
     random = Random(seed)
     callers = Callers(fleet, random, options.callers)
     troubles = Troubles(fleet, random, options.gap)
-    crashing = CrashingCaller(fleet, callers, seed) if options.crashing else None
+    extras = []
+    if options.crashing:
+        extras.append(CrashingCaller(fleet, callers, seed))
+    if options.asking:
+        extras.append(AskingEndpoints(fleet, seed))
     try:
-        trio.run(_run, fleet, callers, crashing, troubles, options.seconds)
+        trio.run(_run, fleet, callers, extras, troubles, options.seconds)
         findings = list(find_broken(fleet, callers, troubles))
     finally:
         fleet.close()
@@ -78,7 +83,7 @@
 async def _run(
     fleet: Fleet,
     callers: Callers,
-    crashing: CrashingCaller | None,
+    extras: list[CrashingCaller | AskingEndpoints],
     troubles: Troubles,
     seconds: float,
 ) -> None:
@@ -89,8 +94,8 @@
             nursery.start_soon(troubles.watch_standstill)
             async with trio.open_nursery() as playing:
                 playing.start_soon(callers.run, seconds + QUIET_SECONDS)
-                if crashing is not None:
-                    playing.start_soon(crashing.run, seconds + QUIET_SECONDS)
+                for extra in extras:
+                    playing.start_soon(extra.run, seconds + QUIET_SECONDS)
                 playing.start_soon(troubles.run, seconds)
             nursery.cancel_scope.cancel()
 
@@ -137,6 +142,11 @@
         action="store_true",
         help="a request comes under which endpoints crash",
     )
+    parser.add_argument(
+        "--asking",
+        action="store_true",
+        help="endpoints say in their answers that they leave, or ask for rest",
+    )
     return parser.parse_args()
 
 
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from http import HTTPStatus
+from math import inf
 
 from devtools.soak.callers import Call, Callers
 from devtools.soak.crashing_caller import KIND as CRASHING
@@ -16,6 +17,7 @@
 """A gateway that was disturbed is not held to times for so long."""
 DRAIN_SLACK_SECONDS = 0.5
 CRASHES_KNOWN, MOST_SENT_ON = 3, 3
+LEAVES = "server-leaving"
 NEWS_SECONDS = 1.0
 """Gateways know of a crash so long after it."""
 LEAST_SERVED_SHARE = 0.25
@@ -33,6 +35,7 @@
         yield from _one_call(call, runs[call.identity])
     yield from _versions(callers.calls)
     yield from _leaving(fleet, known, troubles)
+    yield from _told_leaving(fleet, callers.calls, known)
     yield from _crashing(fleet, known)
     yield from _service(callers.calls)
     yield from _faults_of_the_program(fleet)
@@ -110,6 +113,28 @@
                     yield f"{standin.identity}: new work {late:.1f} s after it left"
 
 
+def _told_leaving(
+    fleet: Fleet, calls: list[Call], known: dict[str, Call]
+) -> Iterator[str]:
+    """What a gateway has passed on with an endpoint's notice binds that gateway."""
+    told: dict[tuple[str, int, str], float] = {}
+    for call in calls:
+        if call.is_whole and LEAVES in call.headers:
+            place = (call.gateway, call.life, call.headers["instance-id"])
+            told[place] = min(call.ended_at, told.get(place, call.ended_at))
+    disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
+    for standin in fleet.standins():
+        for arrival in standin.arrivals:
+            call = known.get(arrival.identity)
+            if call is None:
+                continue
+            place = (call.gateway, call.life, standin.identity)
+            at = told.get(place, inf)
+            if call.sent_at > max(at, disturbed[call.gateway]) + DRAIN_SECONDS:
+                late = call.sent_at - at
+                yield f"{standin.identity}: sent {late:.1f} s after it told it leaves"
+
+
 def _crashing(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
     """Once three endpoints have crashed under a request, hardly any gets it."""
     crashes = sorted(s.crashed_at for s in fleet.standins() if s.crashed_at)
--- a/devtools/soak/fault_proxy.py
+++ b/devtools/soak/fault_proxy.py
@@ -34,6 +34,7 @@
         self._fault = LinkFault.NONE
         self._opened = 0
         self._silenced = 0
+        self.disturbed_at = 0.0
         self.port = 0
 
     @property
@@ -44,6 +45,7 @@
     def set_fault(self, fault: LinkFault) -> None:
         """Put a fault in force; a reset ends the open connections."""
         self._fault = fault
+        self.disturbed_at = trio.current_time()
         changed, self._changed = self._changed, trio.Event()
         changed.set()
         if fault is LinkFault.RESET:
@@ -53,6 +55,7 @@
     def silence_open(self) -> None:
         """Let the open connections go silent for good; new ones work."""
         self._silenced = self._opened
+        self.disturbed_at = trio.current_time()
 
     async def serve(self, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
--- a/src/piershore/ingress/attempts/endpoint_notices.py
+++ b/src/piershore/ingress/attempts/endpoint_notices.py
@@ -2,26 +2,27 @@
 
 from __future__ import annotations
 
+import trio
+
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
-from piershore.core.remembering import remember
+from piershore.core.fleet.heard_notices import HeardNotices
 from piershore.http1.message import ResponseHead
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import EndpointTold
 
-MOST_KNOWN = 512
-"""Endpoints of which it is remembered what they said last."""
-
 
 class EndpointNotices:
     """Takes the head of each answer that an endpoint gives to anything."""
 
-    def __init__(self, dialect: RequestDialect, log: EventLog) -> None:
+    def __init__(
+        self, heard: HeardNotices, dialect: RequestDialect, log: EventLog
+    ) -> None:
+        self._heard = heard
         self._dialect = dialect
         self._log = log
-        self._last: dict[str, EndpointNotice] = {}
 
     def take(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what an answer asks."""
@@ -29,9 +30,8 @@
         if notice == NO_NOTICE:
             return
         self._count(notice)
-        if self._last.get(endpoint.identity) == notice:
+        if not self._heard.take(endpoint, notice, trio.current_time()):
             return
-        remember(self._last, endpoint.identity, notice, MOST_KNOWN)
         event = EndpointTold(
             endpoint.identity,
             endpoint.service,
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -17,6 +17,7 @@
 from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.hall_stalls import HallStalls
+from piershore.core.fleet.heard_notices import HeardNotices
 from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
@@ -96,7 +97,7 @@
         self.crash_watch = CrashWatch(
             self.runs, self.quarantine, self.directory, self.pool, self.log
         )
-        self.notices = EndpointNotices(self.dialect, self.log)
+        self.notices = EndpointNotices(HeardNotices(), self.dialect, self.log)
         self.pool.listen(self.notices.take)
         self.cold = ColdStarts(self.host, self.subsets, self.configuration)
         self.placement = Placement(
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import Enum
 
 import h11
@@ -62,6 +63,15 @@
         return self.headers.get("attempt-id", "")
 
 
+@dataclass(frozen=True)
+class AskedRest:
+    """A request that was turned away, and for how many seconds of rest with it."""
+
+    identity: str
+    at: float
+    seconds: float
+
+
 class EngineMemory:
     """Copies of generations by `HOST:PORT/NAME`: where each lies."""
 
@@ -71,7 +81,12 @@
 
 
 class PublishedEndpoint:
-    """One endpoint; `runs` counts what it executed, by request."""
+    """One endpoint; `runs` counts what it executed, by request.
+
+    One that `tells_leaving` says in all its answers that it leaves, whatever its entry
+    says. Until `sheds_until` it turns requests away, and asks for `rest` seconds with
+    it if that is given; `rests` are those that it asked for.
+    """
 
     def __init__(
         self, identity: str, service: str, memory: EngineMemory, faults=()
@@ -91,6 +106,10 @@
         self.state = "ready"
         self.data_hall = "ikeja"
         self.born: int | None = None
+        self.tells_leaving = False
+        self.sheds_until = 0.0
+        self.rest: float | None = None
+        self.rests: list[AskedRest] = []
         self.cold_milliseconds = 0
         self.move_seconds = 0.02
         self.move_answer: bytes | None = None
@@ -198,6 +217,9 @@
         if arrival.headers.get("expected-instance") != self.identity:
             await self.respond(arrival, 421, b"", seal=False)
             return True
+        if trio.current_time() < self.sheds_until:
+            await self._shed(arrival)
+            return True
         name = self.faults.pop(0) if self.faults else ""
         if name:
             return await FAULTS[name](self, arrival)
@@ -211,6 +233,15 @@
         await self.respond(arrival, 200, self.body(arrival))
         return True
 
+    async def _shed(self, arrival: Arrival) -> None:
+        """Turn a request away."""
+        extra = [("Not-Executed", "1")]
+        if self.rest is not None:
+            extra.append(("Retry-After", f"{self.rest:g}"))
+            now = trio.current_time()
+            self.rests.append(AskedRest(arrival.identity, now, self.rest))
+        await self.respond(arrival, 503, b"", *extra, seal=False)
+
     async def _crash_under(self, arrival: Arrival) -> None:
         """Begin to run a request, and crash with all else that runs here."""
         self.note_run(arrival)
@@ -232,6 +263,8 @@
         headers = [("Attempt-Id", arrival.identity), ("Instance-Id", self.identity)]
         if seal:
             headers.append(("Response-Seal", f"seal.{arrival.identity}"))
+        if self.tells_leaving:
+            headers.append(("Server-Leaving", "1"))
         return [*headers, *extra]
 
     async def respond(
