--- a/devtools/soak/asking_endpoints.py
+++ b/devtools/soak/asking_endpoints.py
@@ -13,12 +13,18 @@
 LEAVING_SECONDS = (2.5, 4.0)
 """How long an endpoint says that it leaves, before it is replaced: gateways that were
 told must send nothing 2 s later."""
+SHEDDING_SECONDS = (0.5, 2.0)
+REST_SECONDS = (1.0, 2.0)
+LEAVING_SHARE = 0.4
 SEED_OFFSET = 2_000_003
 """The draws are its own, so that a seed's other draws are the same without it."""
 
 
 class AskingEndpoints:
-    """Lets endpoints say that they leave, while their entries say that they don't."""
+    """Lets endpoints say that they leave, or turn requests away and ask for rest.
+
+    Their entries say that they are ready.
+    """
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
         self._fleet = fleet
@@ -31,7 +37,9 @@
                 while True:
                     await trio.sleep(self._random.expovariate(1 / GAP_SECONDS))
                     endpoint = self._random.choice(self._fleet.endpoints)
-                    nursery.start_soon(self._leave, endpoint)
+                    is_leaving = self._random.random() < LEAVING_SHARE
+                    ask = self._leave if is_leaving else self._rest
+                    nursery.start_soon(ask, endpoint)
 
     async def _leave(self, endpoint: SoakEndpoint) -> None:
         """Say it in all answers; then another incarnation comes."""
@@ -41,3 +49,10 @@
         standin.tells_leaving = True
         await trio.sleep(self._random.uniform(*LEAVING_SECONDS))
         await self._fleet.replace(endpoint, standin)
+
+    async def _rest(self, endpoint: SoakEndpoint) -> None:
+        """Turn requests away for a while, each with a time to rest."""
+        standin = endpoint.standin
+        standin.rest = self._random.uniform(*REST_SECONDS)
+        seconds = self._random.uniform(*SHEDDING_SECONDS)
+        standin.sheds_until = trio.current_time() + seconds
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -11,6 +11,7 @@
 from devtools.soak.crashing_caller import KIND as CRASHING
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet
+from standins.published_endpoint import AskedRest, PublishedEndpoint
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 CONTACT_SECONDS = 3.0
@@ -18,6 +19,8 @@
 DRAIN_SLACK_SECONDS = 0.5
 CRASHES_KNOWN, MOST_SENT_ON = 3, 3
 LEAVES = "server-leaving"
+IN_TRANSIT_SECONDS, MOST_IN_REST = 0.5, 2
+"""Calls under way when an endpoint asked for rest, and those that may come within it."""
 NEWS_SECONDS = 1.0
 """Gateways know of a crash so long after it."""
 LEAST_SERVED_SHARE = 0.25
@@ -36,6 +39,7 @@
     yield from _versions(callers.calls)
     yield from _leaving(fleet, known, troubles)
     yield from _told_leaving(fleet, callers.calls, known)
+    yield from _rests(fleet, known)
     yield from _crashing(fleet, known)
     yield from _service(callers.calls)
     yield from _faults_of_the_program(fleet)
@@ -135,6 +139,35 @@
                 yield f"{standin.identity}: sent {late:.1f} s after it told it leaves"
 
 
+def _rests(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
+    """An endpoint that has asked a gateway for rest gets hardly anything from it."""
+    disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
+    for endpoint in fleet.endpoints:
+        for standin in (*endpoint.past, endpoint.standin):
+            for rest in standin.rests:
+                call = known.get(rest.identity)
+                calm_since = endpoint.link.disturbed_at
+                if call is None or rest.at < max(disturbed[call.gateway], calm_since):
+                    continue
+                count = _within(standin, rest, call, known)
+                if count > MOST_IN_REST:
+                    place = f"{standin.identity}: {count} calls"
+                    yield f"{place} in {rest.seconds:.1f} s of rest"
+
+
+def _within(
+    standin: PublishedEndpoint, rest: AskedRest, asked: Call, known: dict[str, Call]
+) -> int:
+    """Count what the same life of a gateway sends within a rest."""
+    sender = (asked.gateway, asked.life)
+    return sum(
+        rest.at + IN_TRANSIT_SECONDS < arrival.at < rest.at + rest.seconds
+        and (call := known.get(arrival.identity)) is not None
+        and (call.gateway, call.life) == sender
+        for arrival in standin.arrivals
+    )
+
+
 def _crashing(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
     """Once three endpoints have crashed under a request, hardly any gets it."""
     crashes = sorted(s.crashed_at for s in fleet.standins() if s.crashed_at)
