An endpoint that asks for rest gets none of a gateway's work until it is over

What callers saw: with one of three endpoints asking for 3 s of rest in each refusal, most calls went there first, each took a retry, and from the third second on callers were refused though two endpoints worked.

Cause: the time in a refusal wasn't read, and a refusal that proves that nothing ran blames nobody, so the endpoint seemed the least loaded.

Change: placement leaves such an endpoint out, and nothing is sent there, also not by a try that was connecting, a continuation or a plan of moves. If all endpoints of a service rest, a request waits when the first has rested within 0.35 of its aim, and is refused at once otherwise, to come back after that time, spread by a quarter.

--- a/devtools/bench/call_simulation.py
+++ b/devtools/bench/call_simulation.py
@@ -16,6 +16,7 @@
 from devtools.bench.virtual_time import VirtualTime
 from piershore.core.attempts.attempt_outcome import MOST_PROVEN_UNRUN
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -92,7 +93,8 @@
         self.directory = EndpointDirectory()
         self.loads = FleetLoad()
         self.allowance = RetryAllowance(settings.retries)
-        self.heard = HeardNotices(self.directory)
+        self.rests = AskedRests()
+        self.heard = HeardNotices(self.directory, self.rests)
         subsets = EndpointSubsets(self.name, self.directory)
         self.placement = Placement(
             HALLS[number % len(HALLS)],
@@ -104,6 +106,7 @@
             HallStalls(),
             subsets,
             ColdStarts(self.name, subsets, CurrentConfiguration()),
+            self.rests,
         )
 
 
--- a/devtools/bench/simulated_fleet.py
+++ b/devtools/bench/simulated_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from devtools.bench.fleet_settings import ENGINE, FleetSettings, HALLS, SERVICE
+from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -110,6 +111,7 @@
             HallStalls(),
             self.subsets,
             ColdStarts(self.name, self.subsets, CurrentConfiguration()),
+            AskedRests(),
             frozenset() if settings.subsets else {Mechanism.SUBSETS},
         )
 
--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -47,6 +47,7 @@
         "--seeds",
         "3",
         "--crashing",
+        "--asking",
     )
     if KNOWN_RED.exists():
         print("known red:", KNOWN_RED.read_text(), sep="\n")
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -20,7 +20,8 @@
 CRASHES_KNOWN, MOST_SENT_ON = 3, 3
 LEAVES = "server-leaving"
 IN_TRANSIT_SECONDS, MOST_IN_REST = 0.5, 2
-"""Calls under way when an endpoint asked for rest, and those that may come within it."""
+"""Calls on their way may still come so long after an endpoint has asked for rest, and
+so many later."""
 NEWS_SECONDS = 1.0
 """Gateways know of a crash so long after it."""
 LEAST_SERVED_SHARE = 0.25
--- a/features/asked_rest.feature
+++ b/features/asked_rest.feature
@@ -19,3 +19,75 @@
     When an endpoint of the desk turns a call away and asks for 1 s of rest
     Then it gets no call from the gateway within that time, and some after it
     And all calls are served
+
+  Scenario Outline: what asks for rest and what doesn't
+    Then an answer of <status> with "<value>" asks for <rest>
+
+    Examples:
+      | status | value                         | rest    |
+      | 503    | 3                             | 3 s     |
+      | 503    | 0.4                           | 0.4 s   |
+      | 503    | 86400                         | 86400 s |
+      | 503    | 1 and 2                       | 2 s     |
+      | 503    | soon and 1                    | 1 s     |
+      | 503    | 0                             | nothing |
+      | 503    | -1                            | nothing |
+      | 503    | inf                           | nothing |
+      | 503    | nan                           | nothing |
+      | 503    | soon                          | nothing |
+      | 503    | Wed, 21 Oct 2026 07:28:00 GMT | nothing |
+      | 429    | 3                             | nothing |
+      | 421    | 3                             | nothing |
+      | 200    | 3                             | nothing |
+
+  Scenario: rests that overlap
+    Then a shorter rest that is asked for later doesn't end a longer one
+    And one incarnation's rest isn't its successor's
+
+  Scenario Outline: all endpoints of <service> rest
+    Given 1 gateway before sound endpoints
+    When all endpoints of <service> ask for 10 s of rest
+    Then a "<kind>" request is refused within 0.2 s, to come back when the first has rested
+    And none has got a request within its rest
+
+    Examples:
+      | service   | kind       |
+      | the desk  | once       |
+      | the desk  | repeatable |
+      | the model | stream     |
+
+  Scenario Outline: all rest, and the first has rested in a moment
+    Given 1 gateway before sound endpoints
+    When a "<kind>" request comes 20 ms before the end of all rests
+    Then it is served
+
+    Examples:
+      | kind   |
+      | once   |
+      | stream |
+
+  Scenario: a call waits for its connection when its endpoint asks for rest
+    Given 1 gateway before sound endpoints
+    When an endpoint asks for rest while a call to it connects
+    Then the call is served elsewhere
+
+  Scenario: a refusal doesn't say whether the request has run
+    Given 1 gateway before sound endpoints
+    When an endpoint answers 503 with a time to rest and without a proof
+    Then the caller isn't told that nothing has run, and the endpoint rests
+
+  Scenario Outline: a stream breaks off and its backup rests
+    Given 2 engines
+    When a caller reads a large stream, its backup has <rest> s to rest, and its engine crashes
+    Then the resting engine gets nothing within that time, and the stream ends <as>
+
+    # Callers give a stream up after a pause of 2 s.
+    Examples:
+      | rest | as        |
+      | 10   | not whole |
+      | 0.4  | whole     |
+
+  Scenario: why an endpoint was left out
+    Given 1 gateway before sound endpoints
+    When an endpoint asks for rest, and then a call is served
+    Then the log of that call names the endpoint as resting
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -2,11 +2,29 @@
 
 from __future__ import annotations
 
+import tempfile
+from dataclasses import replace
+from math import isclose
+from pathlib import Path
+
+import orjson
 import trio
 from behave import then, when
-from notice_steps import play
+from notice_steps import known, play, SHORT, state_of
+from support.core_checks import fleet_of
+from support.stream_reading import Reading
+
+from piershore.core.fleet.asked_rests import AskedRests
+from piershore.http1.message import ResponseHead
+from piershore.platform.headers import PlatformDialect
 
 PAUSE_SECONDS = 0.01
+LATEST_COME_BACK = 1.25
+"""Callers are spread over so many times the rest."""
+SERVICES = {"the desk": "desk", "the model": "model"}
+REST_SECONDS = 5.0
+LARGE_SIZE = "11000,{}"
+"""Prompt tokens of a stream that gets a backup."""
 
 
 @when("for 9 seconds one turns calls away and asks for {rest:g} s of rest")
@@ -63,3 +81,213 @@
 @then("all calls are served")
 def check_all_served(context):
     assert {reply.status for reply in context.replies} == {200}
+
+
+@then('an answer of {status:d} with "{value}" asks for {rest}')
+def check_value(context, status, value, rest):
+    headers = tuple((b"retry-after", v.encode()) for v in value.split(" and "))
+    notice = PlatformDialect().read_notice(ResponseHead(status, headers))
+    if rest == "nothing":
+        assert notice.rest_seconds is None, notice
+    else:
+        assert isclose(notice.rest_seconds, float(rest.removesuffix(" s"))), notice
+
+
+@then("a shorter rest that is asked for later doesn't end a longer one")
+def check_longest(context):
+    rests = AskedRests()
+    endpoint = next(iter(fleet_of(1)))
+    rests.note(endpoint.identity, 3.0, 10.0)
+    rests.note(endpoint.identity, 1.0, 11.0)
+    assert rests.is_resting(endpoint.identity, 12.9)
+    assert isclose(rests.seconds_left([endpoint], 12.0), 1.0)
+    assert not rests.is_resting(endpoint.identity, 13.0)
+    rests.note(endpoint.identity, 1.0, 13.5)
+    rests.note(endpoint.identity, 3.0, 14.0)
+    assert rests.is_resting(endpoint.identity, 16.9)
+    rests.forget_ended(17.0)
+    assert len(rests) == 0
+
+
+@then("one incarnation's rest isn't its successor's")
+def check_successor(context):
+    rests = AskedRests()
+    endpoint = replace(next(iter(fleet_of(1))), born=1)
+    rests.note(endpoint.identity, 3.0, 10.0)
+    assert not rests.is_resting(replace(endpoint, born=2).identity, 10.0)
+
+
+def standins_of(world, service):
+    return [e for e in world.endpoints if e.service == service]
+
+
+def let_rest(world, standins, seconds):
+    """Let endpoints have asked a gateway for rest just now."""
+    state = state_of(world)
+    for standin in standins:
+        identity = known(world, standin).identity
+        state.rests.note(identity, seconds, trio.current_time())
+
+
+async def send(world, kind, **named):
+    size = SHORT if kind == "stream" else ""
+    return await world.call(kind, size=size, **named)
+
+
+@when("all endpoints of {service} ask for {rest:g} s of rest")
+def ask_all(context, service, rest):
+    async def script(world):
+        standins = standins_of(world, SERVICES[service])
+        for standin in standins:
+            standin.rest = rest
+            standin.sheds_until = trio.current_time() + rest
+        kind = "stream" if SERVICES[service] == "model" else "once"
+        while not all(standin.rests for standin in standins):
+            await send(world, kind)
+        context.standins = standins
+        context.first_end = min(s.rests[0].at for s in standins) + rest
+        context.replies = {}
+        for kind in ("once", "repeatable", "stream"):
+            started = trio.current_time()
+            reply = await send(world, kind)
+            context.replies[kind] = reply, started, trio.current_time()
+
+    context.ingress.run(script)
+
+
+@then(
+    'a "{kind}" request is refused within {seconds:g} s, to come back when the first has'
+    " rested"
+)
+def check_come_back(context, kind, seconds):
+    reply, started, ended = context.replies[kind]
+    assert reply.status == 503, vars(reply)
+    assert b'"endpoints_resting"' in reply.body
+    assert ended - started < seconds
+    left = context.first_end - ended
+    come_back = float(reply.headers["retry-after"])
+    assert left <= come_back <= LATEST_COME_BACK * (context.first_end - started) + 0.01
+
+
+@then("none has got a request within its rest")
+def check_none_within(context):
+    assert all(len(standin.arrivals) == 1 for standin in context.standins)
+
+
+@when('a "{kind}" request comes {milliseconds:d} ms before the end of all rests')
+def send_before_end(context, kind, milliseconds):
+    async def script(world):
+        let_rest(world, world.endpoints, milliseconds / 1_000)
+        context.reply = await send(world, kind)
+
+    context.ingress.run(script)
+
+
+@then("it is served")
+def check_served(context):
+    assert context.reply.status == 200, vars(context.reply)
+
+
+@when("an endpoint asks for rest while a call to it connects")
+def ask_while_connecting(context):
+    async def script(world):
+        state = state_of(world)
+        take = state.pool.take
+        slow = []
+
+        async def take_slowly(endpoint, longest_idle):
+            connection = await take(endpoint, longest_idle)
+            if not slow:
+                slow.append(endpoint)
+                state.rests.note(endpoint.identity, 1.0, trio.current_time())
+            return connection
+
+        state.pool.take = take_slowly
+        context.reply = await world.call("once", request="abc")
+        context.resting = slow[0]
+        context.is_ejected = state.health.failure_rate(slow[0].identity) > 0
+
+    context.ingress.run(script)
+
+
+@then("the call is served elsewhere")
+def check_elsewhere(context):
+    assert context.reply.status == 200, vars(context.reply)
+    ran_at = [e.identity for e in context.ingress.endpoints if e.arrivals]
+    assert ran_at != [context.resting.name]
+    assert len(ran_at) == 1
+    assert not context.is_ejected
+
+
+@when("an endpoint answers 503 with a time to rest and without a proof")
+def answer_unproven(context):
+    async def script(world):
+        endpoint = world.endpoints[0]
+        for other in world.endpoints[1:3]:
+            state_of(world).directory.mark_leaving(other.identity)
+
+        async def answer(arrival):
+            endpoint.note_run(arrival)
+            await endpoint.respond(arrival, 503, b"", ("Retry-After", "2"), seal=False)
+
+        endpoint._shed = answer
+        endpoint.sheds_until = trio.current_time() + 1.0
+        context.reply = await world.call("once")
+        context.later = await world.call("once")
+
+    context.ingress.run(script)
+
+
+@then("the caller isn't told that nothing has run, and the endpoint rests")
+def check_unproven(context):
+    assert context.reply.status == 502, vars(context.reply)
+    assert context.later.status == 503
+    assert len(context.ingress.endpoints[0].arrivals) == 1
+
+
+@when(
+    "a caller reads a large stream, its backup has {rest:g} s to rest, and its engine"
+    " crashes"
+)
+def crash_before_resting(context, rest):
+    async def script(world):
+        context.reading = Reading(world, 300, LARGE_SIZE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.reading.read)
+            await context.reading.wait_events(120)
+            engine = context.reading.running_at()
+            backup = next(e for e in world.endpoints if e is not engine)
+            assert world.memory.copies, "the stream has no backup"
+            let_rest(world, [backup], rest)
+            context.rest_ends = trio.current_time() + rest
+            engine.crash()
+        context.backup = backup
+
+    context.ingress.run(script)
+
+
+@then("the resting engine gets nothing within that time, and the stream ends {end}")
+def check_continued(context, end):
+    assert all(a.at >= context.rest_ends for a in context.backup.arrivals)
+    assert context.reading.reply.is_whole == (end == "whole")
+
+
+@when("an endpoint asks for rest, and then a call is served")
+def serve_beside(context):
+    output, context.log = tempfile.mkstemp()
+    context.ingress.log_output = output
+
+    async def script(world):
+        let_rest(world, world.endpoints[:1], REST_SECONDS)
+        await world.call("once", request="abc")
+        world.gateways[0][1]._log.flush()
+
+    context.ingress.run(script)
+
+
+@then("the log of that call names the endpoint as resting")
+def check_log(context):
+    lines = Path(context.log).read_bytes().splitlines()
+    events = [orjson.loads(line) for line in lines]
+    started = next(e for e in events if e["event"] == "attempt_started")
+    assert started["resting"] == ["i-0"], started
--- a/features/support/placements.py
+++ b/features/support/placements.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.hall_stalls import HallStalls
@@ -29,4 +30,5 @@
         stalls or HallStalls(),
         subsets,
         ColdStarts("self", subsets, CurrentConfiguration()),
+        AskedRests(),
     )
--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -25,14 +25,16 @@
 class AttemptOutcome(StrEnum):
     """What is known of one attempt.
 
-    Only `NOT_SENT`, `REJECTED` and `HELD` prove that the endpoint has not executed the
-    request and never will. `HELD`: it goes to no endpoint, since some have crashed
-    under it.
+    Only `NOT_SENT`, `REJECTED`, `HELD` and `RESTING` prove that the endpoint has not
+    executed the request and never will. `HELD`: it goes to no endpoint, since some have
+    crashed under it. `RESTING`: it was not sent, since its endpoint had asked for rest
+    meanwhile.
     """
 
     NOT_SENT = "not_sent"
     REJECTED = "rejected"
     HELD = "held"
+    RESTING = "resting"
     MAYBE_RUN = "maybe_run"
     ANSWERED = "answered"
     FAILED_ANSWER = "failed_answer"
@@ -46,7 +48,12 @@
 
 
 PROOFS_OF_NO_RUN = frozenset(
-    {AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED, AttemptOutcome.HELD}
+    {
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.REJECTED,
+        AttemptOutcome.HELD,
+        AttemptOutcome.RESTING,
+    }
 )
 
 
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -7,6 +7,7 @@
 from heapq import nsmallest
 from random import Random
 
+from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -49,13 +50,15 @@
 class Choice:
     """The cheapest endpoint, and why it was none of the others.
 
-    `others` are the next best, `ejected` the identities that were left out;
-    `view_age` is the age of the oldest report that the loads rest on, in seconds.
+    `others` are the next best, `ejected` the identities that were left out, `resting`
+    those that want nothing from this gateway now; `view_age` is the age of the oldest
+    report that the loads rest on, in seconds.
     """
 
     best: Candidate
     others: tuple[Candidate, ...]
     ejected: tuple[str, ...]
+    resting: tuple[str, ...]
     view_age: float
 
     @property
@@ -83,6 +86,7 @@
         stalls: HallStalls,
         subsets: EndpointSubsets,
         cold: ColdStarts,
+        rests: AskedRests,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._data_hall = data_hall
@@ -94,6 +98,7 @@
         self._stalls = stalls
         self._subsets = subsets
         self._cold = cold
+        self._rests = rests
         self._uses_subsets = Mechanism.SUBSETS not in disabled
         self._counts_stalls = Mechanism.STALL_COST not in disabled
         self._ejects = Mechanism.EJECTION not in disabled
@@ -134,17 +139,31 @@
         return self._cheapest(endpoints, now, excluded, cost, self._policy.sample)
 
     def sound_of(self, service: str, now: float) -> Iterator[Endpoint]:
-        """Yield the endpoints of a service that are not left out for failures."""
+        """Yield the endpoints of a service that are not left out now."""
         for endpoint in self._directory.of_service(service):
-            if self._is_sound(endpoint, now):
+            is_resting = self._rests.is_resting(endpoint.identity, now)
+            if self._is_sound(endpoint, now) and not is_resting:
                 yield endpoint
 
+    def rest_left(self, service: str, now: float) -> float | None:
+        """Return when the first endpoint of a service has rested, if all of them rest.
+
+        None means that one takes work, or that there is none at all.
+        """
+        return self._rests.seconds_left(self._directory.of_service(service), now)
+
     def _able(
         self, endpoints: Iterable[Endpoint], now: float, excluded: Collection[str]
     ) -> Iterator[Endpoint]:
-        """Yield the endpoints that may be chosen; cold ones bear only so much."""
+        """Yield the endpoints that may be chosen.
+
+        Cold ones bear only so much, and those that rest want nothing.
+        """
         for endpoint in endpoints:
-            if endpoint.identity not in excluded and self._cold.may_send(endpoint, now):
+            identity = endpoint.identity
+            if identity in excluded or self._rests.is_resting(identity, now):
+                continue
+            if self._cold.may_send(endpoint, now):
                 yield endpoint
 
     def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
@@ -169,7 +188,16 @@
         best, *others = ranked
         ejected = {e.identity for e in able} - {e.identity for e in sound}
         view_age = self._fleet_load.view_age(now)
-        return Choice(best, tuple(others), tuple(sorted(ejected)), view_age)
+        resting = [
+            e.identity for e in compared if self._rests.is_resting(e.identity, now)
+        ]
+        return Choice(
+            best,
+            tuple(others),
+            tuple(sorted(ejected)),
+            tuple(sorted(resting)),
+            view_age,
+        )
 
     def _candidate(self, endpoint: Endpoint, cost) -> Candidate:
         load = self._fleet_load.at(endpoint.identity)
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -20,7 +20,11 @@
     EndpointView,
 )
 
-NO_FAULT_OF_ENDPOINT = (AttemptOutcome.REJECTED, AttemptOutcome.HELD)
+NO_FAULT_OF_ENDPOINT = (
+    AttemptOutcome.REJECTED,
+    AttemptOutcome.HELD,
+    AttemptOutcome.RESTING,
+)
 COST_DIGITS = 3
 """Digits of costs in logs; ties are decided by less than that."""
 
@@ -53,6 +57,7 @@
             view_age=choice.view_age,
             others=tuple(map(_view, choice.others)),
             ejected=choice.ejected,
+            resting=choice.resting,
         )
     )
 
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -64,6 +64,7 @@
             )
         except NotConnectedError as error:
             raise AttemptFailedError(AttemptOutcome.NOT_SENT, error.message) from error
+        self._check_rest()
         self._begin_run()
         head = self._state.dialect.for_endpoint(
             exchange.request, len(exchange.body), self.endpoint, order
@@ -119,6 +120,14 @@
                 reusable=self._is_whole and not self._ends_here(),
             )
 
+    def _check_rest(self) -> None:
+        """Send nothing if the endpoint has asked for rest while this connected."""
+        now = trio.current_time()
+        if self._state.rests.is_resting(self.endpoint.identity, now):
+            raise AttemptFailedError(
+                AttemptOutcome.RESTING, "the endpoint has asked for rest"
+            )
+
     def _begin_run(self) -> None:
         """Note that the endpoint gets the request, unless it is held.
 
--- a/src/piershore/ingress/callers/final_refusal.py
+++ b/src/piershore/ingress/callers/final_refusal.py
@@ -5,12 +5,25 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 
+import trio
+
 from piershore.core.attempts.attempt_outcome import AttemptOutcome, final_status
+from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.exceptions import RequestRefusedError
+from piershore.ingress.gateway_state import GatewayState
+
+RESTED_SPREAD = (1.0, 1.25)
+"""Parts of the time until the first endpoint has rested after which callers come back:
+not all of them at its end."""
 
 
 def final_refusal(
-    outcomes: Sequence[AttemptOutcome], come_back: float, *, timed_out: bool
+    state: GatewayState,
+    exchange: Exchange,
+    outcomes: Sequence[AttemptOutcome],
+    come_back: float,
+    *,
+    timed_out: bool,
 ) -> RequestRefusedError:
     """Return what the caller is told.
 
@@ -19,9 +32,29 @@
     """
     status = final_status(tuple(outcomes))
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
-        code = "endpoints_refused" if outcomes else "no_endpoint"
-        return RequestRefusedError(
-            status, code, "no endpoint took the request", come_back
-        )
+        return _unrun(state, exchange, outcomes, come_back)
     code = "timed_out" if timed_out else "endpoint_failed"
     return RequestRefusedError(status, code, "the request may have run")
+
+
+def _unrun(
+    state: GatewayState,
+    exchange: Exchange,
+    outcomes: Sequence[AttemptOutcome],
+    come_back: float,
+) -> RequestRefusedError:
+    """Return the refusal of a request that has not run, with when to come back."""
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    service = exchange.route.service_for(exchange.identity) or ""
+    rest_left = state.placement.rest_left(service, trio.current_time())
+    if rest_left is not None:
+        seconds = rest_left * state.random.uniform(*RESTED_SPREAD)
+        return RequestRefusedError(
+            status,
+            "endpoints_resting",
+            "all endpoints have asked for rest",
+            max(come_back, seconds),
+        )
+    code = "endpoints_refused" if outcomes else "no_endpoint"
+    message = "no endpoint took the request"
+    return RequestRefusedError(status, code, message, come_back)
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -16,6 +16,7 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import PlainWork
 from piershore.core.fleet.placement import Choice
+from piershore.core.fleet.room_wait import waiting_seconds
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.route import RequestKind
 from piershore.http1.message import Headers
@@ -123,6 +124,8 @@
             choice = self._state.placement.for_call(service, now, self._tried)
             if choice is None and self._tried and self._runs == 0:
                 choice = self._state.placement.for_call(service, now)
+            if choice is None and await self._wait_rested(service):
+                continue
             if choice is None:
                 return self._failed_answer
             answer = await self._attempt(choice)
@@ -132,12 +135,29 @@
             if not self._may_go_on(service):
                 return self._failed_answer
 
+    async def _wait_rested(self, service: str) -> bool:
+        """Wait if all endpoints rest and the first has rested in a moment."""
+        now = trio.current_time()
+        left = self._state.placement.rest_left(service, now)
+        exchange = self._exchange
+        until = exchange.arrived + waiting_seconds(exchange.route.target_latency)
+        if left is None or now + left > until:
+            return False
+        await trio.sleep(left)
+        return True
+
     def refusal(self, *, timed_out: bool) -> RequestRefusedError:
         """Return the final answer when no endpoint gave one."""
         outcomes = list(self.outcomes)
         if self._runs > sum(not outcome.proves_not_run for outcome in outcomes):
             outcomes.append(AttemptOutcome.TIMED_OUT)
-        return final_refusal(outcomes, COME_BACK_SECONDS, timed_out=timed_out)
+        return final_refusal(
+            self._state,
+            self._exchange,
+            outcomes,
+            COME_BACK_SECONDS,
+            timed_out=timed_out,
+        )
 
     def _may_go_on(self, service: str) -> bool:
         outcome = self.outcomes[-1]
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -321,6 +321,8 @@
             await trio.sleep(SWEEP_SECONDS)
             await self._state.pool.close_idle()
             ingress_metrics.IN_FLIGHT.set(self._state.in_flight)
+            self._state.rests.forget_ended(trio.current_time())
+            ingress_metrics.RESTING.set(len(self._state.rests))
             for service, left in self._state.retries_left():
                 ingress_metrics.RETRIES_LEFT.labels(service).set(left)
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -10,6 +10,7 @@
 
 from piershore.core.attempts.leaving import AT_ONCE_SECONDS
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
+from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -73,6 +74,7 @@
     configuration: CurrentConfiguration = field(default_factory=CurrentConfiguration)
     directory: EndpointDirectory = field(default_factory=EndpointDirectory)
     health: EndpointHealth = field(default_factory=EndpointHealth)
+    rests: AskedRests = field(default_factory=AskedRests)
     paces: EndpointPaces = field(default_factory=EndpointPaces)
     failures: SharedFailures = field(default_factory=SharedFailures)
     stalls: HallStalls = field(default_factory=HallStalls)
@@ -97,7 +99,7 @@
         self.crash_watch = CrashWatch(
             self.runs, self.quarantine, self.directory, self.pool, self.log
         )
-        heard = HeardNotices(self.directory)
+        heard = HeardNotices(self.directory, self.rests)
         self.notices = EndpointNotices(heard, self.dialect, self.log)
         self.pool.listen(self.notices.take)
         self.cold = ColdStarts(self.host, self.subsets, self.configuration)
@@ -111,6 +113,7 @@
             self.stalls,
             self.subsets,
             self.cold,
+            self.rests,
             self.policies.disabled,
         )
 
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -72,7 +72,10 @@
             self._check_may_go_on(service)
 
     async def _choose_with_room(self, service: str, tried: list[str]) -> Choice | None:
-        """Return a choice with memory; the last one if none has in time."""
+        """Return a choice with memory; the last one if none has in time.
+
+        None means that there is no endpoint, or that all of them rest for longer.
+        """
         wait = RoomWait(self._state.random)
         until = self._exchange.arrived
         if self._state.uses(Mechanism.WAITING):
@@ -80,19 +83,29 @@
         while True:
             choice = self._memory.choose(service, tried, trio.current_time())
             if choice is None:
-                return None
-            pause = wait.next_pause(has_room=self._memory.fits(choice))
+                pause = self._rest_left(service)
+            else:
+                pause = wait.next_pause(has_room=self._memory.fits(choice))
             if pause is None or trio.current_time() + pause > until:
                 return choice
             await trio.sleep(pause)
 
+    def _rest_left(self, service: str) -> float | None:
+        return self._state.placement.rest_left(service, trio.current_time())
+
     def refusal(self, *, timed_out: bool = False) -> RequestRefusedError:
         """Return the final answer when no endpoint gave one."""
         outcomes = list(self._outcomes)
         last = self._last_attempt
         if timed_out and last is not None and last.may_have_run:
             outcomes.append(AttemptOutcome.TIMED_OUT)
-        return final_refusal(outcomes, COME_BACK_SECONDS, timed_out=timed_out)
+        return final_refusal(
+            self._state,
+            self._exchange,
+            outcomes,
+            COME_BACK_SECONDS,
+            timed_out=timed_out,
+        )
 
     def _crowded(self, choice: Choice) -> RequestRefusedError:
         """Return the refusal when not even the best engine has memory left.
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -169,9 +169,10 @@
     """An endpoint was chosen; costs compare it with what else there was.
 
     `content` is the same for each request of an `account` with the same target and
-    body. `others` are the next best ones, `ejected` those that were left out;
-    `view_age` is the age of the oldest report of a peer that the loads rest on. A
-    generation's output is expected to be `expected_tokens` long.
+    body. `others` are the next best ones, `ejected` those that were left out, `resting`
+    those that want nothing now; `view_age` is the age of the oldest report of a peer
+    that the loads rest on. A generation's output is expected to be `expected_tokens`
+    long.
     """
 
     request: str
@@ -191,6 +192,7 @@
     view_age: float = 0.0
     others: tuple[EndpointView, ...] = ()
     ejected: tuple[str, ...] = ()
+    resting: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -84,6 +84,11 @@
     ["stage"],
     registry=REGISTRY,
 )
+RESTING = Gauge(
+    "piershore_ingress_resting_endpoints",
+    "Endpoints that have asked this gateway for rest.",
+    registry=REGISTRY,
+)
 NOTICES = Counter(
     "piershore_ingress_notices_total",
     "Answers in which endpoints said that they leave, or asked for rest.",
