Red: agents of the product's own interface send into the rest that is asked of them

An engine's refusal with a time to rest is taken for a lost engine: the caller is told engine_lost with an unknown outcome, two of these hold the request as if it crashed engines, and each generation sends two requests into the rest. Calls are sent on likewise.

--- a/features/asked_rest.feature
+++ b/features/asked_rest.feature
@@ -91,3 +91,19 @@
     Given 1 gateway before sound endpoints
     When an endpoint asks for rest, and then a call is served
     Then the log of that call names the endpoint as resting
+
+  # An agent took its engine's refusal for a lost engine: it asked again for a generation
+  # that had never begun, and the caller was told "engine_lost" with an unknown outcome. Two
+  # of these hold a request, as if engines had crashed under it. What came next was sent
+  # into the rest: 2 of 2 requests of each generation, 1 of 1 of each call.
+  Scenario: an engine asks an agent of the product's own interface for it
+    When an engine asks its agent for 1 s of rest under a generation, and more are sent
+    Then they are refused as unrun with endpoint_resting and what is left of the rest
+    And 1 request reached the engine
+    And a generation that is sent after the rest runs
+
+  Scenario: a plain service asks its agent for it
+    When a plain service asks its agent for 1 s of rest under a call, and more are sent
+    Then they are refused as unrun with endpoint_resting and what is left of the rest
+    And 1 request reached the service
+    And a call that is sent after the rest runs
--- /dev/null
+++ b/features/steps/own_rest_steps.py
@@ -0,0 +1,171 @@
+"""Steps for rests that are asked for behind the product's own interface."""
+
+from __future__ import annotations
+
+from argparse import Namespace
+
+import trio
+from behave import then, when
+
+from devtools.ports import free_port
+from piershore.agent.call_runner import CallRunner
+from piershore.agent.endpoint_work import WorkContext
+from piershore.agent.generation_runner import GenerationRunner
+from piershore.core.admission.engine_queue import EngineQueue
+from piershore.core.configuration.config_view import ConfigView
+from piershore.core.configuration.objects import AdmissionSettings
+from piershore.core.outcome import Outcome
+from piershore.core.ownership.interval import Owner
+from piershore.endpoints.http_engine_client import HttpEngineClient
+from piershore.endpoints.http_service_client import HttpServiceClient
+from piershore.settings.process_settings import AgentSettings
+from piershore.wire.link_pb2 import Call, Submit
+from standins.engine import EngineStandin
+from standins.engine_model import EngineSettings
+from standins.service import ServiceStandin
+from standins.serving import serve_app
+
+LINK = 1
+REST_SECONDS = 1.0
+SHED_SECONDS = 0.8
+SENT_DURING_REST = 4
+LONGEST_SECONDS = 30.0
+SERVICE = "model"
+
+
+class OwnAgent:
+    """The work of one agent before a stand-in; `frames` is what its gateway got."""
+
+    def __init__(self, standin):
+        self.standin = standin
+        self.port = free_port()
+        self.frames = []
+
+    @property
+    def settings(self):
+        url = f"http://127.0.0.1:{self.port}"
+        return AgentSettings("hall", SERVICE, "h:1", "http://p", url)
+
+    def send(self, link, frame):
+        self.frames.append(frame)
+
+    def of(self, request):
+        """Return the kinds of frames that a request has got, and the last of them."""
+        bodies = [(f.WhichOneof("body"), f) for f in self.frames]
+        own = [(b, getattr(f, b)) for b, f in bodies if b != "tokens"]
+        own = [(b, m) for b, m in own if m.request == request]
+        kinds = [body for body, _ in own]
+        return kinds, own[-1][1] if own else None
+
+    async def wait_for(self, request, *kinds):
+        while not set(kinds) & set(self.of(request)[0]):
+            await trio.sleep(0.01)
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        arguments = Namespace(listen=f"127.0.0.1:{self.port}")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_app, self.standin.app(), arguments)
+            while True:
+                try:
+                    await (await trio.open_tcp_stream("127.0.0.1", self.port)).aclose()
+                    break
+                except OSError:
+                    await trio.sleep(0.01)
+            task_status.started()
+
+
+def play(context, agent, script):
+    async def run():
+        with trio.fail_after(LONGEST_SECONDS):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(agent.serve)
+                await script(agent, nursery)
+                nursery.cancel_scope.cancel()
+
+    context.agent = agent
+    trio.run(run)
+
+
+async def send_around_rest(context, agent, send, served):
+    """Send requests during a rest that the first one is told of, and one after it."""
+    agent.standin._rest.shed(SHED_SECONDS, REST_SECONDS)
+    send(1)
+    await agent.wait_for(1, "refused", "ended", "answered")
+    context.told_at = trio.current_time()
+    for number in range(2, 2 + SENT_DURING_REST):
+        send(number)
+        await agent.wait_for(number, "refused", "ended", "answered")
+    context.rest_ended_in = REST_SECONDS - (trio.current_time() - context.told_at)
+    context.requests = agent.standin.requests
+    await trio.sleep(REST_SECONDS)
+    send(99)
+    await agent.wait_for(99, *served, "refused")
+    context.last = agent.of(99)[0]
+    context.served = served
+
+
+@when("an engine asks its agent for 1 s of rest under a generation, and more are sent")
+def rest_engine(context):
+    async def script(agent, nursery):
+        engine = HttpEngineClient(f"http://127.0.0.1:{agent.port}", 5.0)
+        queue = EngineQueue(AdmissionSettings())
+        runner = GenerationRunner(agent.settings, engine, queue, agent.send)
+        nursery.start_soon(agent.standin.run)
+        nursery.start_soon(runner.run)
+
+        def send(number):
+            submit = Submit(request=number, prompt="length=3", max_tokens=3)
+            runner.submit(LINK, submit)
+
+        await send_around_rest(context, agent, send, ("ended",))
+
+    play(context, OwnAgent(EngineStandin(EngineSettings(), 1.0)), script)
+
+
+@when("a plain service asks its agent for 1 s of rest under a call, and more are sent")
+def rest_service(context):
+    async def script(agent, nursery):
+        work = WorkContext(
+            owner=Owner("desk-1", "a"),
+            settings=agent.settings,
+            service=None,
+            store=None,
+            config=ConfigView(),
+            send=agent.send,
+            changed=lambda: None,
+        )
+        client = HttpServiceClient(f"http://127.0.0.1:{agent.port}")
+        runner = CallRunner(work, client)
+        runner._nursery = nursery
+
+        def send(number):
+            runner.call(LINK, Call(request=number, kind="look", body=b"{}"))
+
+        await send_around_rest(context, agent, send, ("answered",))
+
+    play(context, OwnAgent(ServiceStandin()), script)
+
+
+@then("they are refused as unrun with {code} and what is left of the rest")
+def check_refused(context, code):
+    for number in range(2, 2 + SENT_DURING_REST):
+        kinds, refused = context.agent.of(number)
+        assert kinds == ["refused"], (number, kinds)
+        assert refused.reason == code, refused
+        assert refused.outcome == Outcome.NOT_RUN, refused
+        assert 0 < refused.retry_after_seconds <= REST_SECONDS, refused
+    kinds, first = context.agent.of(1)
+    if kinds[-1] == "refused":
+        assert first.reason == code
+        assert first.outcome == Outcome.NOT_RUN
+
+
+@then("{count:d} request reached the {endpoint}")
+def check_reached(context, count, endpoint):
+    assert context.requests == count, context.requests
+
+
+@then("a {request} that is sent after the rest runs")
+def check_after(context, request):
+    assert set(context.served) & set(context.last), context.last
+    assert "refused" not in context.last
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,7 +17,7 @@
 from quart_trio import QuartTrio
 
 from standins.engine_model import EngineModel, EngineSettings
-from standins.serving import parser, serve_app
+from standins.serving import parser, serve_app, Shedding
 
 CHARACTERS_PER_TOKEN = 4
 IDLE_SECONDS = 0.005
@@ -57,6 +57,8 @@
         self._paused = False
         self._load: dict = self._load_now()
         self._told_events = 0
+        self._rest = Shedding()
+        self.requests = 0
 
     def app(self) -> QuartTrio:
         """Return the HTTP application."""
@@ -67,6 +69,7 @@
         app.get("/v1/load")(self.load)
         app.get("/v1/cache-events")(self.cache_events)
         app.post("/_pause")(self.pause)
+        app.post("/_rest")(self.set_rest)
         app.get("/_generations")(self.generations)
         return app
 
@@ -89,6 +92,9 @@
 
     async def generate(self) -> Response:
         """Start a generation and stream it."""
+        self.requests += 1
+        if (refusal := self._rest.refusal()) is not None:
+            return refusal
         body = orjson.loads(await request.get_data())
         identity = body["id"]
         prompt = body["prompt"]
@@ -101,6 +107,7 @@
 
     async def resume(self, identity: str) -> Response:
         """Stream a generation again from an index on."""
+        self.requests += 1
         if identity not in self._logs:
             return Response("", status=404)
         return self._stream(identity, int(request.args["from"]))
@@ -132,6 +139,10 @@
         self._paused = orjson.loads(await request.get_data())["paused"]
         return Response("")
 
+    async def set_rest(self) -> Response:
+        """Turn generations away for `seconds`, and ask for `rest` seconds with it."""
+        return await self._rest.set()
+
     async def generations(self) -> Response:
         """Return how many generations were started."""
         data = {"started": len(self._logs), "running": len(self._model.running)}
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 from quart import request, Response
 from quart_trio import QuartTrio
 
-from standins.serving import parser, serve_app
+from standins.serving import parser, serve_app, Shedding
 
 
 class ServiceStandin:
@@ -19,6 +19,8 @@
         self._executions: Counter[str] = Counter()
         self._tags: Counter[str] = Counter()
         self._delay = 0.0
+        self._rest = Shedding()
+        self.requests = 0
 
     def app(self) -> QuartTrio:
         """Return the HTTP application."""
@@ -26,10 +28,14 @@
         app.post("/call/<kind>")(self.call)
         app.get("/_executions")(self.executions)
         app.post("/_delay")(self.set_delay)
+        app.post("/_rest")(self.set_rest)
         return app
 
     async def call(self, kind: str) -> Response:
         """Execute a call: it counts before it answers."""
+        self.requests += 1
+        if (refusal := self._rest.refusal()) is not None:
+            return refusal
         arguments = orjson.loads(await request.get_data())
         key = request.headers.get("Idempotency-Key", "")
         self._executions[key] += 1
@@ -43,6 +49,10 @@
         data = {"keys": self._executions, "tags": self._tags}
         return Response(orjson.dumps(data), content_type="application/json")
 
+    async def set_rest(self) -> Response:
+        """Turn calls away for `seconds`, and ask for `rest` seconds with it."""
+        return await self._rest.set()
+
     async def set_delay(self) -> Response:
         """Set how long a call takes."""
         self._delay = orjson.loads(await request.get_data())["seconds"]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,11 +4,38 @@
 
 from argparse import ArgumentParser, Namespace
 
+import orjson
+import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
+from quart import request, Response
 from quart_trio import QuartTrio
 
 
+class Shedding:
+    """Turns requests away for a while, and asks for rest with each refusal."""
+
+    def __init__(self) -> None:
+        self._until = 0.0
+        self._rest = 0.0
+
+    def shed(self, seconds: float, rest: float) -> None:
+        """Turn requests away for `seconds`, and ask for `rest` seconds each time."""
+        self._until = trio.current_time() + seconds
+        self._rest = rest
+
+    def refusal(self) -> Response | None:
+        """Return the refusal of a request that comes now, if it is turned away."""
+        if trio.current_time() >= self._until:
+            return None
+        return Response("", status=503, headers={"Retry-After": f"{self._rest:g}"})
+
+    async def set(self) -> Response:
+        """Take what the present request sets."""
+        self.shed(**orjson.loads(await request.get_data()))
+        return Response("")
+
+
 def parser(description: str) -> ArgumentParser:
     """Return a parser with the options of every stand-in."""
     options = ArgumentParser(description=description)
