Agents of the product's own interface keep the rest that their endpoint asks for

What callers saw: while an engine asked for rest, generations ended with engine_lost and an unknown outcome; two such refusals held a request for 30 s as if it had crashed engines.

The engine's client took each status from 400 on for a lost engine, and the agent asked again for a generation that had never begun. A gateway that is refused by an agent keeps choosing it, since it seems idle.

Change: the agent refuses what comes within a rest at once, unrun, with what is left of it (endpoint_resting), and gives back what its engine has turned away and what waits in its queue. The gateway leaves such an agent out for that time. One reader of Retry-After, and one of agents' refusals, where there were two.

--- a/features/asked_rest.feature
+++ b/features/asked_rest.feature
@@ -107,3 +107,7 @@
     Then they are refused as unrun with endpoint_resting and what is left of the rest
     And 1 request reached the service
     And a call that is sent after the rest runs
+
+  Scenario: an agent tells its gateway of a rest
+    When an agent refuses a request with endpoint_resting and 0.5 s
+    Then its gateway chooses others, and it again after that time
--- a/features/steps/own_rest_steps.py
+++ b/features/steps/own_rest_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from argparse import Namespace
+from functools import partial
+from random import Random
 
 import trio
 from behave import then, when
@@ -16,10 +18,15 @@
 from piershore.core.configuration.objects import AdmissionSettings
 from piershore.core.outcome import Outcome
 from piershore.core.ownership.interval import Owner
+from piershore.core.refusal_reason import RefusalReason
+from piershore.core.routing.endpoint_choice import LeastWorkOfTwo
+from piershore.core.routing.endpoint_state import EndpointState
 from piershore.endpoints.http_engine_client import HttpEngineClient
 from piershore.endpoints.http_service_client import HttpServiceClient
+from piershore.gateway.agent_links import AgentLinks
+from piershore.gateway.refusals import read_refusal
 from piershore.settings.process_settings import AgentSettings
-from piershore.wire.link_pb2 import Call, Submit
+from piershore.wire.link_pb2 import Call, Refused, Submit
 from standins.engine import EngineStandin
 from standins.engine_model import EngineSettings
 from standins.service import ServiceStandin
@@ -169,3 +176,43 @@
 def check_after(context, request):
     assert set(context.served) & set(context.last), context.last
     assert "refused" not in context.last
+
+
+class _Link:
+    def __init__(self, name):
+        self.state = EndpointState(name, SERVICE, "hall", is_open=True)
+
+
+@when("an agent refuses a request with endpoint_resting and {rest:g} s")
+def refuse_resting(context, rest):
+    async def run():
+        links = AgentLinks("g", "hall", "least_work_of_two", 8, ConfigView())
+        links._is_staying = lambda state: True
+        links._choice = LeastWorkOfTwo("hall", Random(1))
+        links._links = {name: _Link(name) for name in ("a", "b")}
+        refused = Refused(
+            request=1,
+            reason=RefusalReason.ENDPOINT_RESTING,
+            outcome=Outcome.NOT_RUN,
+            retry_after_seconds=rest,
+        )
+        read_refusal(links._links["a"], refused)
+        choose = partial(links.choose, SERVICE, "", ())
+        context.during = {choose().state.name for _ in range(20)}
+        context.left = [links.rest_left(SERVICE)]
+        read_refusal(links._links["b"], refused)
+        context.nobody = choose()
+        context.left.append(links.rest_left(SERVICE))
+        await trio.sleep(rest)
+        context.after = {choose().state.name for _ in range(20)}
+
+    trio.run(run)
+
+
+@then("its gateway chooses others, and it again after that time")
+def check_chosen(context):
+    assert context.during == {"b"}
+    assert context.nobody is None
+    assert context.left[0] is None
+    assert 0 < context.left[1] <= REST_SECONDS
+    assert context.after == {"a", "b"}
--- a/src/piershore/agent/call_runner.py
+++ b/src/piershore/agent/call_runner.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from piershore.agent.endpoint_rest import EndpointRest
 from piershore.agent.endpoint_work import (
     endpoint_work,
     EndpointWork,
@@ -77,6 +78,7 @@
         )
         self._waiters: dict[str, list[Waiter]] = defaultdict(list)
         self._running = 0
+        self._rest = EndpointRest()
         self._leaving = False
         self._nursery: trio.Nursery | None = None
 
@@ -142,6 +144,8 @@
             self._refuse(waiter, RefusalReason.LEAVING, Outcome.NOT_RUN)
         elif self._running >= MOST_RUNNING:
             self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
+        elif self._rest.seconds_left:
+            self._refuse_resting(waiter)
         else:
             self._spawn(self._run_repeatable, waiter, call)
 
@@ -171,6 +175,9 @@
             case RunKey() if self._running >= MOST_RUNNING:
                 self._owner.unclaim(key)
                 self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
+            case RunKey() if self._rest.seconds_left:
+                self._owner.unclaim(key)
+                self._refuse_resting(waiter)
             case RunKey():
                 self._waiters[key.text].append(waiter)
                 self._spawn(self._run_claimed, key, call)
@@ -193,7 +200,7 @@
 
     async def _run_repeatable(self, waiter: Waiter, call: Call) -> None:
         try:
-            answer = await self._client.call(call.key, call.kind, call.body)
+            answer = await self._call_service(call.key, call)
         except CallNotSentError:
             reason = RefusalReason.ENDPOINT_UNREACHABLE
             self._refuse(waiter, reason, Outcome.NOT_RUN)
@@ -204,7 +211,7 @@
 
     async def _run_claimed(self, key: MintedKey, call: Call) -> None:
         try:
-            answer = await self._client.call(key.text, call.kind, call.body)
+            answer = await self._call_service(key.text, call)
         except CallNotSentError:
             self._owner.unclaim(key)
             reason = RefusalReason.ENDPOINT_UNREACHABLE
@@ -219,6 +226,12 @@
             for waiter in self._waiters.pop(key.text):
                 self._answer(waiter, answer)
 
+    async def _call_service(self, key: str, call: Call) -> Answer:
+        answer = await self._client.call(key, call.kind, call.body)
+        if answer.rest_seconds is not None:
+            self._rest.note(answer.rest_seconds)
+        return answer
+
     def _answer(self, waiter: Waiter, answer: Answer) -> None:
         metrics.ANSWERS.labels(type="plain").inc()
         answered = Answered(
@@ -226,7 +239,27 @@
         )
         self._send(waiter.link, AgentFrame(answered=answered))
 
-    def _refuse(self, waiter: Waiter, reason: RefusalReason, outcome: Outcome) -> None:
+    def _refuse_resting(self, waiter: Waiter) -> None:
+        """Refuse a call unrun: the service would turn it away and ask for more."""
+        self._refuse(
+            waiter,
+            RefusalReason.ENDPOINT_RESTING,
+            Outcome.NOT_RUN,
+            self._rest.seconds_left,
+        )
+
+    def _refuse(
+        self,
+        waiter: Waiter,
+        reason: RefusalReason,
+        outcome: Outcome,
+        retry_after: float = 0.0,
+    ) -> None:
         metrics.REFUSALS.labels(reason=reason, outcome=outcome).inc()
-        refused = Refused(request=waiter.request, reason=reason, outcome=outcome)
+        refused = Refused(
+            request=waiter.request,
+            reason=reason,
+            outcome=outcome,
+            retry_after_seconds=retry_after,
+        )
         self._send(waiter.link, AgentFrame(refused=refused))
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from piershore.agent.endpoint_rest import EndpointRest
 from piershore.agent.endpoint_work import (
     endpoint_work,
     EndpointWork,
@@ -28,6 +29,7 @@
 from piershore.core.streams.stall_detector import StallDetector
 from piershore.endpoints.exceptions import (
     EngineLostError,
+    EngineRestingError,
     EngineUnknownGenerationError,
 )
 from piershore.endpoints.http_engine_client import HttpEngineClient
@@ -78,6 +80,7 @@
         self._stalls = StallDetector()
         self._pace_probe: str | None = None
         self._new_tokens = 0
+        self._rest = EndpointRest()
         self._leaving = False
 
     @classmethod
@@ -141,6 +144,9 @@
         if self._leaving:
             self._refuse(link, submit.request, RefusalReason.LEAVING)
             return
+        if self._rest.seconds_left:
+            self._refuse_resting(link, submit.request)
+            return
         now = trio.current_time()
         identity = token_hex(IDENTITY_BYTES)
         generation = Generation(
@@ -222,6 +228,8 @@
             with trio.move_on_after(POLL_PERIOD_SECONDS):
                 await self._wake_poll.wait()
             self._wake_poll = trio.Event()
+            if self._rest.seconds_left:
+                self._refuse_waiting()
             for action in self._queue.poll(trio.current_time()):
                 if isinstance(action, Refuse):
                     self._refuse_queued(action)
@@ -230,11 +238,8 @@
                     nursery.start_soon(self._generate, action.candidate)
 
     def _refuse_queued(self, action: Refuse) -> None:
-        generation = self._generations.pop(action.candidate.identity)
-        self._prompts.pop(generation.identity, None)
-        reader = generation.reader
+        reader = self._drop_unrun(action.candidate.identity)
         if reader is not None:
-            self._names.pop((reader.link, reader.request), None)
             self._refuse(
                 reader.link,
                 reader.request,
@@ -242,6 +247,39 @@
                 retry_after=action.retry_after,
             )
 
+    def _drop_unrun(self, identity: str) -> Reader | None:
+        """Drop a generation that has not run; return who still waits for it."""
+        generation = self._generations.pop(identity)
+        self._prompts.pop(identity, None)
+        reader = generation.reader
+        if reader is not None:
+            self._names.pop((reader.link, reader.request), None)
+        return reader
+
+    def _refuse_waiting(self) -> None:
+        """Refuse what waits in the queue: another engine may have room for it."""
+        for candidate in self._queue.waiting():
+            self._queue.withdraw(candidate.identity)
+            self._refuse_rested(candidate.identity)
+
+    def _refuse_rested(self, identity: str) -> None:
+        reader = self._drop_unrun(identity)
+        if reader is not None:
+            self._refuse_resting(reader.link, reader.request)
+
+    def _refuse_resting(self, link: int, request: int) -> None:
+        """Refuse a request unrun for as long as the engine asks for rest.
+
+        Taken for a lost engine, two such refusals held a request at its gateway as if
+        it had crashed engines.
+        """
+        self._refuse(
+            link,
+            request,
+            RefusalReason.ENDPOINT_RESTING,
+            retry_after=self._rest.seconds_left,
+        )
+
     def _accept(self, candidate: Candidate) -> None:
         reader = self._generations[candidate.identity].reader
         if reader is not None:
@@ -257,7 +295,12 @@
         ending = Ending(RefusalReason.CANCELLED)
         with trio.CancelScope() as scope:
             self._scopes[identity] = scope
-            ending = Ending(await self._read(generation, request))
+            try:
+                ending = Ending(await self._read(generation, request))
+            except EngineRestingError as error:
+                self._rest.note(error.seconds)
+                self._give_back(identity)
+                return
         self._scopes.pop(identity, None)
         generation.end(ending)
         self._ended_at[identity] = trio.current_time()
@@ -268,6 +311,13 @@
             with trio.CancelScope(shield=True), suppress(EngineLostError):
                 await self._engine.cancel(identity)
 
+    def _give_back(self, identity: str) -> None:
+        """Refuse a generation that the engine has turned away before it began."""
+        self._scopes.pop(identity, None)
+        self._queue.finish(identity, whole=False)
+        self._refuse_rested(identity)
+        self._wake_poll.set()
+
     async def _read(
         self, generation: Generation, request: GenerationRequest
     ) -> RefusalReason | None:
--- a/src/piershore/core/ownership/claim.py
+++ b/src/piershore/core/ownership/claim.py
@@ -19,10 +19,14 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """The kept answer of a plain call: HTTP status and body."""
+    """The kept answer of a plain call: HTTP status and body.
+
+    `rest_seconds` is how long the service wants no calls, if its answer said so.
+    """
 
     status: int
     body: bytes
+    rest_seconds: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/piershore/core/ports.py
+++ b/src/piershore/core/ports.py
@@ -122,7 +122,10 @@
 
     @abstractmethod
     def generate(self, request: GenerationRequest) -> AsyncIterator[EngineTokens]:
-        """Start a generation and stream its tokens; end when it is whole."""
+        """Start a generation and stream its tokens; end when it is whole.
+
+        Raise `EngineRestingError` if the engine has turned it away and asks for rest.
+        """
 
     @abstractmethod
     def resume(self, identity: str, index: int) -> AsyncIterator[EngineTokens]:
--- a/src/piershore/core/refusal_reason.py
+++ b/src/piershore/core/refusal_reason.py
@@ -39,6 +39,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_RESTING = "endpoint_resting"
     ENGINE_LOST = "engine_lost"
     QUARANTINED = "quarantined"
     AGENT_LOST = "agent_lost"
@@ -60,6 +61,7 @@
         RefusalReason.LEAVING,
         RefusalReason.NO_OWNER,
         RefusalReason.ENDPOINT_UNREACHABLE,
+        RefusalReason.ENDPOINT_RESTING,
         RefusalReason.ENGINE_LOST,
         RefusalReason.AGENT_LOST,
     }
--- a/src/piershore/endpoints/exceptions.py
+++ b/src/piershore/endpoints/exceptions.py
@@ -17,6 +17,16 @@
     code = "engine_stalled"
 
 
+class EngineRestingError(PiershoreError):
+    """The engine has turned a generation away, and wants none for `seconds`."""
+
+    code = "engine_resting"
+
+    def __init__(self, message: str, seconds: float) -> None:
+        super().__init__(message)
+        self.seconds = seconds
+
+
 class EngineUnknownGenerationError(PiershoreError):
     """The engine doesn't know the generation (any more)."""
 
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -17,14 +17,23 @@
 )
 from piershore.endpoints.exceptions import (
     EngineLostError,
+    EngineRestingError,
     EngineStalledError,
     EngineUnknownGenerationError,
 )
+from piershore.http1.retry_after import longest_rest, RETRY_AFTER
 
 CALL_TIMEOUT_SECONDS = 2.0
 MAX_CONNECTIONS = 4_096
 
 
+def _rest_asked(response: httpx.Response) -> float | None:
+    """Return how long the engine wants nothing, if it says so."""
+    if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+        return None
+    return longest_rest(response.headers.get_list(RETRY_AFTER))
+
+
 class HttpEngineClient(EngineClient):
     """Streams generations from one engine; `stall_timeout` is in seconds."""
 
@@ -101,6 +110,9 @@
             ) as response:
                 if response.status_code == httpx.codes.NOT_FOUND:
                     raise EngineUnknownGenerationError("the engine lost it")
+                rest = _rest_asked(response)
+                if rest is not None and method == "POST":
+                    raise EngineRestingError("the engine asks for rest", rest)
                 if response.is_error:
                     raise EngineLostError(f"the engine said {response.status_code}")
                 opened = True
--- a/src/piershore/endpoints/http_service_client.py
+++ b/src/piershore/endpoints/http_service_client.py
@@ -7,6 +7,7 @@
 from piershore.core.ownership.claim import Answer
 from piershore.core.ports import ServiceClient
 from piershore.endpoints.exceptions import CallNotSentError, CallUncertainError
+from piershore.http1.retry_after import longest_rest, RETRY_AFTER
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 ANSWER_TIMEOUT_SECONDS = 30.0
@@ -38,4 +39,7 @@
             raise CallNotSentError("the service can't be reached") from error
         except httpx.HTTPError as error:
             raise CallUncertainError("the service's answer was lost") from error
-        return Answer(response.status_code, response.content)
+        rest = None
+        if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+            rest = longest_rest(response.headers.get_list(RETRY_AFTER))
+        return Answer(response.status_code, response.content, rest)
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -102,7 +102,7 @@
     def intervals(self, service: str) -> Iterator[HeldInterval]:
         """Yield the mint times that reachable agents of a service may run."""
         for link in self.of_service(service):
-            if link.state.takes_work and self._is_staying(link.state):
+            if self._is_able(link.state):
                 yield from link.intervals
 
     def all_intervals(self, service: str) -> Iterator[HeldInterval]:
@@ -118,14 +118,26 @@
         states = [
             link.state
             for link in self.of_service(service)
-            if link.state.takes_work
-            and self._is_staying(link.state)
-            and link.state.name not in excluded
+            if self._is_able(link.state) and link.state.name not in excluded
         ]
         if not states:
             return None
         return self._links[self._choice.choose(states, prompt).name]
 
+    def rest_left(self, service: str) -> float | None:
+        """Return when the first endpoint has rested, if all that stay rest."""
+        now = trio.current_time()
+        ends = [
+            link.state.rests_until
+            for link in self.of_service(service)
+            if link.state.takes_work and self._is_staying(link.state)
+        ]
+        return min(ends) - now if ends and min(ends) > now else None
+
+    def _is_able(self, state: EndpointState) -> bool:
+        is_resting = state.is_resting(trio.current_time())
+        return state.takes_work and not is_resting and self._is_staying(state)
+
     def _is_staying(self, state: EndpointState) -> bool:
         status = self._config.get(ObjectKind.ENDPOINT, state.name)
         is_drained = status is None or status.drain
--- a/src/piershore/gateway/call_service.py
+++ b/src/piershore/gateway/call_service.py
@@ -16,8 +16,9 @@
 from piershore.gateway.agent_link import AgentLink, LinkRequest
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
+from piershore.gateway.refusals import read_refusal, RETRY_AFTER_SECONDS
 from piershore.gateway.retries import Retries
-from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
+from piershore.gateway.tries import Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import Answered, Call, Refused
 
@@ -73,7 +74,7 @@
             raise RequestRefusedError(
                 RefusalReason.NO_OWNER,
                 f"no endpoint of {service} can take a non-repeatable call now",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=self._links.rest_left(service) or RETRY_AFTER_SECONDS,
             )
         return key
 
@@ -193,13 +194,7 @@
             case Answered():
                 return Answer(frame.status, frame.body)
             case Refused():
-                raise RequestRefusedError(
-                    RefusalReason(frame.reason),
-                    f"{link.state.name} refused: {frame.reason}",
-                    Outcome(frame.outcome),
-                    retry_after=frame.retry_after_seconds or RETRY_AFTER_SECONDS,
-                    from_owner=True,
-                )
+                raise read_refusal(link, frame, from_owner=True)
         raise RequestRefusedError(
             RefusalReason.OUTCOME_UNKNOWN, "the answer took too long", Outcome.UNKNOWN
         )
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -15,8 +15,9 @@
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import LinkLostError, RequestRefusedError
 from piershore.gateway.generation_order import GenerationOrder, ShownTokens
+from piershore.gateway.refusals import read_refusal, RETRY_AFTER_SECONDS
 from piershore.gateway.retries import Retries
-from piershore.gateway.tries import RETRY_AFTER_SECONDS, Tries
+from piershore.gateway.tries import Tries
 from piershore.telemetry import metrics
 from piershore.wire.link_pb2 import (
     Accepted,
@@ -198,7 +199,7 @@
                         self._generation = frame.generation
                     case Refused():
                         ended = True
-                        raise self._refusal(frame)
+                        raise read_refusal(self._link, frame)
                     case Ended():
                         ended = True
                         self._check_end(frame)
@@ -271,14 +272,5 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
-    def _refusal(self, frame: Refused) -> RequestRefusedError:
-        retry_after = frame.retry_after_seconds or RETRY_AFTER_SECONDS
-        return RequestRefusedError(
-            RefusalReason(frame.reason),
-            f"{self._link.state.name} refused: {frame.reason}",
-            Outcome(frame.outcome),
-            retry_after=retry_after,
-        )
-
     def _outcome(self) -> Outcome:
         return Outcome.RUN if self._next_index else Outcome.UNKNOWN
--- a/src/piershore/gateway/tries.py
+++ b/src/piershore/gateway/tries.py
@@ -7,11 +7,10 @@
 from piershore.gateway.agent_link import AgentLink
 from piershore.gateway.agent_links import AgentLinks
 from piershore.gateway.exceptions import RequestRefusedError
+from piershore.gateway.refusals import RETRY_AFTER_SECONDS
 from piershore.gateway.retries import Retries
 from piershore.telemetry import metrics
 
-RETRY_AFTER_SECONDS = 1.0
-
 
 class Tries:
     """Chooses an endpoint for each try and knows what the earlier ones mean.
@@ -40,7 +39,7 @@
         raise self._last or RequestRefusedError(
             RefusalReason.NO_ENDPOINT,
             f"no endpoint of {service} takes work now",
-            retry_after=RETRY_AFTER_SECONDS,
+            retry_after=self._links.rest_left(service) or RETRY_AFTER_SECONDS,
         )
 
     def is_last(self, error: RequestRefusedError) -> bool:
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from http import HTTPStatus
-from math import isfinite
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import end_to_end, Headers, RequestHead, ResponseHead
+from piershore.http1.retry_after import longest_rest
 from piershore.ingress.ports import (
     CallerRequest,
     EndpointAnswer,
@@ -140,7 +139,7 @@
         is_leaving = leaves is not None and leaves.strip().lower() not in DENIALS
         rest = None
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            rest = max(_rests(head), default=None)
+            rest = longest_rest(v.decode("latin-1") for v in head.values(RETRY_AFTER))
         return EndpointNotice(is_leaving, rest)
 
     def answer_headers(self, head: ResponseHead) -> Headers:
@@ -175,17 +174,6 @@
     return int(text) / 1_000
 
 
-def _rests(head: ResponseHead) -> Iterator[float]:
-    """Yield the times to rest, in seconds; a date or other text asks for none."""
-    for value in head.values(RETRY_AFTER):
-        try:
-            seconds = float(value)
-        except ValueError:
-            continue
-        if isfinite(seconds) and seconds > 0:
-            yield seconds
-
-
 def _key(value: bytes | None) -> str | None:
     if value is None:
         return None
