A report that says that its engine leaves counts whoever has asked for it

What callers saw: nothing so far; found on looking for the same cause elsewhere. A report that was asked for since a stream had fallen silent says whether the engine leaves, and only the stream was judged by it; the same words counted when they were asked for in an outage of the store. Both go the way of notices in heads now. The scenario failed before.

--- a/features/leaving_in_answers.feature
+++ b/features/leaving_in_answers.feature
@@ -54,6 +54,12 @@
     When its engine says that it leaves in the answer to a question
     Then the stream is moved and comes whole
 
+  # The answer to a question about a silent stream told it, and only the stream was judged.
+  Scenario: a report says so that was asked for since a stream fell silent
+    Given 1 gateway before sound endpoints
+    When an engine falls silent under a stream, and its report says that it leaves
+    Then the gateway takes it for leaving
+
   Scenario: all endpoints of a service say so
     Given 2 gateways before sound endpoints
     When all endpoints of the desk have said that they leave
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -14,6 +14,7 @@
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.platform.engine_mover import EngineMover
 from piershore.platform.engine_reports import EngineReports
+from standins.published_endpoint import Silence
 
 SEEDS = range(4)
 CALLS = 20
@@ -268,6 +269,24 @@
     assert sum(e.continued["abc"] for e in others) == 1
 
 
+@when("an engine falls silent under a stream, and its report says that it leaves")
+def tell_in_silence(context):
+    async def script(world):
+        reading = Reading(world, LONG_EVENTS, SMALL_SIZE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reading.read)
+            await reading.wait_events(10)
+            engine = reading.running_at()
+            engine.state = "draining"
+            engine.silence = Silence.PAUSED
+            directory = state_of(world).directory
+            await wait_until(lambda: directory.is_leaving(engine.identity))
+            context.is_leaving = directory.is_leaving(engine.identity)
+            nursery.cancel_scope.cancel()
+
+    context.ingress.run(script)
+
+
 @when("all endpoints of the desk have said that they leave")
 def tell_all(context):
     async def script(world):
--- a/src/piershore/ingress/attempts/endpoint_notices.py
+++ b/src/piershore/ingress/attempts/endpoint_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 
 import trio
 
@@ -10,6 +11,7 @@
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
 from piershore.core.fleet.heard_notices import HeardNotices
+from piershore.core.streams.silence import EndpointReport
 from piershore.http1.message import ResponseHead
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry import ingress_metrics
@@ -24,7 +26,10 @@
 
 
 class EndpointNotices:
-    """Takes the head of each answer that an endpoint gives to anything."""
+    """Takes the head of each answer that an endpoint gives to anything.
+
+    Reports that were asked for say in their bodies that an endpoint leaves.
+    """
 
     def __init__(
         self, heard: HeardNotices, dialect: RequestDialect, log: EventLog
@@ -41,15 +46,25 @@
     def take(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what an answer asks."""
         notice = self._dialect.read_notice(head)
-        if notice == NO_NOTICE:
+        if notice != NO_NOTICE:
+            self._apply(endpoint, notice, head.status)
+
+    def take_report(self, endpoint: Endpoint, report: EndpointReport) -> None:
+        """Note what a report says, if it is of the incarnation that was asked."""
+        born = endpoint.born
+        if report.is_of_earlier(born) or report.is_of_later(born):
             return
+        if report.is_leaving:
+            self._apply(endpoint, EndpointNotice(is_leaving=True), HTTPStatus.OK)
+
+    def _apply(self, endpoint: Endpoint, notice: EndpointNotice, status: int) -> None:
         self._count(notice)
         heard = self._heard.take(endpoint, notice, trio.current_time())
         if heard.is_new:
             event = EndpointTold(
                 endpoint.identity,
                 endpoint.service,
-                head.status,
+                status,
                 notice.is_leaving,
                 notice.rest_seconds,
             )
--- a/src/piershore/ingress/peers/outage_watch.py
+++ b/src/piershore/ingress/peers/outage_watch.py
@@ -13,7 +13,6 @@
 
 from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.core.fleet.peer_report import DepartureNote
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
@@ -88,8 +87,4 @@
             except (ExchangeBrokenError, NotConnectedError):
                 # Traffic shows what else is wrong with it.
                 return
-            if report.is_of_earlier(endpoint.born) or report.is_of_later(endpoint.born):
-                return
-            if report.is_leaving:
-                note = DepartureNote(endpoint.identity, is_gone=False)
-                self._endpoints.note_departed(note)
+            self._state.notices.take_report(endpoint, report)
--- a/src/piershore/ingress/streams/silence_watch.py
+++ b/src/piershore/ingress/streams/silence_watch.py
@@ -110,6 +110,8 @@
             report = await self._ask(endpoint)
         finally:
             inquiry.is_asking = False
+        if report is not None:
+            self._state.notices.take_report(endpoint, report)
         now = trio.current_time()
         is_alive = self._state.paces.last_part_at(endpoint.identity) > asked_at
         if report is not None or is_alive:
