An endpoint that fails for hours is left out still

What callers saw: nothing so far; found on reading the same module. The time of an ejection doubles, and the number of doublings had no bound: the 1,025th ejection of one endpoint, some hours after the first, raised OverflowError in the request that noted the failure. The scenario raised it before. The longest time, 8 s, is the same.

--- a/features/asked_rest.feature
+++ b/features/asked_rest.feature
@@ -131,3 +131,7 @@
 
   Scenario: what turned work away is tried when nothing else is left
     Then an endpoint that refuses is left out for 0.25 to 2 s, and chosen if all refuse
+
+  # After 1,024 ejections the time of the next one was no longer a number.
+  Scenario: an endpoint fails for hours
+    Then it is still left out after 2000 ejections
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -355,3 +355,12 @@
 def count_up(start):
     """Yield times in small steps."""
     return (start + step * STEP_SECONDS for step in count())
+
+
+@then("it is still left out after {count:d} ejections")
+def check_many(context, count):
+    health, now = EndpointHealth(), 0.0
+    for _ in range(count):
+        health.note_failing("i-0", now)
+        assert health.is_ejected("i-0", now)
+        now += 10.0
--- a/src/piershore/core/fleet/endpoint_health.py
+++ b/src/piershore/core/fleet/endpoint_health.py
@@ -9,10 +9,11 @@
 FAILURES_BEFORE_EJECTION = 3
 """Failures in a row that show more than the usual share of failing answers."""
 FIRST_EJECTION_SECONDS = 1.0
-LONGEST_EJECTION_SECONDS = 8.0
-"""Bounds of an ejection, which doubles each time; a restart takes seconds."""
+MOST_EJECTION_DOUBLINGS = 3
+"""An ejection is twice as long each time, up to 8 s; a restart takes seconds. Without a
+bound on the number the time was no number after 1,024 ejections, some hours."""
 FIRST_REFUSAL_SECONDS = 0.25
-MOST_DOUBLINGS = 3
+MOST_REFUSAL_DOUBLINGS = 3
 """An endpoint that has turned work away is left out for so long, and for twice the time
 with each further refusal in a row, so many times."""
 SILENCE_SECONDS = 1.0
@@ -32,8 +33,8 @@
         """Leave the endpoint out, each time for longer; False if it is out already."""
         if now < self.ejected_until:
             return False
-        seconds = FIRST_EJECTION_SECONDS * 2**self.ejections
-        self.ejected_until = now + min(seconds, LONGEST_EJECTION_SECONDS)
+        doublings = min(self.ejections, MOST_EJECTION_DOUBLINGS)
+        self.ejected_until = now + FIRST_EJECTION_SECONDS * 2**doublings
         self.ejections += 1
         return True
 
@@ -74,7 +75,7 @@
         gateways with reports 0.1 s old, 4 seeds).
         """
         health = self._by_identity.setdefault(identity, _Health())
-        doublings = min(health.refusals_in_a_row, MOST_DOUBLINGS)
+        doublings = min(health.refusals_in_a_row, MOST_REFUSAL_DOUBLINGS)
         health.refusals_in_a_row += 1
         is_new = now >= health.ejected_until
         until = now + FIRST_REFUSAL_SECONDS * 2**doublings
