One kind of rest for gateways and agents

An agent's rest, a link's and those by identity were kept in three ways; they hold the same value now. The follower's way to take departures has a name of its own.

--- a/src/piershore/agent/call_runner.py
+++ b/src/piershore/agent/call_runner.py
@@ -9,7 +9,6 @@
 
 import trio
 
-from piershore.agent.endpoint_rest import EndpointRest
 from piershore.agent.endpoint_work import (
     endpoint_work,
     EndpointWork,
@@ -32,6 +31,7 @@
 from piershore.core.ownership.slot_owner import SlotOwner
 from piershore.core.ports import ServiceClient
 from piershore.core.refusal_reason import RefusalReason
+from piershore.core.routing.rest import Rest
 from piershore.endpoints.exceptions import CallNotSentError, CallUncertainError
 from piershore.endpoints.http_service_client import HttpServiceClient
 from piershore.telemetry import metrics
@@ -78,7 +78,7 @@
         )
         self._waiters: dict[str, list[Waiter]] = defaultdict(list)
         self._running = 0
-        self._rest = EndpointRest()
+        self._rest = Rest()
         self._leaving = False
         self._nursery: trio.Nursery | None = None
 
@@ -102,6 +102,10 @@
         """Mint times whose non-repeatable keys this agent may run."""
         return self._owner.intervals()
 
+    @property
+    def _seconds_to_rest(self) -> float:
+        return self._rest.seconds_left(trio.current_time())
+
     async def run(self) -> None:
         """Run calls and keep the leases until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -144,7 +148,7 @@
             self._refuse(waiter, RefusalReason.LEAVING, Outcome.NOT_RUN)
         elif self._running >= MOST_RUNNING:
             self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-        elif self._rest.seconds_left:
+        elif self._seconds_to_rest:
             self._refuse_resting(waiter)
         else:
             self._spawn(self._run_repeatable, waiter, call)
@@ -175,7 +179,7 @@
             case RunKey() if self._running >= MOST_RUNNING:
                 self._owner.unclaim(key)
                 self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-            case RunKey() if self._rest.seconds_left:
+            case RunKey() if self._seconds_to_rest:
                 self._owner.unclaim(key)
                 self._refuse_resting(waiter)
             case RunKey():
@@ -229,7 +233,7 @@
     async def _call_service(self, key: str, call: Call) -> Answer:
         answer = await self._client.call(key, call.kind, call.body)
         if answer.rest_seconds is not None:
-            self._rest.note(answer.rest_seconds)
+            self._rest.note(answer.rest_seconds, trio.current_time())
         return answer
 
     def _answer(self, waiter: Waiter, answer: Answer) -> None:
@@ -245,7 +249,7 @@
             waiter,
             RefusalReason.ENDPOINT_RESTING,
             Outcome.NOT_RUN,
-            self._rest.seconds_left,
+            self._seconds_to_rest,
         )
 
     def _refuse(
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from piershore.agent.endpoint_rest import EndpointRest
 from piershore.agent.endpoint_work import (
     endpoint_work,
     EndpointWork,
@@ -24,6 +23,7 @@
 from piershore.core.outcome import Outcome
 from piershore.core.ports import EngineClient, EngineTokens, GenerationRequest
 from piershore.core.refusal_reason import RefusalReason
+from piershore.core.routing.rest import Rest
 from piershore.core.streams.exceptions import TokenGapError, WindowPassedError
 from piershore.core.streams.generation import Ending, Generation, Reader
 from piershore.core.streams.stall_detector import StallDetector
@@ -80,7 +80,7 @@
         self._stalls = StallDetector()
         self._pace_probe: str | None = None
         self._new_tokens = 0
-        self._rest = EndpointRest()
+        self._rest = Rest()
         self._leaving = False
 
     @classmethod
@@ -108,6 +108,10 @@
             return False
         return all(g.is_drained() for g in self._generations.values())
 
+    @property
+    def _seconds_to_rest(self) -> float:
+        return self._rest.seconds_left(trio.current_time())
+
     async def run(self) -> None:
         """Admit, stream and clean up until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -144,7 +148,7 @@
         if self._leaving:
             self._refuse(link, submit.request, RefusalReason.LEAVING)
             return
-        if self._rest.seconds_left:
+        if self._seconds_to_rest:
             self._refuse_resting(link, submit.request)
             return
         now = trio.current_time()
@@ -228,7 +232,7 @@
             with trio.move_on_after(POLL_PERIOD_SECONDS):
                 await self._wake_poll.wait()
             self._wake_poll = trio.Event()
-            if self._rest.seconds_left:
+            if self._seconds_to_rest:
                 self._refuse_waiting()
             for action in self._queue.poll(trio.current_time()):
                 if isinstance(action, Refuse):
@@ -277,7 +281,7 @@
             link,
             request,
             RefusalReason.ENDPOINT_RESTING,
-            retry_after=self._rest.seconds_left,
+            retry_after=self._seconds_to_rest,
         )
 
     def _accept(self, candidate: Candidate) -> None:
@@ -298,7 +302,7 @@
             try:
                 ending = Ending(await self._read(generation, request))
             except EngineRestingError as error:
-                self._rest.note(error.seconds)
+                self._rest.note(error.seconds, trio.current_time())
                 self._give_back(identity)
                 return
         self._scopes.pop(identity, None)
--- a/src/piershore/core/routing/endpoint_state.py
+++ b/src/piershore/core/routing/endpoint_state.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from piershore.core.routing.rest import Rest
+
 
 @dataclass(frozen=True)
 class LoadReport:
@@ -29,21 +31,13 @@
     is_leaving: bool = False
     report: LoadReport = field(default_factory=LoadReport)
     unreported: int = 0
-    rests_until: float = float("-inf")
+    rest: Rest = field(default_factory=Rest)
 
     @property
     def takes_work(self) -> bool:
         """Whether new requests may be sent to it, unless it rests."""
         return self.is_open and not self.is_leaving
 
-    def is_resting(self, now: float) -> bool:
-        """Tell whether it has asked this gateway for rest."""
-        return now < self.rests_until
-
-    def note_rest(self, seconds: float, now: float) -> None:
-        """Note that it wants nothing for some seconds."""
-        self.rests_until = max(self.rests_until, now + seconds)
-
     @property
     def expected_work(self) -> float:
         """Requests that it has on its hands, as far as can be told."""
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -127,15 +127,15 @@
     def rest_left(self, service: str) -> float | None:
         """Return when the first endpoint has rested, if all that stay rest."""
         now = trio.current_time()
-        ends = [
-            link.state.rests_until
+        left = [
+            link.state.rest.seconds_left(now)
             for link in self.of_service(service)
             if link.state.takes_work and self._is_staying(link.state)
         ]
-        return min(ends) - now if ends and min(ends) > now else None
+        return min(left, default=0.0) or None
 
     def _is_able(self, state: EndpointState) -> bool:
-        is_resting = state.is_resting(trio.current_time())
+        is_resting = state.rest.seconds_left(trio.current_time()) > 0
         return state.takes_work and not is_resting and self._is_staying(state)
 
     def _is_staying(self, state: EndpointState) -> bool:
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -108,7 +108,7 @@
         self._endpoints = EndpointFollower(
             self._state, endpoint_feed, WATCH_SECONDS, self._on_departure
         )
-        self._state.notices.start(self._endpoints.depart)
+        self._state.notices.start(self._endpoints.take_departures)
         self._drains = DrainFollower(
             self._state, drain_feed, DRAIN_WATCH_SECONDS, self._on_drained
         )
--- a/src/piershore/ingress/followers/endpoint_follower.py
+++ b/src/piershore/ingress/followers/endpoint_follower.py
@@ -56,7 +56,7 @@
             await trio.sleep(SWEEP_SECONDS)
             if not self.link.is_out:
                 now = trio.current_time()
-                self.depart(self._state.directory.drop_lapsed(now))
+                self.take_departures(self._state.directory.drop_lapsed(now))
 
     def take_from_peer(self, endpoints: Iterable[Endpoint], revision: int) -> None:
         """Take a peer's list while the store can't be read."""
@@ -67,13 +67,13 @@
         """Note what a peer has seen: an endpoint leaves or is gone."""
         directory = self._state.directory
         if note.is_restarted:
-            self.depart(directory.mark_restarted(note.identity))
+            self.take_departures(directory.mark_restarted(note.identity))
             return
         if not note.is_gone:
-            self.depart(directory.mark_leaving(note.identity))
+            self.take_departures(directory.mark_leaving(note.identity))
             return
         now = trio.current_time()
-        self.depart(directory.remove(note.identity, now, after_outage=False))
+        self.take_departures(directory.remove(note.identity, now, after_outage=False))
 
     async def _read(self) -> int:
         endpoints, revision = await self._feed.read()
@@ -109,7 +109,7 @@
             endpoints, revision, now, after_outage=after_outage
         )
         self._is_known = True
-        self.depart(departures)
+        self.take_departures(departures)
 
     def _note_starts(self, endpoints: Iterable[Endpoint], now: float) -> None:
         """Take those for cold that weren't known: a peer's list doesn't tell."""
@@ -124,13 +124,15 @@
         for change in changes:
             if change.endpoint is not None:
                 self._state.cold.note_entry(change.endpoint, now)
-                self.depart(directory.put(change.endpoint))
+                self.take_departures(directory.put(change.endpoint))
                 continue
             known = self._known(change)
             if known is None:
                 continue
             in_doubt = known.service in doubtful or self._is_after_outage()
-            self.depart(directory.remove(known.identity, now, after_outage=in_doubt))
+            self.take_departures(
+                directory.remove(known.identity, now, after_outage=in_doubt)
+            )
 
     def _lapsed_services(self, changes: tuple[EndpointChange, ...]) -> set[str]:
         """Return the services of which too many endpoints go at once."""
@@ -154,7 +156,7 @@
         directory = self._state.directory
         return directory.get(directory.identity_of(change.name) or change.name)
 
-    def depart(self, departures: Iterable[Departure]) -> None:
+    def take_departures(self, departures: Iterable[Departure]) -> None:
         """Do what follows when endpoints leave, whoever said so."""
         for departure in departures:
             self._on_departure(departure)
