Gateways follow a store that comes back from an older copy

What callers would see: after such a return gateways passed over the store's present lists until its revisions had grown past where they were: new endpoints weren't used, those that had gone were, and a drain that operators asked for then was not followed. A watch went on from a number that had been given out again, and missed what lay between.

Cause: revisions were ordered by their number alone; the store gives numbers out again after its return, and tells an era with them.

Change: a revision holds its era, in the high bits, so that all comparisons, reports and documents keep their form (in era 0 it is the number). A watch whose answer is of another era reads all again. Entries that the return has lost are kept as after an outage; an entry that is there again, though its endpoint had gone, is held back for 5 s or until it is written; what said that it leaves stays so; a drain that is missing holds for 3 s, while operators write it again. The configuration goes by the operators' version as before. An era that is missing, no number or lower than before is said once, and the last good one holds; answers of a lower one are passed over, for 10 s at the longest. Line store_returned, metric ..._store_era.

The product's own interface takes the number as before: it is open.

--- /dev/null
+++ b/features/steps/store_return_steps.py
@@ -0,0 +1,478 @@
+"""Steps for a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+import orjson
+import trio
+from behave import given, then, when
+from hypothesis import strategies as st
+from notice_steps import state_of
+from support.core_checks import checked, fleet_of
+from support.ingress_world import configuration, IngressWorld, route
+from support.stream_reading import wait_for_peers
+
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.store_era import StoreEra
+from piershore.core.fleet.store_revision import LARGEST_ERA, StoreRevision
+from standins.published_endpoint import PublishedEndpoint
+
+SETTLE_SECONDS = 5.0
+SHORT_SECONDS = 1.0
+LATER_CALLS = 12
+KEPT_SECONDS = 3.0
+"""A drain that was lost is kept for so long."""
+LAPSE_SECONDS = 3.6
+"""Three heartbeats, after which the store drops an entry that nobody writes."""
+POLL_SECONDS = 0.02
+
+
+@given("2 gateways before 3 endpoints of the desk, {watching}")
+def given_watching(context, watching):
+    world = context.ingress = IngressWorld()
+    world.add_endpoints("desk", 3)
+    world._start_gateways = 2
+    context.one_watches = watching == "and one of them watches"
+
+
+def play(context, script):
+    async def whole(world):
+        await wait_for_peers(world)
+        if context.one_watches:
+            daemon = world.gateways[1][1]
+            daemon._peers.should_watch = lambda: False
+            for follower in (daemon._endpoints, daemon._configuration):
+                follower.use_watchers(daemon._peers.should_watch)
+        await script(world)
+
+    context.ingress.run(whole)
+
+
+def change_often(world, times):
+    """Let the store give out revisions that it will give out again."""
+    for number in range(times):
+        world.store.put("other", f"o-{number}", {})
+
+
+def known_at(world, number):
+    directory = state_of(world, number).directory
+    return {e.name for e in directory.of_service("desk")}
+
+
+async def wait_known(world, names, seconds=SETTLE_SECONDS):
+    """Wait until both gateways use these endpoints; tell what they use."""
+    with trio.move_on_after(seconds):
+        while any(known_at(world, number) != names for number in (0, 1)):
+            await trio.sleep(POLL_SECONDS)
+    return [known_at(world, number) for number in (0, 1)]
+
+
+def identities(world):
+    return {endpoint.identity for endpoint in world.endpoints}
+
+
+def unlist(world, endpoint):
+    world.store.remove("servers", endpoint.identity)
+
+
+async def come_back_without(world, endpoint, times=30):
+    """Come back from a copy of before an endpoint wrote its entry."""
+    unlist(world, endpoint)
+    copy = world.store.copy()
+    change_often(world, times)
+    world.list_endpoint(endpoint)
+    names = identities(world)
+    assert await wait_known(world, names) == [names] * 2
+    world.store.come_back(copy)
+
+
+@when("the store comes back from a copy of 30 changes before, without an endpoint")
+def come_back(context):
+    context.steps = [lambda world: come_back_without(world, world.endpoints[2])]
+
+
+@when("an endpoint comes and another one goes for good")
+def change_endpoints(context):
+    async def script(world):
+        await context.steps[0](world)
+        unlist(world, world.endpoints[0])
+        other = PublishedEndpoint("i-new", "desk", world.memory)
+        await world.nursery.start(other.serve)
+        world.list_endpoint(other)
+        world.list_endpoint(world.endpoints[2])
+        context.wanted = {"i-1", "i-2", "i-new"}
+        context.known = await wait_known(world, context.wanted)
+
+    play(context, script)
+
+
+@then("within {seconds:g} s both gateways use those that are listed and no other")
+def check_known(context, seconds):
+    assert context.known == [context.wanted] * 2, context.known
+
+
+@then(
+    "the endpoint is used for {first:g} s more at both gateways, and after {last:g} s by none"
+)
+def check_kept(context, first, last):
+    async def script(world):
+        await context.steps[0](world)
+        everyone = identities(world)
+        left_early = []
+        with trio.move_on_after(first):
+            while True:
+                left_early += [n for n in (0, 1) if known_at(world, n) != everyone]
+                await trio.sleep(POLL_SECONDS)
+        assert not left_early
+        rest = everyone - {world.endpoints[2].identity}
+        context.known = await wait_known(world, rest, last - first)
+        assert context.known == [rest] * 2, context.known
+
+    play(context, script)
+
+
+@when("the store comes back without an endpoint, and that is back after {seconds:g} s")
+def come_back_and_list(context, seconds):
+    async def script(world):
+        everyone = identities(world)
+        await come_back_without(world, world.endpoints[2])
+        context.unknown = []
+
+        async def look():
+            while True:
+                context.unknown += [n for n in (0, 1) if known_at(world, n) != everyone]
+                await trio.sleep(POLL_SECONDS)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(look)
+            await trio.sleep(seconds)
+            world.list_endpoint(world.endpoints[2])
+            await trio.sleep(SETTLE_SECONDS - seconds)
+            nursery.cancel_scope.cancel()
+
+    play(context, script)
+
+
+@then("it is never taken for gone")
+def check_never_gone(context):
+    assert not context.unknown
+
+
+async def send_all(world):
+    for number in (0, 1):
+        for _ in range(LATER_CALLS):
+            await world.call("once", number=number)
+
+
+@when("the store comes back from a copy in which an endpoint hadn't left yet")
+def come_back_before_leaving(context):
+    async def script(world):
+        leaving, *staying = world.endpoints
+        copy = world.store.copy()
+        change_often(world, 30)
+        world.list_endpoint(leaving, "draining")
+        rest = {endpoint.identity for endpoint in staying}
+        assert await wait_known(world, rest) == [rest] * 2
+        world.store.come_back(copy)
+        await wait_era(world, 1)
+        leaving.arrivals.clear()
+        await send_all(world)
+        context.endpoint = leaving
+
+    play(context, script)
+
+
+async def wait_era(world, era):
+    """Wait until both gateways have read the store's endpoints in an era."""
+    with trio.fail_after(SETTLE_SECONDS):
+        for number in (0, 1):
+            while state_of(world, number).directory.revision >> 40 != era:
+                await trio.sleep(POLL_SECONDS)
+
+
+@then("neither gateway sends it anything")
+def check_unsent(context):
+    assert context.endpoint.arrivals == []
+
+
+@when("the store comes back from a copy that still lists an endpoint that had gone")
+def come_back_with_gone(context):
+    async def script(world):
+        gone, *staying = world.endpoints
+        copy = world.store.copy()
+        change_often(world, 30)
+        unlist(world, gone)
+        rest = {endpoint.identity for endpoint in staying}
+        assert await wait_known(world, rest) == [rest] * 2
+        world.store.come_back(copy)
+        await wait_era(world, 1)
+        gone.arrivals.clear()
+        with trio.move_on_after(LAPSE_SECONDS):
+            while True:
+                await send_all(world)
+        context.endpoint, context.sent = gone, len(gone.arrivals)
+        gone.data_hall = "lekki"
+        world.list_endpoint(gone)
+        context.known = await wait_known(world, identities(world))
+
+    play(context, script)
+
+
+@then("neither gateway sends it anything while its entry may lapse")
+def check_held_back(context):
+    assert context.sent == 0, context.sent
+
+
+@then("it is used again when it writes its entry")
+def check_used_again(context):
+    assert context.known == [identities(context.ingress)] * 2, context.known
+
+
+def with_routes(version, *names):
+    base = configuration(version)
+    base["routes"].extend(route(name, "desk", "unsafe") for name in names)
+    return base
+
+
+@when("the store comes back from a copy with the configuration before")
+def come_back_with_configuration(context):
+    async def script(world):
+        world.store.put("config", "main", with_routes(5, "old"))
+        await wait_versions(world, 5)
+        copy = world.store.copy()
+        change_often(world, 30)
+        world.store.put("config", "main", with_routes(6, "new"))
+        await wait_versions(world, 6)
+        world.store.come_back(copy)
+        await wait_era(world, 1)
+        context.statuses = []
+        with trio.move_on_after(SHORT_SECONDS):
+            while True:
+                for number in (0, 1):
+                    new = await world.call("new", number=number)
+                    old = await world.call("old", number=number)
+                    context.statuses.append((new.status, old.status))
+        world.store.put("config", "main", with_routes(6, "new"))
+        await trio.sleep(SHORT_SECONDS / 2)
+        world.store.put("config", "main", with_routes(7, "new", "newer"))
+        context.versions = await wait_versions(world, 7)
+
+    play(context, script)
+
+
+async def wait_versions(world, version):
+    with trio.move_on_after(SETTLE_SECONDS):
+        while any(state_of(world, n).configuration.version != version for n in (0, 1)):
+            await trio.sleep(POLL_SECONDS)
+    return [state_of(world, n).configuration.version for n in (0, 1)]
+
+
+@then("each gateway serves the route that came with the last one, and no old one")
+def check_routes(context):
+    assert set(context.statuses) == {(200, 404)}, set(context.statuses)
+
+
+@then("a newer one is in force at both within {seconds:g} s")
+def check_newer(context, seconds):
+    assert context.versions == [7, 7], context.versions
+
+
+@when("the store comes back from a copy without a drain, and that is written again")
+def come_back_without_drain(context):
+    async def script(world):
+        drained = world.endpoints[0]
+        drained.data_hall = "lekki"
+        world.list_endpoint(drained)
+        copy = world.store.copy()
+        change_often(world, 30)
+        world.store.put("evacuations", "lekki", {})
+        rest = identities(world) - {drained.identity}
+        assert await wait_known(world, rest) == [rest] * 2
+        drained.arrivals.clear()
+        world.store.come_back(copy)
+        await trio.sleep(SHORT_SECONDS)
+        await send_all(world)
+        world.store.put("evacuations", "lekki", {})
+        with trio.move_on_after(KEPT_SECONDS + SHORT_SECONDS):
+            while True:
+                await send_all(world)
+        context.arrivals = len(drained.arrivals)
+        copy = world.store.copy()
+        world.store.remove("evacuations", "lekki")
+        everyone = identities(world)
+        assert await wait_known(world, everyone) == [everyone] * 2
+        world.store.come_back(copy)
+        assert await wait_known(world, rest) == [rest] * 2
+        empty = world.store.copy()
+        empty.objects["evacuations"].clear()
+        world.store.come_back(empty)
+        started = trio.current_time()
+        context.known = await wait_known(world, everyone, SETTLE_SECONDS)
+        context.kept = trio.current_time() - started
+        context.everyone = everyone
+
+    play(context, script)
+
+
+@then("nothing was sent to the drained hall")
+def check_drained(context):
+    assert context.arrivals == 0, context.arrivals
+
+
+@then("a drain that isn't written again ends after {seconds:g} s")
+def check_drain_end(context, seconds):
+    assert context.known == [context.everyone] * 2, context.known
+    assert context.kept >= seconds, context.kept
+
+
+def log_of(context):
+    context.ingress.log_output, context.log = tempfile.mkstemp()
+
+
+def findings(context):
+    lines = Path(context.log).read_bytes().splitlines()
+    events = [orjson.loads(line) for line in lines]
+    return [e for e in events if e.get("kind") == "store era"]
+
+
+@when('the store\'s answers tell "{era}" after era {first:d}')
+@when('the store\'s answers tell "" after era {first:d}')
+def tell_era(context, first, era=""):
+    log_of(context)
+
+    async def script(world):
+        world.store.era = first
+        world.list_endpoint(world.endpoints[0], "ready")
+        world.gateways[0][1]._endpoints.restart()
+        await wait_revision_era(world, first)
+        if era:
+            world.store.era_text = era
+        else:
+            world.store.era = None
+        endpoint = PublishedEndpoint("i-new", "desk", world.memory)
+        await world.nursery.start(endpoint.serve)
+        world.list_endpoint(endpoint)
+        with trio.move_on_after(SETTLE_SECONDS):
+            while "i-new" not in known_at(world, 0):
+                await trio.sleep(POLL_SECONDS)
+        context.known = known_at(world, 0)
+        for _ in range(3):
+            world.gateways[0][1]._endpoints.restart()
+            await trio.sleep(0.1)
+        world.gateways[0][1]._log.flush()
+
+    context.ingress.run(script)
+
+
+async def wait_revision_era(world, era):
+    with trio.fail_after(SETTLE_SECONDS):
+        while StoreRevision(state_of(world).directory.revision).era != era:
+            await trio.sleep(POLL_SECONDS)
+
+
+@then("the gateway goes on, and says once what was wrong")
+def check_goes_on(context):
+    assert context.known == {"i-0", "i-1", "i-2", "i-new"}, context.known
+    told = [e["reason"] for e in findings(context)]
+    assert told, "nothing was said"
+    assert len(told) == len(set(told)) or len(told) <= 3, told
+
+
+@when("the store answers from era {earlier:d} after era {first:d}")
+def answer_earlier(context, earlier, first):
+    async def script(world):
+        world.store.era = first
+        world.gateways[0][1]._endpoints.restart()
+        await wait_revision_era(world, first)
+        copy = world.store.copy()
+        unlist(world, world.endpoints[0])
+        rest = identities(world) - {"i-0"}
+        desk = {"i-1", "i-2"}
+        assert rest
+        with trio.fail_after(SETTLE_SECONDS):
+            while known_at(world, 0) != desk:
+                await trio.sleep(POLL_SECONDS)
+        world.store.come_back(replace(copy, revision=copy.revision + 100))
+        world.store.era = earlier
+        await trio.sleep(SHORT_SECONDS)
+        context.during = known_at(world, 0)
+        world.store.era = first + 1
+        world.list_endpoint(world.endpoints[0])
+        with trio.move_on_after(2 * SETTLE_SECONDS):
+            while known_at(world, 0) != {"i-0", *desk}:
+                await trio.sleep(POLL_SECONDS)
+        context.later = known_at(world, 0)
+
+    context.ingress.run(script)
+
+
+@then("the gateway keeps what it knows, and takes up the store's present state later")
+def check_earlier(context):
+    assert context.during == {"i-1", "i-2"}, context.during
+    assert context.later == {"i-0", "i-1", "i-2"}, context.later
+
+
+@then("the order of revisions is that of their eras, and then of their numbers")
+def check_order(context):
+    numbers = st.tuples(st.integers(0, LARGEST_ERA), st.integers(0, 2**40 - 1))
+
+    @checked(numbers, numbers)
+    def check(one, other):
+        first, second = StoreRevision.of(*one), StoreRevision.of(*other)
+        assert (first.era, first.number) == one
+        assert (first < second) == (one < other)
+        assert StoreRevision(orjson.loads(orjson.dumps(first))) == first
+
+
+@then("any sequence of changes and returns leaves a directory at the store's list")
+def check_sequences(context):
+    fleet = list(fleet_of(4))
+    steps = st.lists(st.sampled_from(["add", "drop", "copy", "return", "read"]))
+
+    @checked(steps, st.randoms(use_true_random=False))
+    def check(steps, random):
+        directory, now = EndpointDirectory(), 0.0
+        listed, era, number = set(), 0, 1
+        copy = (frozenset(), 1)
+        for step in [*steps, "read"]:
+            now += 10.0
+            directory.drop_lapsed(now)
+            number += 1
+            if step == "add":
+                listed.add(random.randrange(4))
+            elif step == "drop" and listed:
+                listed.discard(random.choice(sorted(listed)))
+            elif step == "copy":
+                copy = (frozenset(listed), number)
+            elif step == "return":
+                listed, number, era = set(copy[0]), copy[1], era + 1
+            else:
+                directory.replace_all(
+                    [fleet[n] for n in listed],
+                    StoreRevision.of(era, number),
+                    now,
+                    after_outage=False,
+                )
+        for seconds in (0.0, 6.0):
+            directory.drop_lapsed(now + seconds)
+        assert {e.name for e in directory.of_service("model")} == {
+            fleet[n].name for n in listed
+        }
+
+
+@then("answers of the true era are passed over for {seconds:g} s, and taken then")
+def check_fall(context, seconds):
+    era = StoreEra()
+    assert era.take("3", 0.0)
+    assert era.take("4000", 1.0)
+    assert not era.take("3", 2.0)
+    assert not era.take("3", 2.0 + seconds)
+    assert era.take("3", 2.1 + seconds)
+    assert era.value == 4000
+    assert "era 3" in era.take_finding()
+    assert era.take_finding() == ""
+    assert era.take("4001", 20.0)
+    assert not era.take("4000", 21.0)
--- a/src/piershore/core/documents/document.py
+++ b/src/piershore/core/documents/document.py
@@ -7,6 +7,8 @@
 
 from xxhash import xxh3_64_hexdigest
 
+from piershore.core.fleet.store_revision import StoreRevision
+
 
 @dataclass(frozen=True)
 class DocumentPart:
@@ -25,7 +27,7 @@
 class Document:
     """A whole document as of a revision of the platform's store."""
 
-    revision: int
+    revision: StoreRevision
     parts: tuple[DocumentPart, ...]
 
     @cached_property
--- a/src/piershore/core/documents/parts_reply.py
+++ b/src/piershore/core/documents/parts_reply.py
@@ -12,6 +12,7 @@
 from piershore.core.documents.document import Document, DocumentPart
 from piershore.core.documents.exceptions import InvalidPartsError
 from piershore.core.documents.parts_request import PartsRequest
+from piershore.core.fleet.store_revision import StoreRevision
 
 REPLY_BYTES = 131_072
 """Parts in one reply before compression, some 15 KB of routes after it: 0.03 s on a
@@ -24,7 +25,7 @@
 class PartsReply:
     """The digests of the whole document, and the first parts that the reader lacks."""
 
-    revision: int
+    revision: StoreRevision
     digests: tuple[str, ...]
     parts: tuple[DocumentPart, ...]
 
@@ -46,7 +47,7 @@
             head, *lines = decompress(data).split(LINE_END)
             revision, digests = orjson.loads(head)
             return cls(
-                int(revision),
+                StoreRevision(revision),
                 tuple(map(str, digests)),
                 tuple(map(DocumentPart.of, lines)),
             )
--- a/src/piershore/core/fleet/drained_halls.py
+++ b/src/piershore/core/fleet/drained_halls.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from piershore.core.fleet.store_revision import StoreRevision
+
 
 @dataclass(frozen=True)
 class DrainedHalls:
@@ -13,5 +15,9 @@
     its end may be heard of in any order.
     """
 
-    revision: int
+    revision: StoreRevision
     data_halls: frozenset[str]
+
+    def is_of_later_era(self, other: DrainedHalls) -> bool:
+        """Tell whether the store came back from an older copy after the other view."""
+        return StoreRevision(self.revision).era > StoreRevision(other.revision).era
--- a/src/piershore/core/fleet/endpoint_directory.py
+++ b/src/piershore/core/fleet/endpoint_directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.hashing import stable_hash
 from piershore.core.remembering import remember
 
@@ -14,9 +15,14 @@
 outage's end; one that is really gone must get no new work 2 s after it went, and the
 directory is swept four times a second."""
 
+HELD_BACK_SECONDS = 5.0
+"""An entry of an endpoint that had gone, which the store shows again since it came back
+from an older copy, is used after so long: if nobody writes it, it lapses after three of
+its heartbeats, 3.6 s. The endpoint may serve on meanwhile, and must get nothing."""
+
 DEPARTED_KEPT = 512
-"""Identities remembered as having left, which are never used again, and names whose
-newest incarnation is remembered."""
+"""Identities remembered as having left, which are never used again, or as having gone,
+and names whose newest incarnation is remembered."""
 
 FINGERPRINT_UNUSED_BITS = 16
 """Of 64: the rest is a whole number in any reader of JSON."""
@@ -44,7 +50,9 @@
     Endpoints in drained data halls stay listed and take no new work.
 
     An entry that is missing just after an outage of the store may only have
-    lapsed: it is kept until `LAPSE_SECONDS` after the outage.
+    lapsed: it is kept until `LAPSE_SECONDS` after the outage. So is one that is missing
+    when the store has come back from an older copy; one that is there again, though it
+    had gone, is held back for a while.
     """
 
     def __init__(self) -> None:
@@ -54,7 +62,9 @@
         self._newest_born: dict[str, int] = {}
         self._drained: frozenset[str] = frozenset()
         self._doubtful: dict[str, float] = {}
-        self._revision = 0
+        self._gone: dict[str, None] = {}
+        self._held_back: dict[str, float] = {}
+        self._revision = StoreRevision()
         self._fingerprint: int | None = None
         self._placeable: dict[str, tuple[Endpoint, ...]] = {}
 
@@ -75,7 +85,7 @@
         return self.fingerprint, self._drained
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """The store's revision up to which this is complete."""
         return self._revision
 
@@ -109,6 +119,8 @@
     def _takes_work(self, endpoint: Endpoint, service: str) -> bool:
         if endpoint.service != service or self.is_drained(endpoint):
             return False
+        if endpoint.identity in self._held_back:
+            return False
         return endpoint.stage is EndpointStage.READY
 
     def is_drained(self, endpoint: Endpoint) -> bool:
@@ -124,7 +136,7 @@
     def replace_all(
         self,
         listed: Iterable[Endpoint],
-        revision: int,
+        revision: StoreRevision,
         now: float,
         *,
         after_outage: bool,
@@ -133,22 +145,33 @@
         if revision < self._revision:
             return []
         by_name = {endpoint.name: endpoint for endpoint in listed}
+        if StoreRevision(revision).era > self._revision.era:
+            after_outage = True
+            self._hold_back(by_name.values(), now)
         departures = []
         for endpoint in list(self):
             if endpoint.name not in by_name:
                 identity = endpoint.identity
                 departures.extend(self.remove(identity, now, after_outage=after_outage))
         for endpoint in by_name.values():
-            departures.extend(self.put(endpoint))
-        self._revision = revision
+            departures.extend(self._take(endpoint))
+        self._revision = StoreRevision(revision)
         return departures
 
-    def advance(self, revision: int) -> None:
+    def advance(self, revision: StoreRevision) -> None:
         """Note that all changes up to `revision` were applied."""
-        self._revision = max(self._revision, revision)
+        self._revision = max(self._revision, StoreRevision(revision))
 
     def put(self, endpoint: Endpoint) -> list[Departure]:
-        """Add or update one endpoint; an earlier incarnation of it has ended."""
+        """Add or update one endpoint; an earlier incarnation of it has ended.
+
+        One that was held back has written its entry: it lives.
+        """
+        if self._held_back.pop(endpoint.identity, None) is not None:
+            self._note_change()
+        return self._take(endpoint)
+
+    def _take(self, endpoint: Endpoint) -> list[Departure]:
         if endpoint.born < self._newest_born.get(endpoint.name, 0):
             return []
         departures = self._end_earlier(endpoint)
@@ -203,10 +226,23 @@
         return self.put(replace(endpoint, stage=EndpointStage.LEAVING))
 
     def drop_lapsed(self, now: float) -> list[Departure]:
-        """Drop the entries that did not come back after an outage."""
+        """Drop the entries that did not come back after an outage.
+
+        Those that were held back, and are listed still, are used from now on.
+        """
+        for identity in [i for i, at in self._held_back.items() if at <= now]:
+            del self._held_back[identity]
+            self._note_change()
         due = [identity for identity, at in self._doubtful.items() if at <= now]
         return [departure for identity in due for departure in self._drop(identity)]
 
+    def _hold_back(self, listed: Iterable[Endpoint], now: float) -> None:
+        """Hold those back that had gone, and that the store shows again."""
+        for endpoint in listed:
+            identity = endpoint.identity
+            if identity in self._gone and identity not in self._endpoints:
+                self._held_back[identity] = now + HELD_BACK_SECONDS
+
     def _has_left(self, identity: str) -> bool:
         """Tell whether an incarnation was ever known to leave."""
         known = self._endpoints.get(identity)
@@ -228,6 +264,8 @@
         self._doubtful.pop(identity, None)
         endpoint = self._endpoints.pop(identity)
         self._identities.pop(endpoint.name, None)
+        self._held_back.pop(identity, None)
+        remember(self._gone, identity, None, DEPARTED_KEPT)
         self._note_change()
         if endpoint.stage is EndpointStage.LEAVING:
             remember(self._leaving, identity, None, DEPARTED_KEPT)
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -12,6 +12,7 @@
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.shared_failures import Outcomes
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.fleet.store_silence import StoreSign
 from piershore.errors import PiershoreError
 
@@ -65,7 +66,7 @@
     incarnation: str
     number: int
     config_version: int
-    endpoint_revision: int
+    endpoint_revision: StoreRevision
     fingerprint: int
     reads_store: bool
     is_leaving: bool
@@ -175,7 +176,7 @@
                 str(incarnation),
                 number,
                 version,
-                revision,
+                StoreRevision(revision),
                 fingerprint,
                 bool(numbers[4]),
                 bool(numbers[5]),
@@ -224,4 +225,4 @@
 
 def _drained(fields: list) -> DrainedHalls:
     revision, data_halls = fields
-    return DrainedHalls(int(revision), frozenset(map(str, data_halls)))
+    return DrainedHalls(StoreRevision(revision), frozenset(map(str, data_halls)))
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -212,6 +212,7 @@
             )
         if self._can_drain:
             nursery.start_soon(self._supervise, self._drains.run)
+            nursery.start_soon(self._supervise, self._drains.sweep)
         for task in (
             self._configuration.run,
             self._endpoints.run,
--- a/src/piershore/ingress/followers/configuration_follower.py
+++ b/src/piershore/ingress/followers/configuration_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from piershore.core.documents.document import Document
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
@@ -35,7 +36,7 @@
         return self._document is not None
 
     @property
-    def known_revision(self) -> int | None:
+    def known_revision(self) -> StoreRevision | None:
         """The revision of the document in force, whoever it came from."""
         return self._document.revision if self._document is not None else None
 
@@ -69,12 +70,14 @@
             pieces[part.digest] = known or self._feed.decode_part(part)
         return pieces
 
-    async def _read(self) -> int:
+    async def _read(self) -> StoreRevision:
         document, revision = await self._feed.read()
         await self._take_from_store(document)
         return revision
 
-    async def _take_changes_after(self, revision: int, wait: float) -> int:
+    async def _take_changes_after(
+        self, revision: StoreRevision, wait: float
+    ) -> StoreRevision:
         document, reached = await self._feed.changes(revision, wait)
         await self._take_from_store(document)
         return reached
--- a/src/piershore/ingress/followers/drain_follower.py
+++ b/src/piershore/ingress/followers/drain_follower.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+
+import trio
 
 from piershore.core.fleet.drained_halls import DrainedHalls
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import DrainFeed
 
+KEPT_SECONDS = 3.0
+"""A drain that is missing when the store has come back from an older copy holds for so
+long: operators write again what was lost. Taken at its word, the store let requests
+reach a hall that is being emptied until then; kept, a hall whose drain nobody wants any
+more stays idle for this time."""
+SWEEP_SECONDS = 0.25
+
 OnDrained = Callable[[DrainedHalls, frozenset[str], str], None]
 """Takes the new view, the data halls that were drained before, and who told it."""
 
@@ -27,10 +38,11 @@
         self._feed = feed
         self._on_drained = on_drained
         self._view: DrainedHalls | None = None
+        self._kept: dict[str, float] = {}
 
     @property
     def view(self) -> DrainedHalls | None:
-        """The newest view, or None before one is known."""
+        """The store's newest view, or None before one is known."""
         return self._view
 
     @property
@@ -39,7 +51,7 @@
         return self._view is not None
 
     @property
-    def known_revision(self) -> int | None:
+    def known_revision(self) -> StoreRevision | None:
         """The revision of the view, whoever it came from."""
         return self._view.revision if self._view is not None else None
 
@@ -48,22 +60,44 @@
         if self._take(view, f"peer {host}"):
             self._feed.go_on_from(view)
 
-    async def _read(self) -> int:
+    async def sweep(self) -> None:
+        """End the drains that were lost and not written again, for ever."""
+        while True:
+            await trio.sleep(SWEEP_SECONDS)
+            before, now = self._in_force(), trio.current_time()
+            self._kept = {hall: at for hall, at in self._kept.items() if at > now}
+            self._tell(before, "not written again")
+
+    async def _read(self) -> StoreRevision:
         view = await self._feed.read()
         self._take(view, "store")
         return view.revision
 
-    async def _take_changes_after(self, revision: int, wait: float) -> int:
+    async def _take_changes_after(
+        self, revision: StoreRevision, wait: float
+    ) -> StoreRevision:
         view = await self._feed.changes(revision, wait)
         self._take(view, "store")
         return view.revision
 
     def _take(self, view: DrainedHalls, source: str) -> bool:
         """Take a view; tell whether it was newer."""
-        if self._view is not None and view.revision <= self._view.revision:
+        known = self._view
+        if known is not None and view.revision <= known.revision:
             return False
-        before = self._view.data_halls if self._view is not None else frozenset()
+        before = self._in_force()
+        if known is not None and view.is_of_later_era(known):
+            until = trio.current_time() + KEPT_SECONDS
+            self._kept.update(dict.fromkeys(before - view.data_halls, until))
         self._view = view
-        if view.data_halls != before:
-            self._on_drained(view, before, source)
+        self._tell(before, source)
         return True
+
+    def _in_force(self) -> frozenset[str]:
+        """Return the drained halls, those that the store has lost included."""
+        return self._view.data_halls | self._kept.keys() if self._view else frozenset()
+
+    def _tell(self, before: frozenset[str], source: str) -> None:
+        halls = self._in_force()
+        if halls != before:
+            self._on_drained(replace(self._view, data_halls=halls), before, source)
--- a/src/piershore/ingress/followers/endpoint_follower.py
+++ b/src/piershore/ingress/followers/endpoint_follower.py
@@ -10,6 +10,7 @@
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import Departure
 from piershore.core.fleet.peer_report import DepartureNote
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointChange, EndpointFeed
@@ -58,7 +59,9 @@
                 now = trio.current_time()
                 self.take_departures(self._state.directory.drop_lapsed(now))
 
-    def take_from_peer(self, endpoints: Iterable[Endpoint], revision: int) -> None:
+    def take_from_peer(
+        self, endpoints: Iterable[Endpoint], revision: StoreRevision
+    ) -> None:
         """Take a peer's list while the store can't be read."""
         if revision > self._state.directory.revision:
             self._take_all(tuple(endpoints), revision, after_outage=False)
@@ -75,7 +78,7 @@
         now = trio.current_time()
         self.take_departures(directory.remove(note.identity, now, after_outage=False))
 
-    async def _read(self) -> int:
+    async def _read(self) -> StoreRevision:
         endpoints, revision = await self._feed.read()
         for endpoint in endpoints:
             self._state.cold.note_entry(endpoint, trio.current_time())
@@ -83,7 +86,9 @@
         self._log_findings()
         return revision
 
-    async def _take_changes_after(self, revision: int, wait: float) -> int:
+    async def _take_changes_after(
+        self, revision: StoreRevision, wait: float
+    ) -> StoreRevision:
         changes, reached = await self._feed.changes(revision, wait)
         self._take_changes(changes)
         self._state.directory.advance(reached)
@@ -100,7 +105,11 @@
         return self.link.seconds_since_outage() < DOUBT_SECONDS
 
     def _take_all(
-        self, endpoints: tuple[Endpoint, ...], revision: int, *, after_outage: bool
+        self,
+        endpoints: tuple[Endpoint, ...],
+        revision: StoreRevision,
+        *,
+        after_outage: bool,
     ) -> None:
         now = trio.current_time()
         if self._is_known:
--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -7,11 +7,14 @@
 
 import trio
 
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.errors import PiershoreError
 from piershore.ingress.followers.store_link import StoreLink
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import StoreFeed
 from piershore.platform.exceptions import WatchGapError
+from piershore.telemetry import ingress_metrics
+from piershore.telemetry.events import InvalidEntry, StoreReturned
 
 NOT_WATCHING_SECONDS = 0.1
 """How often a gateway that leaves the watching to others sees if it still may."""
@@ -47,7 +50,10 @@
     ) -> None:
         self._state = state
         self._watch_seconds = watch_seconds
-        self._revision: int | None = None
+        self._feed_to_follow = feed
+        self._name = name
+        self._reached = StoreRevision()
+        self._revision: StoreRevision | None = None
         self._scope: trio.CancelScope | None = None
         self._settled_at = float("-inf")
         self._should_watch: Callable[[], bool] = always
@@ -61,7 +67,7 @@
         """Whether a whole state was taken, from the store or from a peer."""
 
     @property
-    def known_revision(self) -> int | None:
+    def known_revision(self) -> StoreRevision | None:
         """The revision from which on changes are to be watched; None to read all."""
         return None
 
@@ -83,11 +89,13 @@
             self._scope.cancel()
 
     @abstractmethod
-    async def _read(self) -> int:
+    async def _read(self) -> StoreRevision:
         """Take the whole state; return its revision."""
 
     @abstractmethod
-    async def _take_changes_after(self, revision: int, wait: float) -> int:
+    async def _take_changes_after(
+        self, revision: StoreRevision, wait: float
+    ) -> StoreRevision:
         """Wait for changes and take them; return the revision reached."""
 
     async def _follow(self) -> None:
@@ -100,6 +108,7 @@
                 continue
             try:
                 await self._step()
+                self._note_era()
                 self.link.note_success()
             except WatchGapError:
                 self._revision = None
@@ -108,6 +117,25 @@
                 self._revision = None
                 await self.link.note_failure(f"{error.code}: {error.message}")
 
+    def _note_era(self) -> None:
+        """Log that the store has come back from an older copy, and faulty eras."""
+        finding = self._feed_to_follow.take_era_finding()
+        if finding:
+            self._state.log.write(InvalidEntry("store era", finding), is_failure=True)
+        if self._revision is None:
+            return
+        before, self._reached = self._reached, self._revision
+        if before and self._revision.era > before.era:
+            event = StoreReturned(
+                self._name,
+                before.era,
+                self._revision.era,
+                before.number,
+                self._revision.number,
+            )
+            self._state.log.write(event, is_failure=True)
+        ingress_metrics.STORE_ERA.set(self._revision.era)
+
     async def _step(self) -> None:
         try:
             if self._revision is None:
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -11,6 +11,7 @@
 from piershore.core.fleet.endpoint import Address, Endpoint
 from piershore.core.fleet.endpoint_notice import EndpointNotice
 from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -174,6 +175,10 @@
     def heard_at(self) -> float:
         """When something of an answer came last, by trio's clock."""
 
+    @abstractmethod
+    def take_era_finding(self) -> str:
+        """Return what was wrong with the era of answers, each fault once."""
+
     @abstractmethod
     async def close(self) -> None:
         """Close connections."""
@@ -183,11 +188,13 @@
     """The operators' configuration; raises `InvalidObjectError` for a faulty one."""
 
     @abstractmethod
-    async def read(self) -> tuple[Document | None, int]:
+    async def read(self) -> tuple[Document | None, StoreRevision]:
         """Return the newest document, if there is one, and the revision."""
 
     @abstractmethod
-    async def changes(self, revision: int, wait: float) -> tuple[Document | None, int]:
+    async def changes(
+        self, revision: StoreRevision, wait: float
+    ) -> tuple[Document | None, StoreRevision]:
         """Wait for a newer document; raise `WatchGapError` after a gap."""
 
     @abstractmethod
@@ -207,7 +214,7 @@
         """Return the data halls that are drained."""
 
     @abstractmethod
-    async def changes(self, revision: int, wait: float) -> DrainedHalls:
+    async def changes(self, revision: StoreRevision, wait: float) -> DrainedHalls:
         """Wait for changes; raise `WatchGapError` after a gap."""
 
     @abstractmethod
@@ -219,13 +226,13 @@
     """The platform's list of endpoints."""
 
     @abstractmethod
-    async def read(self) -> tuple[tuple[Endpoint, ...], int]:
+    async def read(self) -> tuple[tuple[Endpoint, ...], StoreRevision]:
         """Return all endpoints and the revision."""
 
     @abstractmethod
     async def changes(
-        self, revision: int, wait: float
-    ) -> tuple[tuple[EndpointChange, ...], int]:
+        self, revision: StoreRevision, wait: float
+    ) -> tuple[tuple[EndpointChange, ...], StoreRevision]:
         """Wait for changes; raise `WatchGapError` after a gap."""
 
     @abstractmethod
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -10,6 +10,7 @@
 from piershore.core.documents.splitting import split
 from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint import Address, Endpoint
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.routes.configuration_piece import ConfigurationPiece
 from piershore.core.routes.serving_configuration import ServingConfiguration
 from piershore.ingress.ports import (
@@ -48,6 +49,10 @@
         """When something of an answer came last, by trio's clock."""
         return self._client.heard_at
 
+    def take_era_finding(self) -> str:
+        """Return what was wrong with the era of answers, each fault once."""
+        return self._client.era.take_finding()
+
     async def close(self) -> None:
         """Close the connection."""
         await self._client.close()
@@ -56,7 +61,7 @@
 class StoredConfigurationFeed(_StoredFeed, ConfigurationFeed):
     """The one object that holds the newest configuration in whole."""
 
-    async def read(self) -> tuple[Document | None, int]:
+    async def read(self) -> tuple[Document | None, StoreRevision]:
         """Return the newest document, if there is one, and the revision."""
         listed = await self._client.list(CONFIGURATION_KIND)
         for item in listed.objects:
@@ -64,7 +69,9 @@
                 return await document_of(item.spec, listed.revision), listed.revision
         return None, listed.revision
 
-    async def changes(self, revision: int, wait: float) -> tuple[Document | None, int]:
+    async def changes(
+        self, revision: StoreRevision, wait: float
+    ) -> tuple[Document | None, StoreRevision]:
         """Wait for a newer document."""
         batch = await self._client.watch(CONFIGURATION_KIND, revision, wait)
         reached = _reached(batch, revision)
@@ -87,7 +94,7 @@
         return join_decoded(pieces)
 
 
-async def document_of(spec: Mapping, revision: int) -> Document:
+async def document_of(spec: Mapping, revision: StoreRevision) -> Document:
     """Return the document of an object's fields, split in turns with other work."""
     if not isinstance(spec, Mapping):
         raise InvalidObjectError("the configuration is no object")
@@ -107,7 +114,7 @@
         self._data_halls = {item.name for item in listed.objects}
         return self._view(listed.revision)
 
-    async def changes(self, revision: int, wait: float) -> DrainedHalls:
+    async def changes(self, revision: StoreRevision, wait: float) -> DrainedHalls:
         """Wait for a change; return the data halls that are drained after it."""
         batch = await self._client.watch(DRAIN_KIND, revision, wait)
         for change in batch.changes:
@@ -121,7 +128,7 @@
         """Take what peers know, to watch for changes after it."""
         self._data_halls = set(drained.data_halls)
 
-    def _view(self, revision: int) -> DrainedHalls:
+    def _view(self, revision: StoreRevision) -> DrainedHalls:
         return DrainedHalls(revision, frozenset(self._data_halls))
 
 
@@ -133,7 +140,7 @@
         self._findings: list[str] = []
         self._unreadable: dict[str, str] = {}
 
-    async def read(self) -> tuple[tuple[Endpoint, ...], int]:
+    async def read(self) -> tuple[tuple[Endpoint, ...], StoreRevision]:
         """Return all endpoints and the revision."""
         listed = await self._client.list(ENDPOINT_KIND)
         names = {item.name for item in listed.objects}
@@ -143,8 +150,8 @@
         return tuple(filter(None, endpoints)), listed.revision
 
     async def changes(
-        self, revision: int, wait: float
-    ) -> tuple[tuple[EndpointChange, ...], int]:
+        self, revision: StoreRevision, wait: float
+    ) -> tuple[tuple[EndpointChange, ...], StoreRevision]:
         """Wait for changes."""
         batch = await self._client.watch(ENDPOINT_KIND, revision, wait)
         return tuple(map(self._change, batch.changes)), _reached(batch, revision)
@@ -177,7 +184,7 @@
         return endpoint
 
 
-def _reached(batch: ObjectChanges, revision: int) -> int:
+def _reached(batch: ObjectChanges, revision: StoreRevision) -> StoreRevision:
     """Return the revision to go on from.
 
     A watch that ends without changes may have missed some, when the store was
--- a/src/piershore/platform/http_platform_store.py
+++ b/src/piershore/platform/http_platform_store.py
@@ -67,7 +67,9 @@
     async def list(self) -> Snapshot:
         """Read all configuration objects; the answer may be stale."""
         listed = await self._with_client(lambda client: client.list(CONFIGURATION_KIND))
-        return Snapshot(listed.revision, tuple(map(self._decode, listed.objects)))
+        return Snapshot(
+            listed.revision.number, tuple(map(self._decode, listed.objects))
+        )
 
     async def put(
         self, name: ObjectName, value: bytes | None, version: int, write_id: str
@@ -89,12 +91,12 @@
         while True:
             batch = await self._with_client(
                 lambda client, after=revision: client.watch(
-                    CONFIGURATION_KIND, after, WATCH_SECONDS
+                    CONFIGURATION_KIND, client.revision_of(after), WATCH_SECONDS
                 )
             )
             for change in batch.changes:
                 yield self._changed(change)
-            revision = batch.revision
+            revision = batch.revision.number
             yield revision
 
     async def boxes(self) -> tuple[Box, ...]:
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -13,6 +13,8 @@
 import trio
 
 from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.store_era import StoreEra
+from piershore.core.fleet.store_revision import StoreRevision
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
@@ -23,6 +25,7 @@
     WriteUncertainError,
 )
 
+ERA = b"store-era"
 CONNECT_SECONDS = 0.6
 """The store answers in a few ms; a lost first packet is sent again after 1 s."""
 CALL_SECONDS = 1.5
@@ -60,7 +63,7 @@
     """All objects of a kind and the store's revision that they show."""
 
     objects: tuple[PlatformObject, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True)
@@ -76,7 +79,7 @@
     """Changes in their order, complete up to `revision`."""
 
     changes: tuple[ObjectChange, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True)
@@ -103,6 +106,7 @@
         self._address = address
         self._connection: ClientConnection | None = None
         self._is_sent = False
+        self._era = StoreEra()
         self._heard_at = float("-inf")
 
     @property
@@ -110,33 +114,54 @@
         """When something of an answer came last, by trio's clock."""
         return self._heard_at
 
+    @property
+    def era(self) -> StoreEra:
+        """The store's era."""
+        return self._era
+
+    def revision_of(self, number: int) -> StoreRevision:
+        """Return a revision that the store has given out in its present era."""
+        return StoreRevision.of(self._era.value, number)
+
     async def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind, page by page.
 
-        Raise `PlatformUnavailableError` when the store doesn't answer.
+        Raise `PlatformUnavailableError` when the store doesn't answer, and
+        `WatchGapError` when it came back from an older copy between two pages.
         """
         objects: list[PlatformObject] = []
         after = ""
+        era: int | None = None
         while True:
             start = quote(after, errors="surrogatepass")
             query = f"?since_revision={start}" if after else ""
             body = await self._get(f"/objects/{kind}{query}", CALL_SECONDS)
+            if era is not None and era != self._era.value:
+                raise WatchGapError("the store came back while it was read")
+            era = self._era.value
             page = list(_objects(_entries(body, "items")))
             objects.extend(page)
             if not body.get("more") or not page:
-                return ObjectList(tuple(objects), _revision(body.get("at")))
+                reached = self.revision_of(_revision(body.get("at")))
+                return ObjectList(tuple(objects), reached)
             after = page[-1].name
 
-    async def watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
+    async def watch(
+        self, kind: str, revision: StoreRevision, wait: float
+    ) -> ObjectChanges:
         """Wait for changes after `revision`, at most `wait` seconds.
 
-        Raise `WatchGapError` when that history is gone.
+        Raise `WatchGapError` when that history is gone. The store can't tell that it
+        has given the number out a second time, since it came back from an older copy:
+        the watch would go on and miss what lies between.
         """
-        query = f"?watch={revision}&wait_ms={int(wait * 1_000)}"
+        query = f"?watch={revision.number}&wait_ms={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
         body = await self._get(path, wait + WATCH_SLACK_SECONDS)
+        if self._era.value != revision.era:
+            raise WatchGapError("the store has come back from an older copy")
         changes = tuple(_changes(_entries(body, "events")))
-        return ObjectChanges(changes, _revision(body.get("at")))
+        return ObjectChanges(changes, self.revision_of(_revision(body.get("at"))))
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Read one object; None if there is none."""
@@ -223,6 +248,9 @@
         await connection.send(head, body)
         answer = await connection.read_head()
         self._heard_at = trio.current_time()
+        is_present = self._era.take(_text(answer.header(ERA)), self._heard_at)
+        if not is_present and call.method == b"GET":
+            raise PlatformUnavailableError("the store answers from before its return")
         return answer
 
     async def _parts(self, connection: ClientConnection) -> AsyncIterator[bytes]:
@@ -242,6 +270,10 @@
         return self._connection
 
 
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1").strip()
+
+
 def _answer(status: int, data: bytes) -> ObjectAnswer:
     """Decode an answer; raise the error that its status stands for."""
     if status == HTTPStatus.GONE:
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -102,6 +102,20 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class StoreReturned(LogEvent):
+    """The store has come back from an older copy, and its revisions with it.
+
+    `dependency` is what was read first in the new era.
+    """
+
+    dependency: str
+    era_before: int
+    era: int
+    revision_before: int
+    revision: int
+
+
 @dataclass(frozen=True)
 class EndpointLeft(LogEvent):
     """An endpoint gets no new work; `streams` of this gateway are there."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -84,6 +84,11 @@
     ["stage"],
     registry=REGISTRY,
 )
+STORE_ERA = Gauge(
+    "piershore_ingress_store_era",
+    "How often the store had come back from an older copy, as its answers tell.",
+    registry=REGISTRY,
+)
 RESTING = Gauge(
     "piershore_ingress_resting_endpoints",
     "Endpoints that have asked this gateway for rest.",
--- a/src/piershore/telemetry/request_story.py
+++ b/src/piershore/telemetry/request_story.py
@@ -19,6 +19,7 @@
         "endpoint_left",
         "endpoint_told",
         "process_started",
+        "store_returned",
         "process_stopping",
         "process_stopped",
         "internal_error",
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -14,7 +14,7 @@
 
 from piershore.core.routes.client_limits import ClientLimits
 from piershore.http1.exceptions import BadRequestError
-from piershore.http1.message import RequestHead
+from piershore.http1.message import Headers, RequestHead
 from piershore.http1.server_connection import ServerConnection
 
 PAGE = 50
@@ -85,11 +85,22 @@
         return self.path[0] == "objects" and self.method != "GET"
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at a moment."""
+
+    objects: dict[str, dict[str, dict]]
+    revision: int
+
+
 Answer = tuple[int, object]
 
 
 class PublishedStore:
-    """Objects by kind and name, one counter of revisions, and watches."""
+    """Objects by kind and name, one counter of revisions, and watches.
+
+    Its answers tell the `era`, unless that is None; `era_text` is told in its place.
+    """
 
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
@@ -98,6 +109,8 @@
         self.calls = 0
         self.watch_times: list[tuple[str, float]] = []
         self.is_deaf = False
+        self.era: int | None = 0
+        self.era_text: str | None = None
         self.port = 0
         self._revision = 1
         self._objects: dict[str, dict[str, dict]] = {}
@@ -132,6 +145,25 @@
         self._note(kind, {"gone": True, "object": item})
         return item
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from."""
+        return StoreCopy(deepcopy(self._objects), self._revision)
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Come back from an older copy: what was written since is gone.
+
+        Revisions go back with it, and are given out again.
+        """
+        self._objects = deepcopy(copy.objects)
+        self._revision = self._oldest = copy.revision
+        self._events.clear()
+        self.era = (self.era or 0) + 1
+        self.cut_watches()
+
+    def names(self, kind: str) -> set[str]:
+        """Return the names of the objects of a kind."""
+        return set(self._objects.get(kind, {}))
+
     def forget_history(self) -> None:
         """Drop all changes so far."""
         self._oldest = self._revision
@@ -188,9 +220,13 @@
             status, body = await self._serve_objects(call)
             if status < HTTPStatus.BAD_REQUEST and self._loses_answer(call):
                 return False
-        await connection.respond(status, (), orjson.dumps(body))
+        await connection.respond(status, self._headers(), orjson.dumps(body))
         return True
 
+    def _headers(self) -> Headers:
+        text = self.era_text if self.era_text is not None else self.era
+        return () if text is None else ((b"store-era", str(text).encode()),)
+
     def _loses_answer(self, call: Call) -> bool:
         if not call.is_write:
             return False
@@ -288,7 +324,7 @@
 
     async def _next_events(self, kind: str, since: int) -> Answer:
         while True:
-            if since < self._oldest:
+            if not self._oldest <= since <= self._revision:
                 return HTTPStatus.GONE, {}
             events = [e for r, k, e in self._events if k == kind and r > since]
             if events and not self.is_deaf:
