--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -17,6 +17,7 @@
 from devtools.soak.callers import Callers
 from devtools.soak.checks import find_broken
 from devtools.soak.crashing_caller import CrashingCaller
+from devtools.soak.drill import Drill
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from piershore.http1.client_connection import ClientConnection
@@ -61,6 +62,8 @@
         extras.append(CrashingCaller(fleet, callers, seed))
     if options.asking:
         extras.append(AskingEndpoints(fleet, seed))
+    if options.drill:
+        extras.append(Drill(fleet, troubles, seed))
     try:
         trio.run(_run, fleet, callers, extras, troubles, options.seconds)
         findings = list(find_broken(fleet, callers, troubles))
@@ -83,7 +86,7 @@
 async def _run(
     fleet: Fleet,
     callers: Callers,
-    extras: list[CrashingCaller | AskingEndpoints],
+    extras: list[CrashingCaller | AskingEndpoints | Drill],
     troubles: Troubles,
     seconds: float,
 ) -> None:
@@ -147,6 +150,11 @@
         action="store_true",
         help="endpoints say in their answers that they leave, or ask for rest",
     )
+    parser.add_argument(
+        "--drill",
+        action="store_true",
+        help="the store comes back from older copies",
+    )
     return parser.parse_args()
 
 
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -137,6 +137,7 @@
         self.past: list[PublishedEndpoint] = []
         self.standin = self._new()
         self.left_at: dict[str, float] = {}
+        self.told_draining: set[str] = set()
         self.is_listed = False
 
     def _new(self) -> PublishedEndpoint:
@@ -200,6 +201,7 @@
         standin = endpoint.standin
         endpoint.is_listed = True
         if state != "ready":
+            endpoint.told_draining.add(standin.identity)
             endpoint.left_at.setdefault(standin.identity, trio.current_time())
         self.store.put("servers", standin.identity, standin.entry(state))
 
@@ -207,7 +209,25 @@
         """Remove an endpoint's entry."""
         identity = endpoint.standin.identity
         endpoint.left_at.setdefault(identity, trio.current_time())
-        self.store.remove("servers", identity)
+        if identity in self.store.names("servers"):
+            self.store.remove("servers", identity)
+
+    def write_again(self) -> None:
+        """Write what operators and endpoints know, and remove what has gone."""
+        self.show_configuration(self.config_version)
+        present = {e.standin.identity for e in self.endpoints}
+        for identity in self.store.names("servers") - present:
+            self.store.remove("servers", identity)
+        for endpoint in self.endpoints:
+            identity = endpoint.standin.identity
+            if not endpoint.is_listed or not endpoint.standin.port:
+                continue
+            if identity not in endpoint.left_at:
+                self.list_endpoint(endpoint, "ready")
+            elif identity in endpoint.told_draining:
+                self.list_endpoint(endpoint, "draining")
+            elif identity in self.store.names("servers"):
+                self.store.remove("servers", identity)
 
     def accept_configuration(self) -> int:
         """Accept one more version, with a route named after it."""
