A scenario of documents holds also when gateways have sent each other nothing

The trace: the process stood still for 10.5 s (no line between 05:55:12.189 and 05:55:22.633); all six gateways then took their peers for silent, watched the store by themselves and had the new version from there (configuration_in_force, source store, 0.1 to 0.5 s later), so that no connection between them was made. Nothing sent is at most 100 KB: the check says the same of it now.

--- a/features/steps/ingress_document_steps.py
+++ b/features/steps/ingress_document_steps.py
@@ -170,7 +170,7 @@
 @then("no gateway sent its peers more than {size:d} KB")
 def check_sent(context, size):
     sent = {host: link.passed for host, link in context.links.items()}
-    assert max(sent.values()) <= size * KILOBYTE, sent
+    assert max(sent.values(), default=0) <= size * KILOBYTE, sent
 
 
 @when("the first has work at {count:d} endpoints for {seconds:g} s")
