One part of an agent refuses, for calls and generations alike

The two kinds of an agent's work each had the same refusal with its count, and the same keeping of its endpoint's rest.

--- a/src/piershore/agent/call_runner.py
+++ b/src/piershore/agent/call_runner.py
@@ -16,6 +16,7 @@
     WorkLoad,
 )
 from piershore.agent.lease_keeper import LeaseKeeper
+from piershore.agent.refusals import Refusals
 from piershore.core.configuration.objects import ObjectKind, ServiceType
 from piershore.core.outcome import Outcome
 from piershore.core.ownership.claim import (
@@ -31,7 +32,6 @@
 from piershore.core.ownership.slot_owner import SlotOwner
 from piershore.core.ports import ServiceClient
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.routing.rest import Rest
 from piershore.endpoints.exceptions import CallNotSentError, CallUncertainError
 from piershore.endpoints.http_service_client import HttpServiceClient
 from piershore.telemetry import metrics
@@ -40,7 +40,6 @@
     Answered,
     Call,
     GatewayFrame,
-    Refused,
 )
 
 MOST_RUNNING = 1_024
@@ -78,7 +77,7 @@
         )
         self._waiters: dict[str, list[Waiter]] = defaultdict(list)
         self._running = 0
-        self._rest = Rest()
+        self._refusals = Refusals(context.send)
         self._leaving = False
         self._nursery: trio.Nursery | None = None
 
@@ -102,10 +101,6 @@
         """Mint times whose non-repeatable keys this agent may run."""
         return self._owner.intervals()
 
-    @property
-    def _seconds_to_rest(self) -> float:
-        return self._rest.seconds_left(trio.current_time())
-
     async def run(self) -> None:
         """Run calls and keep the leases until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -148,8 +143,8 @@
             self._refuse(waiter, RefusalReason.LEAVING, Outcome.NOT_RUN)
         elif self._running >= MOST_RUNNING:
             self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-        elif self._seconds_to_rest:
-            self._refuse_resting(waiter)
+        elif self._refusals.seconds_to_rest:
+            self._refusals.refuse_resting(waiter.link, waiter.request)
         else:
             self._spawn(self._run_repeatable, waiter, call)
 
@@ -179,9 +174,9 @@
             case RunKey() if self._running >= MOST_RUNNING:
                 self._owner.unclaim(key)
                 self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-            case RunKey() if self._seconds_to_rest:
+            case RunKey() if self._refusals.seconds_to_rest:
                 self._owner.unclaim(key)
-                self._refuse_resting(waiter)
+                self._refusals.refuse_resting(waiter.link, waiter.request)
             case RunKey():
                 self._waiters[key.text].append(waiter)
                 self._spawn(self._run_claimed, key, call)
@@ -233,7 +228,7 @@
     async def _call_service(self, key: str, call: Call) -> Answer:
         answer = await self._client.call(key, call.kind, call.body)
         if answer.rest_seconds is not None:
-            self._rest.note(answer.rest_seconds, trio.current_time())
+            self._refusals.note_rest(answer.rest_seconds)
         return answer
 
     def _answer(self, waiter: Waiter, answer: Answer) -> None:
@@ -243,27 +238,5 @@
         )
         self._send(waiter.link, AgentFrame(answered=answered))
 
-    def _refuse_resting(self, waiter: Waiter) -> None:
-        """Refuse a call unrun: the service would turn it away and ask for more."""
-        self._refuse(
-            waiter,
-            RefusalReason.ENDPOINT_RESTING,
-            Outcome.NOT_RUN,
-            self._seconds_to_rest,
-        )
-
-    def _refuse(
-        self,
-        waiter: Waiter,
-        reason: RefusalReason,
-        outcome: Outcome,
-        retry_after: float = 0.0,
-    ) -> None:
-        metrics.REFUSALS.labels(reason=reason, outcome=outcome).inc()
-        refused = Refused(
-            request=waiter.request,
-            reason=reason,
-            outcome=outcome,
-            retry_after_seconds=retry_after,
-        )
-        self._send(waiter.link, AgentFrame(refused=refused))
+    def _refuse(self, waiter: Waiter, reason: RefusalReason, outcome: Outcome) -> None:
+        self._refusals.refuse(waiter.link, waiter.request, reason, outcome)
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from contextlib import aclosing, suppress
 from secrets import token_hex
 
@@ -15,6 +14,8 @@
     WorkLoad,
 )
 from piershore.agent.engine_reader import EngineReader
+from piershore.agent.pace_probe import PaceProbe
+from piershore.agent.refusals import Refusals, Send
 from piershore.agent.stream_sender import StreamSender
 from piershore.core.admission.actions import Refuse
 from piershore.core.admission.candidate import Candidate, LengthKey
@@ -23,7 +24,6 @@
 from piershore.core.outcome import Outcome
 from piershore.core.ports import EngineClient, EngineTokens, GenerationRequest
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.routing.rest import Rest
 from piershore.core.streams.exceptions import TokenGapError, WindowPassedError
 from piershore.core.streams.generation import Ending, Generation, Reader
 from piershore.core.streams.stall_detector import StallDetector
@@ -43,7 +43,6 @@
     Cancel,
     Ended,
     GatewayFrame,
-    Refused,
     Submit,
 )
 
@@ -52,8 +51,6 @@
 JANITOR_PERIOD_SECONDS = 0.5
 POLL_PERIOD_SECONDS = 0.1
 
-Send = Callable[[int, AgentFrame], None]
-
 
 @endpoint_work(ServiceType.MODEL)
 class GenerationRunner(EndpointWork):
@@ -78,9 +75,8 @@
         self._sender = StreamSender(self._generations, settings.flush_interval, send)
         self._wake_poll = trio.Event()
         self._stalls = StallDetector()
-        self._pace_probe: str | None = None
-        self._new_tokens = 0
-        self._rest = Rest()
+        self._pace = PaceProbe(queue)
+        self._refusals = Refusals(send)
         self._leaving = False
 
     @classmethod
@@ -108,10 +104,6 @@
             return False
         return all(g.is_drained() for g in self._generations.values())
 
-    @property
-    def _seconds_to_rest(self) -> float:
-        return self._rest.seconds_left(trio.current_time())
-
     async def run(self) -> None:
         """Admit, stream and clean up until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -141,15 +133,15 @@
                 self.cancel(link, frame.cancel)
             case "call":
                 reason = RefusalReason.KEYS_NOT_SUPPORTED
-                self._refuse(link, frame.call.request, reason)
+                self._refusals.refuse(link, frame.call.request, reason)
 
     def submit(self, link: int, submit: Submit) -> None:
         """Take a request into the queue, or refuse it."""
         if self._leaving:
-            self._refuse(link, submit.request, RefusalReason.LEAVING)
+            self._refusals.refuse(link, submit.request, RefusalReason.LEAVING)
             return
-        if self._seconds_to_rest:
-            self._refuse_resting(link, submit.request)
+        if self._refusals.seconds_to_rest:
+            self._refusals.refuse_resting(link, submit.request)
             return
         now = trio.current_time()
         identity = token_hex(IDENTITY_BYTES)
@@ -167,7 +159,7 @@
         """Give a reader the tokens of a generation from its index on."""
         generation = self._generations.get(attach.generation)
         if generation is None or generation.account != attach.account:
-            self._refuse(
+            self._refusals.refuse(
                 link,
                 attach.request,
                 RefusalReason.GENERATION_UNKNOWN,
@@ -177,7 +169,7 @@
         try:
             superseded = generation.attach(link, attach.request, attach.index)
         except WindowPassedError:
-            self._refuse(
+            self._refusals.refuse(
                 link, attach.request, RefusalReason.RESUME_WINDOW_PASSED, Outcome.RUN
             )
             return
@@ -232,7 +224,7 @@
             with trio.move_on_after(POLL_PERIOD_SECONDS):
                 await self._wake_poll.wait()
             self._wake_poll = trio.Event()
-            if self._seconds_to_rest:
+            if self._refusals.seconds_to_rest:
                 self._refuse_waiting()
             for action in self._queue.poll(trio.current_time()):
                 if isinstance(action, Refuse):
@@ -244,7 +236,7 @@
     def _refuse_queued(self, action: Refuse) -> None:
         reader = self._drop_unrun(action.candidate.identity)
         if reader is not None:
-            self._refuse(
+            self._refusals.refuse(
                 reader.link,
                 reader.request,
                 action.reason,
@@ -269,20 +261,7 @@
     def _refuse_rested(self, identity: str) -> None:
         reader = self._drop_unrun(identity)
         if reader is not None:
-            self._refuse_resting(reader.link, reader.request)
-
-    def _refuse_resting(self, link: int, request: int) -> None:
-        """Refuse a request unrun for as long as the engine asks for rest.
-
-        Taken for a lost engine, two such refusals held a request at its gateway as if
-        it had crashed engines.
-        """
-        self._refuse(
-            link,
-            request,
-            RefusalReason.ENDPOINT_RESTING,
-            retry_after=self._seconds_to_rest,
-        )
+            self._refusals.refuse_resting(reader.link, reader.request)
 
     def _accept(self, candidate: Candidate) -> None:
         reader = self._generations[candidate.identity].reader
@@ -302,7 +281,7 @@
             try:
                 ending = Ending(await self._read(generation, request))
             except EngineRestingError as error:
-                self._rest.note(error.seconds, trio.current_time())
+                self._refusals.note_rest(error.seconds)
                 self._give_back(identity)
                 return
         self._scopes.pop(identity, None)
@@ -342,7 +321,7 @@
         if not new:
             return
         self._queue.progress(generation.identity, new)
-        self._new_tokens += new
+        self._pace.count(new)
         metrics.TOKENS.inc(new)
         if is_first:
             self._sender.mark(generation.identity)
@@ -352,16 +331,9 @@
         if stalled:
             metrics.STALLS.inc()
             metrics.STALL_SECONDS.inc(stalled)
-        self._probe_pace(generation.identity, gap / new, now)
+        self._pace.observe(generation.identity, gap / new, now, self._scopes)
         self._sender.mark(generation.identity)
 
-    def _probe_pace(self, identity: str, gap: float, now: float) -> None:
-        if self._pace_probe not in self._scopes:
-            self._pace_probe = identity
-        if self._pace_probe == identity:
-            tokens, self._new_tokens = self._new_tokens, 0
-            self._queue.step(tokens, self._queue.running_count, gap, now)
-
     async def _janitor_loop(self) -> None:
         grace = self._settings.resume_grace
         while True:
@@ -398,23 +370,6 @@
         ended = Ended(request=reader.request, reason=RefusalReason.SUPERSEDED_READER)
         self._send(reader.link, AgentFrame(ended=ended))
 
-    def _refuse(
-        self,
-        link: int,
-        request: int,
-        reason: RefusalReason,
-        outcome: Outcome = Outcome.NOT_RUN,
-        retry_after: float = 0.0,
-    ) -> None:
-        metrics.REFUSALS.labels(reason=reason, outcome=outcome).inc()
-        refused = Refused(
-            request=request,
-            reason=reason,
-            outcome=outcome,
-            retry_after_seconds=retry_after,
-        )
-        self._send(link, AgentFrame(refused=refused))
-
 
 def _accepted(request: int, generation: str) -> AgentFrame:
     return AgentFrame(accepted=Accepted(request=request, generation=generation))
--- /dev/null
+++ b/src/piershore/agent/refusals.py
@@ -0,0 +1,60 @@
+"""Refusals of requests by an agent, also while its endpoint rests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from piershore.core.outcome import Outcome
+from piershore.core.refusal_reason import RefusalReason
+from piershore.core.routing.rest import Rest
+from piershore.telemetry import metrics
+from piershore.wire.link_pb2 import AgentFrame, Refused
+
+Send = Callable[[int, AgentFrame], None]
+"""Puts a frame on a link."""
+
+
+class Refusals:
+    """Counts and sends refusals; knows how long the endpoint wants nothing."""
+
+    def __init__(self, send: Send) -> None:
+        self._send = send
+        self._rest = Rest()
+
+    @property
+    def seconds_to_rest(self) -> float:
+        """Seconds until something may be sent to the endpoint; 0 if that is now."""
+        return self._rest.seconds_left(trio.current_time())
+
+    def note_rest(self, seconds: float) -> None:
+        """Note that the endpoint wants nothing for some seconds."""
+        self._rest.note(seconds, trio.current_time())
+
+    def refuse(
+        self,
+        link: int,
+        request: int,
+        reason: RefusalReason,
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after: float = 0.0,
+    ) -> None:
+        """Refuse a request; `retry_after` is in seconds, 0 if it isn't known."""
+        metrics.REFUSALS.labels(reason=reason, outcome=outcome).inc()
+        refused = Refused(
+            request=request,
+            reason=reason,
+            outcome=outcome,
+            retry_after_seconds=retry_after,
+        )
+        self._send(link, AgentFrame(refused=refused))
+
+    def refuse_resting(self, link: int, request: int) -> None:
+        """Refuse a request unrun for as long as the endpoint asks for rest.
+
+        Sent on, it would be turned away. Taken for a lost engine, two such refusals
+        held a request at its gateway as if it had crashed engines.
+        """
+        reason = RefusalReason.ENDPOINT_RESTING
+        self.refuse(link, request, reason, retry_after=self.seconds_to_rest)
