--- a/features/steps/own_rest_steps.py
+++ b/features/steps/own_rest_steps.py
@@ -95,7 +95,7 @@
 
 async def send_around_rest(context, agent, send, served):
     """Send requests during a rest that the first one is told of, and one after it."""
-    agent.standin._rest.shed(SHED_SECONDS, REST_SECONDS)
+    agent.standin.shedding.shed(SHED_SECONDS, REST_SECONDS)
     send(1)
     await agent.wait_for(1, "refused", "ended", "answered")
     context.told_at = trio.current_time()
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -199,7 +199,7 @@
     """Wait until gateways have read the store's endpoints in an era."""
     with trio.fail_after(SETTLE_SECONDS):
         for number in gateways:
-            while state_of(world, number).directory.revision >> 40 != era:
+            while StoreRevision(state_of(world, number).directory.revision).era != era:
                 await trio.sleep(POLL_SECONDS)
 
 
@@ -357,7 +357,7 @@
         world.store.era = first
         world.list_endpoint(world.endpoints[0], "ready")
         world.gateways[0][1]._endpoints.restart()
-        await wait_revision_era(world, first)
+        await wait_era(world, first, gateways=(0,))
         if era:
             world.store.era_text = era
         else:
@@ -377,12 +377,6 @@
     context.ingress.run(script)
 
 
-async def wait_revision_era(world, era):
-    with trio.fail_after(SETTLE_SECONDS):
-        while StoreRevision(state_of(world).directory.revision).era != era:
-            await trio.sleep(POLL_SECONDS)
-
-
 @then("the gateway goes on, and says once what was wrong")
 def check_goes_on(context):
     assert context.known == {"i-0", "i-1", "i-2", "i-new"}, context.known
@@ -396,7 +390,7 @@
     async def script(world):
         world.store.era = first
         world.gateways[0][1]._endpoints.restart()
-        await wait_revision_era(world, first)
+        await wait_era(world, first, gateways=(0,))
         copy = world.store.copy()
         unlist(world, world.endpoints[0])
         rest = identities(world) - {"i-0"}
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -57,7 +57,7 @@
         self._paused = False
         self._load: dict = self._load_now()
         self._told_events = 0
-        self._rest = Shedding()
+        self.shedding = Shedding()
         self.requests = 0
 
     def app(self) -> QuartTrio:
@@ -69,7 +69,6 @@
         app.get("/v1/load")(self.load)
         app.get("/v1/cache-events")(self.cache_events)
         app.post("/_pause")(self.pause)
-        app.post("/_rest")(self.set_rest)
         app.get("/_generations")(self.generations)
         return app
 
@@ -93,7 +92,7 @@
     async def generate(self) -> Response:
         """Start a generation and stream it."""
         self.requests += 1
-        if (refusal := self._rest.refusal()) is not None:
+        if (refusal := self.shedding.refusal()) is not None:
             return refusal
         body = orjson.loads(await request.get_data())
         identity = body["id"]
@@ -139,10 +138,6 @@
         self._paused = orjson.loads(await request.get_data())["paused"]
         return Response("")
 
-    async def set_rest(self) -> Response:
-        """Turn generations away for `seconds`, and ask for `rest` seconds with it."""
-        return await self._rest.set()
-
     async def generations(self) -> Response:
         """Return how many generations were started."""
         data = {"started": len(self._logs), "running": len(self._model.running)}
--- a/standins/service.py
+++ b/standins/service.py
@@ -19,7 +19,7 @@
         self._executions: Counter[str] = Counter()
         self._tags: Counter[str] = Counter()
         self._delay = 0.0
-        self._rest = Shedding()
+        self.shedding = Shedding()
         self.requests = 0
 
     def app(self) -> QuartTrio:
@@ -28,13 +28,12 @@
         app.post("/call/<kind>")(self.call)
         app.get("/_executions")(self.executions)
         app.post("/_delay")(self.set_delay)
-        app.post("/_rest")(self.set_rest)
         return app
 
     async def call(self, kind: str) -> Response:
         """Execute a call: it counts before it answers."""
         self.requests += 1
-        if (refusal := self._rest.refusal()) is not None:
+        if (refusal := self.shedding.refusal()) is not None:
             return refusal
         arguments = orjson.loads(await request.get_data())
         key = request.headers.get("Idempotency-Key", "")
@@ -49,10 +48,6 @@
         data = {"keys": self._executions, "tags": self._tags}
         return Response(orjson.dumps(data), content_type="application/json")
 
-    async def set_rest(self) -> Response:
-        """Turn calls away for `seconds`, and ask for `rest` seconds with it."""
-        return await self._rest.set()
-
     async def set_delay(self) -> Response:
         """Set how long a call takes."""
         self._delay = orjson.loads(await request.get_data())["seconds"]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,11 +4,10 @@
 
 from argparse import ArgumentParser, Namespace
 
-import orjson
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
-from quart import request, Response
+from quart import Response
 from quart_trio import QuartTrio
 
 
@@ -30,11 +29,6 @@
             return None
         return Response("", status=503, headers={"Retry-After": f"{self._rest:g}"})
 
-    async def set(self) -> Response:
-        """Take what the present request sets."""
-        self.shed(**orjson.loads(await request.get_data()))
-        return Response("")
-
 
 def parser(description: str) -> ArgumentParser:
     """Return a parser with the options of every stand-in."""
