--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -7,6 +7,7 @@
 import shutil
 import subprocess
 import sys
+from collections import deque
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,12 @@
 KNOWN_RED = Path("KNOWN-RED.txt")
 MOST_KNOWN_RED = 3
 FAILING = re.compile(r"^  features/\S+\.feature:\d+  (.+)$", re.MULTILINE)
+REASON = re.compile(
+    r"^(?:FAILURE in|ERROR in|ASSERT FAILED|[\w.]+Error\b).*", re.MULTILINE
+)
+LINES_TOLD = 12
+"""Of each step that fails, told again at the end: a record of a run may keep no more
+than its last lines."""
 PARALLEL_FEATURES = 3
 SOAK_OPTIONS = ("--crashing", "--asking", "--drill")
 """Played one by one, so that a broken promise tells which of them broke it."""
@@ -26,13 +33,18 @@
 
 @dataclass(frozen=True)
 class Counts:
-    """Checks passed and failed."""
+    """Checks passed and failed, and what those that failed told."""
 
     passed: int = 0
     failed: int = 0
+    told: tuple[str, ...] = ()
 
     def __add__(self, other: Counts) -> Counts:
-        return Counts(self.passed + other.passed, self.failed + other.failed)
+        return Counts(
+            self.passed + other.passed,
+            self.failed + other.failed,
+            self.told + other.told,
+        )
 
 
 def main() -> int:
@@ -46,15 +58,26 @@
         counts += run_step(f"soak {option}", sys.executable, *soak)
     if KNOWN_RED.exists():
         print("known red:", KNOWN_RED.read_text(), sep="\n")
+    for line in counts.told:
+        print(line)
     print(f"{counts.passed} passed, {counts.failed} failed")
     return 1 if counts.failed else 0
 
 
 def run_step(name: str, *command: str) -> Counts:
     """Run one command as one check."""
-    code = subprocess.run(command, check=False).returncode
-    print(f"{name}: {'passed' if code == 0 else 'failed'}", flush=True)
-    return Counts(passed=1) if code == 0 else Counts(failed=1)
+    last: deque[str] = deque(maxlen=LINES_TOLD)
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    ) as step:
+        for line in step.stdout:
+            print(line, end="", flush=True)
+            last.append(line.rstrip())
+    if step.returncode == 0:
+        print(f"{name}: passed", flush=True)
+        return Counts(passed=1)
+    print(f"{name}: failed", flush=True)
+    return Counts(failed=1, told=(f"{name} failed:", *last))
 
 
 def run_models() -> Counts:
@@ -95,10 +118,16 @@
     if counts.failed:
         print(done.stdout, flush=True)
         counts = pass_over_known_red(done.stdout, counts)
+        counts += Counts(told=(f"{feature.name} failed:", *read_reasons(done.stdout)))
     print(f"{feature.name}: {counts.passed} passed, {counts.failed} failed", flush=True)
     return counts
 
 
+def read_reasons(output: str) -> list[str]:
+    """Return the lines of a feature's output that tell what failed and why."""
+    return [*FAILING.findall(output), *REASON.findall(output)][:LINES_TOLD]
+
+
 def pass_over_known_red(output: str, counts: Counts) -> Counts:
     """Take failures out that KNOWN-RED.txt names, and print them."""
     if not KNOWN_RED.exists():
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -39,14 +39,19 @@
     """Play the seeds asked for, and those that ever failed."""
     options = _options()
     seeds = [*_case_seeds(), *range(options.first, options.first + options.seeds)]
-    broken = 0
+    broken = []
     with ProcessPoolExecutor(options.jobs) as pool:
         runs = [pool.submit(play, seed, options) for seed in dict.fromkeys(seeds)]
         for run in runs:
             text, is_broken = run.result()
-            broken += is_broken
             print(text, flush=True)
-    print(f"{len(runs) - broken} seeds kept all promises, {broken} broke some")
+            if is_broken:
+                broken.append(text)
+    for text in broken:
+        print(text)
+    print(
+        f"{len(runs) - len(broken)} seeds kept all promises, {len(broken)} broke some"
+    )
     return 1 if broken else 0
 
 
