An era of thousands of digits doesn't end the following of the store

Callers saw nothing at once; the gateway no longer heard of changes of its endpoints. Cause: Python refuses to read a number of more than 4,300 digits with a ValueError that nothing takes for a fault of the store. A text that is longer than any era is no era; the scenario failed before (a new endpoint unknown after 5 s).

--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -377,6 +377,11 @@
     context.ingress.run(script)
 
 
+@when("the store's answers tell an era of {digits:d} digits after era {first:d}")
+def tell_long_era(context, digits, first):
+    tell_era(context, first, "9" * digits)
+
+
 @then("the gateway goes on, and says once what was wrong")
 def check_goes_on(context):
     assert context.known == {"i-0", "i-1", "i-2", "i-new"}, context.known
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -64,6 +64,13 @@
       | 1e3    |
       | 99999999999999999999 |
 
+  # Python refuses to read a number of more than 4,300 digits: the error ended the
+  # gateway's following of the store.
+  Scenario: an era of more digits than a number may have
+    Given 1 gateway before sound endpoints
+    When the store's answers tell an era of 5000 digits after era 3
+    Then the gateway goes on, and says once what was wrong
+
   Scenario: answers of an earlier era
     Given 1 gateway before sound endpoints
     When the store answers from era 2 after era 3
--- a/src/piershore/core/fleet/store_era.py
+++ b/src/piershore/core/fleet/store_era.py
@@ -4,6 +4,9 @@
 
 from piershore.core.fleet.store_revision import LARGEST_ERA
 
+MOST_DIGITS = 20
+"""More than any era has. Reading a text of over 4,300 digits as a number raises an
+error, which ended the following of the store."""
 LONGEST_FALL_SECONDS = 10.0
 """Answers of an earlier era come late, or from a part of the store that lags. After so
 long the higher era was a fault: a gateway that passed over all answers for it would be
@@ -33,8 +36,8 @@
         if text is None:
             self._note("an answer names no era" if self._value else "")
             return True
-        if not (text.isascii() and text.isdigit()) or int(text) > LARGEST_ERA:
-            self._note(f"{text!r} is no era")
+        if not _is_era(text):
+            self._note(f"{text[:MOST_DIGITS]!r} is no era")
             return True
         era = int(text)
         if era < self._value:
@@ -56,3 +59,8 @@
     def _note(self, finding: str) -> None:
         if finding and finding != self._told:
             self._finding = self._told = finding
+
+
+def _is_era(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit() and len(text) <= MOST_DIGITS
+    return is_number and int(text) <= LARGEST_ERA
