Red: the own interface before a store that comes back from an older copy

Seen: a key that may not repeat ran at two agents (executed twice); four kinds of accepted edits weren't in the store within 30 s, nor did it take an edit of the version that had been accepted; an agent that came after 120 lost edits wasn't found within 30 s. The stand-in keeps a copy and comes back from it when asked.

--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -162,6 +162,14 @@
         """Switch faults of the platform's stand-in."""
         self._client.post(self.url("platform") + "/_faults", json=faults)
 
+    def keep_copy(self) -> None:
+        """Let the platform's stand-in keep a copy of what it holds."""
+        self._client.post(self.url("platform") + "/_copies")
+
+    def come_back(self) -> int:
+        """Let it come back from that copy; return its era then."""
+        return self._client.post(self.url("platform") + "/_returns").json()["era"]
+
     def admin(
         self,
         gateway: str,
--- /dev/null
+++ b/features/steps/own_store_return_steps.py
@@ -0,0 +1,273 @@
+"""Steps on a store that comes back from an older copy, before the own interface."""
+
+from __future__ import annotations
+
+import base64
+import time
+from random import Random
+from threading import Event, Thread
+
+import orjson
+from behave import then, when
+from config_steps import ACCOUNT, edit, read
+from once_steps import holds_all_slots
+from support.world import GATEWAYS, SERVICE
+
+from devtools.deployment import wait_until
+from piershore.core.configuration.objects import ObjectKind
+from piershore.core.ownership.minted_key import MintedKey
+from piershore.gateway.account_directory import key_hash
+from piershore.platform.http_platform_store import CONFIGURATION_KIND, SLOT_KIND
+
+POLL_SECONDS = 0.05
+LIMIT = 77
+NEW_KEY = "another-key"
+OTHER_ACCOUNT = "accounts/surulere"
+
+
+def listed(world, gateway, collection="accounts"):
+    """Return what a gateway has in force, by name."""
+    items = world.deployment.admin(gateway, "GET", collection).json()["items"]
+    return {item["name"]: item["spec"] for item in items}
+
+
+def stored(world, kind, name):
+    """Return the value that the store holds, or None."""
+    platform = world.deployment.url("platform")
+    url = f"{platform}/objects/{CONFIGURATION_KIND}/{kind}:{name}"
+    answer = world.deployment.client.get(url)
+    if answer.status_code == 404:
+        return None
+    return orjson.loads(base64.b64decode(answer.json()["spec"]["value"]))
+
+
+def limit_of(spec):
+    return spec["overrides"]["concurrent_requests"]
+
+
+def change(world):
+    edit(world, LIMIT).raise_for_status()
+    return lambda spec: spec is not None and limit_of(spec) == LIMIT
+
+
+def create(world):
+    spec = {**read(world).json()["spec"], "key_hashes": [key_hash(NEW_KEY)]}
+    world.values["name"] = "apapa"
+    answer = world.deployment.admin(
+        "gateway-2", "PUT", "accounts/apapa", spec, {"If-None-Match": "*"}
+    )
+    answer.raise_for_status()
+    return lambda spec: spec is not None
+
+
+def delete(world):
+    headers = {"If-Match": read(world).headers["ETag"]}
+    answer = world.deployment.admin("gateway-1", "DELETE", ACCOUNT, None, headers)
+    answer.raise_for_status()
+    return lambda spec: spec is None
+
+
+def change_key(world):
+    headers = {"If-Match": read(world).headers["ETag"]}
+    changes = {"key_hashes": [key_hash(NEW_KEY)]}
+    answer = world.deployment.admin("gateway-1", "PATCH", ACCOUNT, changes, headers)
+    answer.raise_for_status()
+    return lambda spec: spec is not None and spec["key_hashes"] == [key_hash(NEW_KEY)]
+
+
+def wait_everywhere(world, is_right, name, what):
+    for gateway in GATEWAYS:
+        wait_until(
+            lambda gateway=gateway: is_right(listed(world, gateway).get(name)),
+            f"{what} at {gateway}",
+        )
+
+
+def watch_view(world, is_right, name):
+    """Note in the background whenever a gateway has something else in force."""
+    world.values["wrong"] = []
+    stop = world.values["stop_view"] = Event()
+
+    def watch():
+        while not stop.wait(POLL_SECONDS):
+            for gateway in GATEWAYS:
+                spec = listed(world, gateway).get(name)
+                if not is_right(spec):
+                    world.values["wrong"].append((gateway, spec))
+
+    Thread(target=watch, daemon=True).start()
+
+
+def edit_and_return(world, make_edit):
+    world.values["name"] = "yaba"
+    world.deployment.keep_copy()
+    is_right = world.values["is_right"] = make_edit(world)
+    name = world.values["name"]
+    world.values["version"] = read(world, f"accounts/{name}").headers.get("ETag")
+    wait_everywhere(world, is_right, name, "the edit")
+    watch_view(world, is_right, name)
+    world.deployment.come_back()
+
+
+EDITS = {
+    "an account is changed": change,
+    "an account is created": create,
+    "an account is deleted": delete,
+    "an account's key is changed": change_key,
+}
+
+
+def edit_step(make_edit):
+    def run(context):
+        edit_and_return(context.world, make_edit)
+
+    return run
+
+
+for text, make_edit in EDITS.items():
+    when(f"{text} and the store comes back from a copy of before")(edit_step(make_edit))
+
+
+@then("the edit stays in force at both gateways and is in the store again")
+def check_stays(context):
+    world = context.world
+    name, is_right = world.values["name"], world.values["is_right"]
+    wait_until(
+        lambda: is_right(stored(world, ObjectKind.ACCOUNT, name)), "the store's object"
+    )
+    wait_everywhere(world, is_right, name, "the edit")
+    world.values["stop_view"].set()
+    assert not world.values["wrong"], world.values["wrong"][:3]
+
+
+@then("the next edit is in force at both gateways")
+def check_next(context):
+    world = context.world
+
+    def is_accepted():
+        return edit(world, 55, "gateway-2", path=OTHER_ACCOUNT).is_success
+
+    wait_until(is_accepted, "the next edit")
+    wait_everywhere(world, lambda spec: limit_of(spec) == 55, "surulere", "it")
+
+
+@when("{count:d} edits are lost by the store's return")
+def lose_edits(context, count):
+    world = context.world
+    world.deployment.keep_copy()
+    for number in range(count):
+        edit(world, number + 1).raise_for_status()
+    world.deployment.come_back()
+
+
+@then("both gateways find an agent that is new")
+def check_new_agent(context):
+    world = context.world
+    world.deployment.start_engine("engine-3")
+    world.start_agent("review-3")
+    for gateway in GATEWAYS:
+        world.deployment.wait_boxes(gateway, 7)
+
+
+@then("an edit of the version that was accepted is refused for a moment or accepted")
+def check_edit_of_lost(context):
+    world = context.world
+    etags = {"If-Match": world.values["version"]}
+    changes = {"overrides": {"concurrent_requests": LIMIT + 1}}
+    answer = world.deployment.admin("gateway-1", "PATCH", ACCOUNT, changes, etags)
+    if answer.status_code == 503:
+        assert "Retry-After" in answer.headers
+    else:
+        # The store has it again, under a newer version: that edit came after it.
+        assert answer.status_code in (200, 412), answer.text
+    world.values["stop_view"].set()
+
+
+@then("it is in force at both gateways in the end")
+def check_edit_in_force(context):
+    world = context.world
+
+    def is_accepted():
+        return edit(world, LIMIT + 1).is_success
+
+    wait_until(is_accepted, "the edit")
+
+    def is_right(spec):
+        return limit_of(spec) == LIMIT + 1
+
+    wait_everywhere(world, is_right, "yaba", "the edit")
+    assert is_right(stored(world, ObjectKind.ACCOUNT, "yaba"))
+
+
+@when("order-1 dies, order-2 takes its mint times and runs a key of them")
+def take_over(context):
+    world = context.world
+    world.deployment.keep_copy()
+    world.deployment.process("order-1").kill()
+    wait_until(lambda: holds_all_slots(world, "order-2"), "the take-over")
+    key = world.values["key"] = world.caller().mint_key(SERVICE)
+    wait_until(
+        lambda: world.call_once("gateway-1", key, tag="one").is_whole, "the call"
+    )
+    assert world.executions()[key] == 1
+    world.deployment.process("order-2").freeze()
+
+
+@when("the store comes back from a copy of before, and order-1 is there again")
+def return_with_successor(context):
+    world = context.world
+    world.values["era"] = world.deployment.come_back()
+    world.start_agent("order-1")
+    wait_until(lambda: owns_some(world, "order-1"), "the successor's mint times")
+
+
+def slot_records(world):
+    """Return all records of leases that the store holds."""
+    url = f"{world.deployment.url('platform')}/objects/{SLOT_KIND}"
+    items = world.deployment.client.get(url).json()["items"]
+    return [orjson.loads(base64.b64decode(item["spec"]["value"])) for item in items]
+
+
+def owns_some(world, endpoint):
+    """Tell whether an endpoint's present life owns a slot in some record."""
+    boxes = world.deployment.admin("gateway-1", "GET", "status").json()["boxes"]
+    if not any(box["box"] == endpoint and box["state"] == "live" for box in boxes):
+        return False
+    first = world.values.setdefault("records", slot_records(world))
+    return any(
+        slot["intervals"] and slot["intervals"][-1]["owner"]["endpoint"] == endpoint
+        for record in slot_records(world)
+        if record not in first
+        for slot in record["layouts"][-1]["slots"]
+    )
+
+
+@then("the key isn't run again by order-1")
+def check_not_again(context):
+    world = context.world
+    key = world.values["key"]
+    deadline = time.monotonic() + 5.0
+    while time.monotonic() < deadline:
+        for gateway in GATEWAYS:
+            result = world.call_once(gateway, key, tag="one")
+            assert result.outcome != "not_run", result
+        assert world.executions()[key] == 1, world.executions()
+    world.deployment.process("order-2").thaw()
+    for gateway in GATEWAYS:
+        world.deployment.wait_boxes(gateway, 6)
+
+
+@then("callers' own keys run again in the end, each once")
+def check_own_keys(context):
+    world = context.world
+    random = Random(1)
+    keys = []
+
+    def runs():
+        key = MintedKey.mint(int(time.time() * 1_000), random).text
+        keys.append(key)
+        return world.call_once("gateway-1", key, tag="own").is_whole
+
+    wait_until(runs, "a call with a caller's own key")
+    executions = world.executions()
+    assert all(executions[key] <= 1 for key in keys), executions
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -122,6 +122,7 @@
         self._scopes: set[trio.CancelScope] = set()
         self._second = 0
         self._in_second = Counts()
+        self._kept = self.copy()
 
     def put(self, kind: str, name: str, spec: dict) -> dict:
         """Make or replace an object."""
@@ -340,6 +341,8 @@
             "_faults": self._set_faults,
             "_counts": lambda call: asdict(self.counts),
             "_boxes": self._set_box,
+            "_copies": self._keep_copy,
+            "_returns": self._return,
         }
         return HTTPStatus.OK, control[call.path[0]](call)
 
@@ -352,6 +355,14 @@
             self.cut_watches()
         return asdict(self.faults)
 
+    def _keep_copy(self, call: Call) -> object:
+        self._kept = self.copy()
+        return {"revision": self._kept.revision}
+
+    def _return(self, call: Call) -> object:
+        self.come_back(self._kept)
+        return {"era": self.era}
+
     def _set_box(self, call: Call) -> object:
         if call.method == "DELETE":
             name, entry = call.path[1], None
