The own interface orders the store's revisions by its era, too

Operators and callers saw: after the store's return gateways and agents went on with what they knew, since the numbers of the present store were lower than theirs; an agent that came after 120 lost edits wasn't found within 30 s. A write that named a number that had been given out again overwrote the other writer's object.

Cause: versions and revisions of the own interface were bare numbers, whose era the adapter dropped. Now a version is the era in which the object was written, kept beside its value, and its number; a revision is the store's era and its number, as for the gateways of the platform. A version of an earlier era is compared in full before its number is sent; a write whose era is told wrongly is made again; writes answered from before the return are uncertain. All connections of a process share what they have heard of the era. Four contract scenarios and 'an agent comes' failed before.

--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -16,6 +16,10 @@
       | a watch has a gap                            |
       | reads are stale                              |
       | the list of boxes lags                       |
+      | it has lost the version that a write names |
+      | it has given the version that a write names out again |
+      | a watch goes on from a revision given out again |
+      | it comes back just before a write |
 
   Scenario Outline: The engine, <case>
     Given the stand-ins
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -7,6 +7,7 @@
 
 from piershore.core.configuration.objects import ObjectKind
 from piershore.core.configuration.stored_object import ObjectName
+from piershore.core.fleet.store_revision import era_of
 from piershore.core.ports import GenerationRequest
 from piershore.endpoints.exceptions import (
     CallNotSentError,
@@ -148,6 +149,49 @@
     assert await store.boxes() == ()
 
 
+async def come_back(store, world):
+    """Lose the second of two writes."""
+    first = await store.put(NAME, b"1", 0, "w1")
+    world.deployment.keep_copy()
+    second = await store.put(NAME, b"2", first.version, "w2")
+    world.deployment.come_back()
+    return first, second
+
+
+async def write_lost_version(store, world):
+    first, second = await come_back(store, world)
+    error = await raises(StaleVersionError, store.put(NAME, b"3", second.version, "w3"))
+    assert error.current == first
+    snapshot = await store.list()
+    assert snapshot.objects == (first,) and snapshot.revision > second.version
+
+
+async def write_version_given_out_again(store, world):
+    _, second = await come_back(store, world)
+    first = await store.get(NAME)
+    third = await store.put(NAME, b"3", first.version, "w3")
+    assert third.version > second.version
+    await raises(StaleVersionError, store.put(NAME, b"4", second.version, "w4"))
+    assert (await store.get(NAME)).value == b"3"
+
+
+async def watch_over_return(store, world):
+    _, second = await come_back(store, world)
+    other = ObjectName(ObjectKind.ACCOUNT, "b")
+    await store.put(other, b"1", 0, "w5")
+    await raises(WatchGapError, collect(store, second.version, 1))
+
+
+async def settle_over_return(store, world):
+    first = await store.put(NAME, b"1", 0, "w1")
+    world.deployment.keep_copy()
+    world.deployment.come_back()
+    settled = await settled_put(store, NAME, b"2", first.version, "w2")
+    assert settled.value == b"2" and store.era == 1
+    assert era_of(settled.version) == 1
+    assert await store.get(NAME) == settled
+
+
 STORE_CASES = {
     "an object is created, read, changed and deleted": write_all,
     "a write names an old version": write_stale,
@@ -159,6 +203,12 @@
     "a watch has a gap": watch_gap,
     "reads are stale": stale,
     "the list of boxes lags": boxes,
+    "it has lost the version that a write names": write_lost_version,
+    "it has given the version that a write names out again": (
+        write_version_given_out_again
+    ),
+    "a watch goes on from a revision given out again": watch_over_return,
+    "it comes back just before a write": settle_over_return,
 }
 
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -31,6 +31,8 @@
 class OneRecordStore:
     """Holds the slot record; reads are counted."""
 
+    era = 0
+
     def __init__(self, stored):
         self.stored = stored
         self.reads = 0
--- a/src/piershore/core/configuration/config_view.py
+++ b/src/piershore/core/configuration/config_view.py
@@ -27,6 +27,8 @@
 
     `complete_to` is the revision up to which no change is missing. Changes may
     also be in force beyond it: an edit accepted nearby comes in ahead of the rest.
+    Versions and revisions hold the store's era (`StoreRevision`): a whole state of a
+    later era is newer than all before it, though the store counts from lower again.
     """
 
     def __init__(self) -> None:
--- a/src/piershore/core/fleet/store_revision.py
+++ b/src/piershore/core/fleet/store_revision.py
@@ -32,3 +32,8 @@
     def number(self) -> int:
         """The revision as the store counts it."""
         return self & ((1 << NUMBER_BITS) - 1)
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision that was carried as a plain number."""
+    return StoreRevision(revision).era
--- a/src/piershore/core/ports.py
+++ b/src/piershore/core/ports.py
@@ -81,7 +81,16 @@
 
 
 class PlatformStore(ABC):
-    """The platform's object API: versions, conditional updates and watches."""
+    """The platform's object API: versions, conditional updates and watches.
+
+    The store may come back from an older copy of itself, in a later era. Versions and
+    revisions hold their era (`StoreRevision`), so that their order stays true.
+    """
+
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """The store's era, as far as its answers have told."""
 
     @abstractmethod
     async def get(self, name: ObjectName) -> StoredObject | None:
--- a/src/piershore/platform/http_platform_store.py
+++ b/src/piershore/platform/http_platform_store.py
@@ -17,6 +17,8 @@
     StoredObject,
 )
 from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.store_era import StoreEra
+from piershore.core.fleet.store_revision import LARGEST_ERA, StoreRevision
 from piershore.core.ports import Box, BoxList, BoxRole, BoxState, PlatformStore
 from piershore.platform.exceptions import ObjectConflictError, StaleVersionError
 from piershore.platform.object_client import (
@@ -45,14 +47,22 @@
     """Reads, conditional writes, watches and the box list of one platform.
 
     An object's contents are the field `value` of its spec; `write_ids` beside it
-    names its last writes.
+    names its last writes, and `era` the store's era when it was written. A version is
+    that era and the object's revision: by the era in which it is read, what the store
+    has from its copy would seem newer than what was accepted after that copy.
     """
 
     def __init__(self, base_url: str) -> None:
         self._address = Address.parse(urlsplit(base_url).netloc)
+        self._era = StoreEra()
         self._idle: list[ObjectClient] = []
         self._write_ids: dict[ObjectName, tuple[int, tuple[str, ...]]] = {}
 
+    @property
+    def era(self) -> int:
+        """The era that the store's answers have told so far."""
+        return self._era.value
+
     async def close(self) -> None:
         """Close the connections."""
         while self._idle:
@@ -67,9 +77,7 @@
     async def list(self) -> Snapshot:
         """Read all configuration objects; the answer may be stale."""
         listed = await self._with_client(lambda client: client.list(CONFIGURATION_KIND))
-        return Snapshot(
-            listed.revision.number, tuple(map(self._decode, listed.objects))
-        )
+        return Snapshot(listed.revision, tuple(map(self._decode, listed.objects)))
 
     async def put(
         self, name: ObjectName, value: bytes | None, version: int, write_id: str
@@ -77,7 +85,7 @@
         """Write if the object's version is still `version`."""
         try:
             return await self._with_client(
-                lambda c: self._write(c, name, value, version, write_id)
+                lambda c: self._write(c, name, value, StoreRevision(version), write_id)
             )
         except ObjectConflictError as error:
             current = error.current
@@ -88,16 +96,17 @@
 
     async def watch(self, revision: int) -> AsyncIterator[StoredObject | int]:
         """Yield changes after `revision`, and the revision when all is told."""
+        reached = StoreRevision(revision)
         while True:
             batch = await self._with_client(
-                lambda client, after=revision: client.watch(
-                    CONFIGURATION_KIND, client.revision_of(after), WATCH_SECONDS
+                lambda client, after=reached: client.watch(
+                    CONFIGURATION_KIND, after, WATCH_SECONDS
                 )
             )
             for change in batch.changes:
-                yield self._changed(change)
-            revision = batch.revision.number
-            yield revision
+                yield self._changed(change, batch.revision.era)
+            reached = batch.revision
+            yield reached
 
     async def boxes(self) -> tuple[Box, ...]:
         """Return the boxes that the platform knows of."""
@@ -109,35 +118,54 @@
         client: ObjectClient,
         name: ObjectName,
         value: bytes | None,
-        version: int,
+        version: StoreRevision,
         write_id: str,
     ) -> StoredObject:
         kind, key = _place(name)
+        if version and version.era < self.era:
+            await self._check_version(client, name, version)
+        era = self.era
         if value is None:
-            await client.remove(kind, key, version)
-            return StoredObject(name, version + 1, None, (write_id,))
+            await client.remove(kind, key, version.number)
+            gone_at = StoreRevision.of(era, version.number + 1)
+            return StoredObject(name, gone_at, None, (write_id,))
         known_at, known = self._write_ids.get(name, (0, ()))
         previous = known if known_at == version else ()
         ids = (*previous, write_id)[-WRITE_IDS_KEPT:]
-        spec = {"value": base64.b64encode(value).decode(), "write_ids": ids}
+        data = base64.b64encode(value).decode()
+        spec = {"value": data, "write_ids": ids, "era": era}
         if version:
-            written = await client.replace(kind, key, spec, version)
+            written = await client.replace(kind, key, spec, version.number)
         else:
             written = await client.create(kind, key, spec)
         return self._decode(written)
 
-    def _changed(self, change: ObjectChange) -> StoredObject:
+    async def _check_version(
+        self, client: ObjectClient, name: ObjectName, version: StoreRevision
+    ) -> None:
+        """Raise `StaleVersionError` unless the object is at a version of before.
+
+        The store compares numbers alone, and may have given this one out again.
+        """
+        found = await client.get(*_place(name))
+        current = None if found is None else self._decode(found)
+        if current is None or current.version != version:
+            raise StaleVersionError(f"{name.kind} {name.name} has changed", current)
+
+    def _changed(self, change: ObjectChange, era: int) -> StoredObject:
         if not change.is_gone:
             return self._decode(change.object)
         # Above all versions of this object, below those of a later one.
-        return StoredObject(_name(change.object), change.object.revision + 1, None)
+        gone_at = StoreRevision.of(era, change.object.revision + 1)
+        return StoredObject(_name(change.object), gone_at, None)
 
     def _decode(self, item: PlatformObject) -> StoredObject:
         name = _name(item)
         ids = tuple(item.spec["write_ids"])
-        self._write_ids[name] = (item.revision, ids)
+        version = StoreRevision.of(_written_era(item.spec), item.revision)
+        self._write_ids[name] = (version, ids)
         value = base64.b64decode(item.spec["value"])
-        return StoredObject(name, item.revision, value, ids)
+        return StoredObject(name, version, value, ids)
 
     async def _with_client(
         self, call: Callable[[ObjectClient], Awaitable[Result]]
@@ -147,7 +175,10 @@
 
     @asynccontextmanager
     async def _client(self) -> AsyncIterator[ObjectClient]:
-        client = self._idle.pop() if self._idle else ObjectClient(self._address)
+        if self._idle:
+            client = self._idle.pop()
+        else:
+            client = ObjectClient(self._address, self._era)
         try:
             yield client
         finally:
@@ -164,6 +195,11 @@
     return kind, f"{name.kind}{KIND_SEPARATOR}{name.name}"
 
 
+def _written_era(spec: Mapping) -> int:
+    era = spec.get("era", 0)
+    return era if type(era) is int and 0 <= era <= LARGEST_ERA else 0
+
+
 def _name(item: PlatformObject) -> ObjectName:
     kind, _, name = item.name.partition(KIND_SEPARATOR)
     return ObjectName(ObjectKind(kind), name)
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -93,20 +93,24 @@
 
 @dataclass(frozen=True)
 class ObjectAnswer:
-    """The store's answer to a call."""
+    """The store's answer to a call, and the store's era when it was given."""
 
     status: int
     body: Mapping
+    era: int
 
 
 class ObjectClient:
-    """Keeps one connection to the store; one call at a time."""
+    """Keeps one connection to the store; one call at a time.
 
-    def __init__(self, address: Address) -> None:
+    Clients of one store may share what they have heard of its `era`.
+    """
+
+    def __init__(self, address: Address, era: StoreEra | None = None) -> None:
         self._address = address
         self._connection: ClientConnection | None = None
         self._is_sent = False
-        self._era = StoreEra()
+        self._era = StoreEra() if era is None else era
         self._heard_at = float("-inf")
 
     @property
@@ -119,10 +123,6 @@
         """The store's era."""
         return self._era
 
-    def revision_of(self, number: int) -> StoreRevision:
-        """Return a revision that the store has given out in its present era."""
-        return StoreRevision.of(self._era.value, number)
-
     async def list(self, kind: str) -> ObjectList:
         """Read all objects of a kind, page by page.
 
@@ -135,15 +135,14 @@
         while True:
             start = quote(after, errors="surrogatepass")
             query = f"?since_revision={start}" if after else ""
-            body = await self._get(f"/objects/{kind}{query}", CALL_SECONDS)
-            if era is not None and era != self._era.value:
+            answer = await self._get(f"/objects/{kind}{query}", CALL_SECONDS)
+            if era is not None and era != answer.era:
                 raise WatchGapError("the store came back while it was read")
-            era = self._era.value
-            page = list(_objects(_entries(body, "items")))
+            era = answer.era
+            page = list(_objects(_entries(answer.body, "items")))
             objects.extend(page)
-            if not body.get("more") or not page:
-                reached = self.revision_of(_revision(body.get("at")))
-                return ObjectList(tuple(objects), reached)
+            if not answer.body.get("more") or not page:
+                return ObjectList(tuple(objects), _reached(answer))
             after = page[-1].name
 
     async def watch(
@@ -157,11 +156,11 @@
         """
         query = f"?watch={revision.number}&wait_ms={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
-        body = await self._get(path, wait + WATCH_SLACK_SECONDS)
-        if self._era.value != revision.era:
+        answer = await self._get(path, wait + WATCH_SLACK_SECONDS)
+        if answer.era != revision.era:
             raise WatchGapError("the store has come back from an older copy")
-        changes = tuple(_changes(_entries(body, "events")))
-        return ObjectChanges(changes, self.revision_of(_revision(body.get("at"))))
+        changes = tuple(_changes(_entries(answer.body, "events")))
+        return ObjectChanges(changes, _reached(answer))
 
     async def get(self, kind: str, name: str) -> PlatformObject | None:
         """Read one object; None if there is none."""
@@ -197,11 +196,11 @@
         if connection is not None:
             await connection.close()
 
-    async def _get(self, path: str, timeout: float) -> Mapping:
+    async def _get(self, path: str, timeout: float) -> ObjectAnswer:
         answer = await self._call(ObjectCall(b"GET", path), timeout)
         if answer.status == HTTPStatus.NOT_FOUND:
             raise PlatformUnavailableError("the store doesn't know the kind")
-        return answer.body
+        return answer
 
     async def _write(self, call: ObjectCall) -> PlatformObject:
         answer = await self._call(call, CALL_SECONDS)
@@ -229,10 +228,11 @@
         with trio.fail_after(timeout + CONNECT_SECONDS):
             connection = await self._connect()
             answer = await self._start(connection, call)
+        era = self._era.value
         data = b"".join([part async for part in self._parts(connection)])
         if not connection.end_exchange():
             await self.close()
-        return _answer(answer.status, data)
+        return _answer(answer.status, data, era)
 
     async def _start(
         self, connection: ClientConnection, call: ObjectCall
@@ -248,9 +248,11 @@
         await connection.send(head, body)
         answer = await connection.read_head()
         self._heard_at = trio.current_time()
-        is_present = self._era.take(_text(answer.header(ERA)), self._heard_at)
-        if not is_present and call.method == b"GET":
-            raise PlatformUnavailableError("the store answers from before its return")
+        if not self._era.take(_text(answer.header(ERA)), self._heard_at):
+            reason = "the store answers from before its return"
+            if call.method == b"GET":
+                raise PlatformUnavailableError(reason)
+            raise WriteUncertainError(reason)
         return answer
 
     async def _parts(self, connection: ClientConnection) -> AsyncIterator[bytes]:
@@ -274,7 +276,7 @@
     return None if value is None else value.decode("latin-1").strip()
 
 
-def _answer(status: int, data: bytes) -> ObjectAnswer:
+def _answer(status: int, data: bytes, era: int) -> ObjectAnswer:
     """Decode an answer; raise the error that its status stands for."""
     if status == HTTPStatus.GONE:
         raise WatchGapError("the store no longer has these changes")
@@ -283,7 +285,11 @@
     body = _decode(data) if data else {}
     if not isinstance(body, Mapping):
         raise PlatformUnavailableError("the store's answer is no object")
-    return ObjectAnswer(status, body)
+    return ObjectAnswer(status, body, era)
+
+
+def _reached(answer: ObjectAnswer) -> StoreRevision:
+    return StoreRevision.of(answer.era, _revision(answer.body.get("at")))
 
 
 def _decode(data: bytes) -> Any:
