An edit whose outcome isn't known isn't told as not stored

An operator's edit was refused with 'nothing was stored', outcome not_run, and came into force later. Cause: when the answer to the first try is lost, the second may find the platform out, or, after its store came back from an older copy, an object of before: neither says anything of the first. Both are told as unknown now.

--- a/features/accepted_config.feature
+++ b/features/accepted_config.feature
@@ -50,6 +50,12 @@
     When an account is edited while the platform is out
     Then the edit is refused with platform_unavailable and nothing is stored
 
+  # It was told that nothing was stored, since the second try found the platform out.
+  Scenario: An edit whose answer is lost, and the platform goes out
+    Given a running deployment
+    When an account is edited, the answer is lost and the platform goes out
+    Then the edit is refused with outcome unknown, and is in force in the end
+
   Scenario: A third gateway in the hall follows a relay and holds no watch
     Given a running deployment
     When three more gateways start in data hall ikeja
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -128,6 +128,29 @@
     world.deployment.set_faults(outage=False)
 
 
+@when("an account is edited, the answer is lost and the platform goes out")
+def edit_into_outage(context):
+    world = context.world
+    etag = read(world).headers["ETag"]
+    world.deployment.set_faults(lose_answers=1, outage_after_write=True)
+    world.values["answer"] = edit(world, 77, etag=etag)
+    world.deployment.set_faults(outage=False, outage_after_write=False)
+
+
+@then("the edit is refused with outcome unknown, and is in force in the end")
+def check_unknown_edit(context):
+    world = context.world
+    answer = world.values["answer"]
+    assert answer.status_code == 503, answer.text
+    assert answer.json()["outcome"] == "unknown", answer.text
+
+    def is_in_force():
+        spec = read(world).json()["spec"]
+        return spec["overrides"]["concurrent_requests"] == 77
+
+    wait_until(is_in_force, "the edit")
+
+
 def fault_step(fault):
     def inject(context):
         context.world.values["answer"] = FAULTS[fault](context.world)
--- a/src/piershore/platform/settled_write.py
+++ b/src/piershore/platform/settled_write.py
@@ -7,7 +7,11 @@
 from piershore.core.configuration.stored_object import ObjectName, StoredObject
 from piershore.core.fleet.store_revision import era_of
 from piershore.core.ports import PlatformStore
-from piershore.platform.exceptions import StaleVersionError, WriteUncertainError
+from piershore.platform.exceptions import (
+    PlatformUnavailableError,
+    StaleVersionError,
+    WriteUncertainError,
+)
 
 ATTEMPTS = 4
 PAUSE_SECONDS = 0.1
@@ -27,14 +31,21 @@
     the conflict names the last writes.
 
     A write that says an earlier era than the store's is made again: the store came
-    back meanwhile, and by its version it would be older than what came before it.
+    back meanwhile, and by its version it would be older than what came before it. A
+    conflict proves nothing then: what took effect before may be in force elsewhere.
     """
+    era = store.era
     for attempt in range(ATTEMPTS):
         if attempt:
             await trio.sleep(PAUSE_SECONDS * 2 ** (attempt - 1))
-        written = await _put_once(
-            store, name, value, version, write_id, is_again=attempt > 0
-        )
+        try:
+            written = await _put_once(
+                store, name, value, version, write_id, is_again=attempt > 0
+            )
+        except StaleVersionError as error:
+            if attempt and store.era > era:
+                raise WriteUncertainError("the store has come back since") from error
+            raise
         if written is None:
             continue
         if written.value is None or era_of(written.version) >= store.era:
@@ -57,6 +68,10 @@
         return await store.put(name, value, version, write_id)
     except WriteUncertainError:
         return None
+    except PlatformUnavailableError:
+        if not is_again:
+            raise
+        return None
     except StaleVersionError as error:
         current = error.current
         if current is not None and write_id in current.write_ids:
