Readers of an agent's generations in a module of their own

generation_runner kept the queue and the engine, and who reads what over which link: two jobs in 375 lines. The readers, their names on links, resumptions and what is sent are GenerationReaders now (123 lines), the runner has 300. Behaviour is the same; the four features that drive it passed, 100 scenarios.

--- a/features/steps/core_generation_steps.py
+++ b/features/steps/core_generation_steps.py
@@ -72,10 +72,10 @@
             settings_, IdleEngine(), queue, lambda link, frame: frames.append(frame)
         )
         runner.submit(1, Submit(request=1, prompt="p", max_tokens=9))
-        (generation,) = runner._generations.values()
+        (generation,) = runner._readers.generations
         generation.append(0, ("a ", "b "), 0.0)
         generation.end(Ending())
-        runner._sender.mark(generation.identity)
+        runner._readers.mark(generation.identity)
         await runner.close()
 
     trio.run(run)
--- /dev/null
+++ b/src/piershore/agent/generation_readers.py
@@ -0,0 +1,123 @@
+"""The generations of an agent, and who reads them over which link."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import trio
+
+from piershore.agent.refusals import Refusals, Send
+from piershore.agent.stream_sender import StreamSender
+from piershore.core.outcome import Outcome
+from piershore.core.refusal_reason import RefusalReason
+from piershore.core.streams.exceptions import WindowPassedError
+from piershore.core.streams.generation import Generation, Reader
+from piershore.telemetry import metrics
+from piershore.wire.link_pb2 import Accepted, Acknowledge, AgentFrame, Attach, Ended
+
+
+class GenerationReaders:
+    """Gives each reader the tokens of its generation, from its index on."""
+
+    def __init__(self, flush_interval: float, send: Send, refusals: Refusals) -> None:
+        self._send = send
+        self._refusals = refusals
+        self._generations: dict[str, Generation] = {}
+        self._names: dict[tuple[int, int], str] = {}
+        self._sender = StreamSender(self._generations, flush_interval, send)
+
+    @property
+    def generations(self) -> Collection[Generation]:
+        """All generations, also ended ones that may still be read."""
+        return self._generations.values()
+
+    async def run(self) -> None:
+        """Send tokens until cancelled."""
+        await self._sender.run()
+
+    def get(self, identity: str) -> Generation:
+        """Return a generation that was added."""
+        return self._generations[identity]
+
+    def add(self, generation: Generation, link: int, request: int) -> None:
+        """Take a new generation and its first reader."""
+        generation.attach(link, request, 0)
+        self._generations[generation.identity] = generation
+        self._names[link, request] = generation.identity
+
+    def accept(self, identity: str) -> None:
+        """Tell the reader that its generation runs."""
+        reader = self._generations[identity].reader
+        if reader is not None:
+            self._send(reader.link, _accepted(reader.request, identity))
+
+    def attach(self, link: int, attach: Attach) -> None:
+        """Give a reader the tokens of a generation from its index on."""
+        generation = self._generations.get(attach.generation)
+        if generation is None or generation.account != attach.account:
+            self._refusals.refuse(
+                link,
+                attach.request,
+                RefusalReason.GENERATION_UNKNOWN,
+                Outcome.UNKNOWN,
+            )
+            return
+        try:
+            superseded = generation.attach(link, attach.request, attach.index)
+        except WindowPassedError:
+            self._refusals.refuse(
+                link, attach.request, RefusalReason.RESUME_WINDOW_PASSED, Outcome.RUN
+            )
+            return
+        if superseded is not None:
+            self._cut_off(superseded)
+        metrics.RESUMES.labels(by="reader").inc()
+        self._names[link, attach.request] = attach.generation
+        self._send(link, _accepted(attach.request, attach.generation))
+        self._sender.mark(attach.generation)
+
+    def acknowledge(self, link: int, message: Acknowledge) -> None:
+        """Note how far the reader has come."""
+        identity = self._names.get((link, message.request))
+        if identity in self._generations:
+            self._generations[identity].acknowledge(
+                link, message.request, message.index
+            )
+            self._sender.mark(identity)
+
+    def detach(self, link: int, request: int) -> Generation | None:
+        """Note that a reader is gone; return what it read, if that is there."""
+        identity = self._names.pop((link, request), None)
+        generation = self._generations.get(identity)
+        if generation is not None:
+            generation.detach(link, request, trio.current_time())
+        return generation
+
+    def link_closed(self, link: int) -> None:
+        """Detach the readers of a link that is gone."""
+        for place in [place for place in self._names if place[0] == link]:
+            self.detach(*place)
+
+    def drop(self, identity: str) -> Reader | None:
+        """Drop a generation; return who still waits for it."""
+        reader = self._generations.pop(identity).reader
+        if reader is not None:
+            self._names.pop((reader.link, reader.request), None)
+        return reader
+
+    def mark(self, identity: str) -> None:
+        """Note that a generation may have something for its reader."""
+        self._sender.mark(identity)
+
+    def flush(self) -> None:
+        """Send what is there now."""
+        self._sender.flush()
+
+    def _cut_off(self, reader: Reader) -> None:
+        self._names.pop((reader.link, reader.request), None)
+        ended = Ended(request=reader.request, reason=RefusalReason.SUPERSEDED_READER)
+        self._send(reader.link, AgentFrame(ended=ended))
+
+
+def _accepted(request: int, generation: str) -> AgentFrame:
+    return AgentFrame(accepted=Accepted(request=request, generation=generation))
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -1,4 +1,4 @@
-"""Generations on the engine beside this agent: admission, streams, readers."""
+"""Generations on the engine beside this agent, from admission to their end."""
 
 from __future__ import annotations
 
@@ -14,17 +14,16 @@
     WorkLoad,
 )
 from piershore.agent.engine_reader import EngineReader
+from piershore.agent.generation_readers import GenerationReaders
 from piershore.agent.pace_probe import PaceProbe
 from piershore.agent.refusals import Refusals, Send
-from piershore.agent.stream_sender import StreamSender
 from piershore.core.admission.actions import Refuse
 from piershore.core.admission.candidate import Candidate, LengthKey
 from piershore.core.admission.engine_queue import EngineQueue
 from piershore.core.configuration.objects import ServiceType
-from piershore.core.outcome import Outcome
 from piershore.core.ports import EngineClient, EngineTokens, GenerationRequest
 from piershore.core.refusal_reason import RefusalReason
-from piershore.core.streams.exceptions import TokenGapError, WindowPassedError
+from piershore.core.streams.exceptions import TokenGapError
 from piershore.core.streams.generation import Ending, Generation, Reader
 from piershore.core.streams.stall_detector import StallDetector
 from piershore.endpoints.exceptions import (
@@ -35,16 +34,7 @@
 from piershore.endpoints.http_engine_client import HttpEngineClient
 from piershore.settings.process_settings import AgentSettings
 from piershore.telemetry import metrics
-from piershore.wire.link_pb2 import (
-    Accepted,
-    Acknowledge,
-    AgentFrame,
-    Attach,
-    Cancel,
-    Ended,
-    GatewayFrame,
-    Submit,
-)
+from piershore.wire.link_pb2 import Cancel, GatewayFrame, Submit
 
 CHARACTERS_PER_TOKEN = 4
 IDENTITY_BYTES = 16
@@ -66,17 +56,14 @@
         self._settings = settings
         self._engine = engine
         self._queue = queue
-        self._send = send
-        self._generations: dict[str, Generation] = {}
         self._prompts: dict[str, Submit] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._ended_at: dict[str, float] = {}
-        self._names: dict[tuple[int, int], str] = {}
-        self._sender = StreamSender(self._generations, settings.flush_interval, send)
         self._wake_poll = trio.Event()
         self._stalls = StallDetector()
         self._pace = PaceProbe(queue)
         self._refusals = Refusals(send)
+        self._readers = GenerationReaders(settings.flush_interval, send, self._refusals)
         self._leaving = False
 
     @classmethod
@@ -102,18 +89,18 @@
         """Whether nothing runs, waits, or has a reader who lacks tokens."""
         if self._queue.running_count or self._queue.queued_count:
             return False
-        return all(g.is_drained() for g in self._generations.values())
+        return all(g.is_drained() for g in self._readers.generations)
 
     async def run(self) -> None:
         """Admit, stream and clean up until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll_loop, nursery)
-            nursery.start_soon(self._sender.run)
+            nursery.start_soon(self._readers.run)
             nursery.start_soon(self._janitor_loop)
 
     async def close(self) -> None:
         """Send what is left for the readers; close the connection to the engine."""
-        self._sender.flush()
+        self._readers.flush()
         await self._engine.close()
 
     def leave(self) -> None:
@@ -126,9 +113,9 @@
             case "submit":
                 self.submit(link, frame.submit)
             case "attach":
-                self.attach(link, frame.attach)
+                self._readers.attach(link, frame.attach)
             case "acknowledge":
-                self.acknowledge(link, frame.acknowledge)
+                self._readers.acknowledge(link, frame.acknowledge)
             case "cancel":
                 self.cancel(link, frame.cancel)
             case "call":
@@ -148,64 +135,22 @@
         generation = Generation(
             identity, submit.account, self._settings.retained_tokens, now
         )
-        generation.attach(link, submit.request, 0)
-        self._generations[identity] = generation
-        self._names[link, submit.request] = identity
+        self._readers.add(generation, link, submit.request)
         self._prompts[identity] = submit
         self._queue.submit(self._candidate(identity, submit, now), now)
         self._wake_poll.set()
 
-    def attach(self, link: int, attach: Attach) -> None:
-        """Give a reader the tokens of a generation from its index on."""
-        generation = self._generations.get(attach.generation)
-        if generation is None or generation.account != attach.account:
-            self._refusals.refuse(
-                link,
-                attach.request,
-                RefusalReason.GENERATION_UNKNOWN,
-                Outcome.UNKNOWN,
-            )
-            return
-        try:
-            superseded = generation.attach(link, attach.request, attach.index)
-        except WindowPassedError:
-            self._refusals.refuse(
-                link, attach.request, RefusalReason.RESUME_WINDOW_PASSED, Outcome.RUN
-            )
-            return
-        if superseded is not None:
-            self._cut_off(superseded)
-        metrics.RESUMES.labels(by="reader").inc()
-        self._names[link, attach.request] = attach.generation
-        self._send(link, _accepted(attach.request, attach.generation))
-        self._sender.mark(attach.generation)
-
-    def acknowledge(self, link: int, message: Acknowledge) -> None:
-        """Note how far the reader has come."""
-        identity = self._names.get((link, message.request))
-        if identity in self._generations:
-            self._generations[identity].acknowledge(
-                link, message.request, message.index
-            )
-            self._sender.mark(identity)
-
     def cancel(self, link: int, message: Cancel) -> None:
         """Note that the reader is gone, perhaps for good."""
-        identity = self._names.pop((link, message.request), None)
-        generation = self._generations.get(identity)
+        generation = self._readers.detach(link, message.request)
         if generation is None:
             return
-        generation.detach(link, message.request, trio.current_time())
         if message.abandon and generation.reader is None:
             self._abandon(generation)
 
     def link_closed(self, link: int) -> None:
         """Detach the readers of a link that is gone."""
-        now = trio.current_time()
-        for place in [place for place in self._names if place[0] == link]:
-            generation = self._generations.get(self._names.pop(place))
-            if generation is not None:
-                generation.detach(*place, now)
+        self._readers.link_closed(link)
 
     def _candidate(self, identity: str, submit: Submit, now: float) -> Candidate:
         deadline = submit.deadline_seconds
@@ -230,7 +175,7 @@
                 if isinstance(action, Refuse):
                     self._refuse_queued(action)
                 else:
-                    self._accept(action.candidate)
+                    self._readers.accept(action.candidate.identity)
                     nursery.start_soon(self._generate, action.candidate)
 
     def _refuse_queued(self, action: Refuse) -> None:
@@ -245,12 +190,8 @@
 
     def _drop_unrun(self, identity: str) -> Reader | None:
         """Drop a generation that has not run; return who still waits for it."""
-        generation = self._generations.pop(identity)
         self._prompts.pop(identity, None)
-        reader = generation.reader
-        if reader is not None:
-            self._names.pop((reader.link, reader.request), None)
-        return reader
+        return self._readers.drop(identity)
 
     def _refuse_waiting(self) -> None:
         """Refuse what waits in the queue: another engine may have room for it."""
@@ -263,14 +204,9 @@
         if reader is not None:
             self._refusals.refuse_resting(reader.link, reader.request)
 
-    def _accept(self, candidate: Candidate) -> None:
-        reader = self._generations[candidate.identity].reader
-        if reader is not None:
-            self._send(reader.link, _accepted(reader.request, candidate.identity))
-
     async def _generate(self, candidate: Candidate) -> None:
         identity = candidate.identity
-        generation = self._generations[identity]
+        generation = self._readers.get(identity)
         submit = self._prompts.pop(identity)
         request = GenerationRequest(
             identity, submit.prompt, submit.max_tokens, submit.priority
@@ -288,7 +224,7 @@
         generation.end(ending)
         self._ended_at[identity] = trio.current_time()
         self._queue.finish(identity, whole=ending.reason is None)
-        self._sender.mark(identity)
+        self._readers.mark(identity)
         self._wake_poll.set()
         if ending.reason is not None:
             with trio.CancelScope(shield=True), suppress(EngineLostError):
@@ -324,22 +260,22 @@
         self._pace.count(new)
         metrics.TOKENS.inc(new)
         if is_first:
-            self._sender.mark(generation.identity)
-            self._sender.flush()
+            self._readers.mark(generation.identity)
+            self._readers.flush()
             return
         stalled = self._stalls.observe(gap / new)
         if stalled:
             metrics.STALLS.inc()
             metrics.STALL_SECONDS.inc(stalled)
         self._pace.observe(generation.identity, gap / new, now, self._scopes)
-        self._sender.mark(generation.identity)
+        self._readers.mark(generation.identity)
 
     async def _janitor_loop(self) -> None:
         grace = self._settings.resume_grace
         while True:
             await trio.sleep(JANITOR_PERIOD_SECONDS)
             now = trio.current_time()
-            for generation in list(self._generations.values()):
+            for generation in list(self._readers.generations):
                 if generation.is_abandoned(now, grace):
                     self._abandon(generation)
                 ended_at = self._ended_at.get(generation.identity)
@@ -359,17 +295,5 @@
     def _forget(self, generation: Generation) -> None:
         if generation.reader is not None and not generation.is_drained():
             return
-        self._generations.pop(generation.identity, None)
+        self._readers.drop(generation.identity)
         self._ended_at.pop(generation.identity, None)
-        reader = generation.reader
-        if reader is not None:
-            self._names.pop((reader.link, reader.request), None)
-
-    def _cut_off(self, reader: Reader) -> None:
-        self._names.pop((reader.link, reader.request), None)
-        ended = Ended(request=reader.request, reason=RefusalReason.SUPERSEDED_READER)
-        self._send(reader.link, AgentFrame(ended=ended))
-
-
-def _accepted(request: int, generation: str) -> AgentFrame:
-    return AgentFrame(accepted=Accepted(request=request, generation=generation))
