--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -165,7 +165,7 @@
 
 
 def _read_answer(data):
-    answer = object_client._answer(200, data)
+    answer = object_client._answer(200, data, era=0)
     items = object_client._entries(answer.body, "items")
     list(object_client._objects(items))
     list(object_client._changes(items))
