Scenarios wait for each gateway's own links

'An owner loses the answers to its leases' writes and is frozen' failed once beside load: 503 no_owner, outcome unknown, at gateway-2, whose log shows that its link to the owner had been closed and wasn't open again. The wait before went by the reports of all gateways, in which the owner was live since gateway-1 had a link to it; a gateway that has none says rightly that it can't reach the owner. The steps, and the start of each deployment, wait for the number of open links that a gateway itself tells now: a stricter condition, and what the scenarios mean. The mutants for the store's return are added, and two that no longer found their text are mended.

--- a/devtools/deployment.py
+++ b/devtools/deployment.py
@@ -201,6 +201,17 @@
 
         wait_until(is_complete, f"{count} live boxes at {gateway}")
 
+    def wait_links(self, gateway: str, count: int) -> None:
+        """Wait until a gateway's own links to `count` agents are open.
+
+        What it reports of boxes comes from all gateways, whose links may be others.
+        """
+        url = self.url(gateway) + "/metrics"
+        line = f"piershore_links {float(count)}\n"
+        wait_until(
+            lambda: line in self._client.get(url).text, f"{count} links at {gateway}"
+        )
+
     def load_examples(self, gateway: str, deployment: str) -> None:
         """Write a deployment's example objects through the admin API."""
         for file in ("services", "templates", "accounts"):
--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -44,6 +44,9 @@
 VIEW = "core/configuration/config_view.py"
 GENERATION = "core/streams/generation.py"
 QUARANTINE = "core/quarantine/quarantine.py"
+KEEPER = "agent/lease_keeper.py"
+RESTORER = "gateway/edit_restorer.py"
+STORE = "platform/http_platform_store.py"
 
 MUTANTS = (
     Mutant(
@@ -119,7 +122,7 @@
     Mutant(
         "deletions missed in snapshots",
         VIEW,
-        "if is_missing and stored.version <= snapshot.revision:",
+        "if is_missing and is_older and not self._recent.may_be_lost(name, era):",
         "if False:",
         "core",
     ),
@@ -194,7 +197,7 @@
     Mutant(
         "the expected endpoint isn't named",
         "platform/headers.py",
-        "        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.identity)))\n",
+        "        headers.append((EXPECTED_ENDPOINT, _encode(endpoint.name)))\n",
         "",
         "soak",
     ),
@@ -412,6 +415,62 @@
         "",
         "crashing_requests",
     ),
+    Mutant(
+        "one lease record for all eras of the store",
+        KEEPER,
+        'f"{service}@{era}" if era else service',
+        "service",
+        "own_store_returns",
+    ),
+    Mutant(
+        "an era's leases begin where those of the copy end",
+        OWNER,
+        "start = highest + self._settings.lease_length",
+        "start = found.current.highest_end  #",
+        "core",
+    ),
+    Mutant(
+        "lost edits aren't written again",
+        RESTORER,
+        "for name in list(self._due(now)):",
+        "for name in ():",
+        "own_store_returns",
+    ),
+    Mutant(
+        "what is missing after a return was deleted",
+        VIEW,
+        "not self._recent.may_be_lost(name, era)",
+        "True",
+        "own_store_returns",
+    ),
+    Mutant(
+        "deletions at once after a return",
+        RESTORER,
+        "SETTLE_SECONDS = 3.0",
+        "SETTLE_SECONDS = 0.0",
+        "own_store_returns",
+    ),
+    Mutant(
+        "conflicts with the copy are told",
+        "gateway/config_editor.py",
+        "self._check_lost(name, error)",
+        "pass",
+        "own_store_returns",
+    ),
+    Mutant(
+        "numbers of an earlier era are sent as they are",
+        STORE,
+        "if version.era >= self.era:",
+        "if True:",
+        "contracts",
+    ),
+    Mutant(
+        "a write of an earlier era stays so",
+        "platform/settled_write.py",
+        "era_of(written.version) >= store.era",
+        "True",
+        "contracts",
+    ),
 )
 SOAK = "soak"
 """The name that stands for the soak in place of a feature."""
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -6,7 +6,14 @@
 from random import Random
 
 from behave import then, when
-from support.world import GATEWAYS, NUMBERS, ONCE_KIND, PLAIN_KIND, SERVICE
+from support.world import (
+    AGENTS,
+    GATEWAYS,
+    NUMBERS,
+    ONCE_KIND,
+    PLAIN_KIND,
+    SERVICE,
+)
 
 from devtools.deployment import wait_until
 from piershore.core.configuration.objects import ObjectKind
@@ -93,7 +100,7 @@
     wait_until(lambda: holds_all_slots(world, other), "the take-over")
     owner.thaw()
     for gateway in GATEWAYS:
-        world.deployment.wait_boxes(gateway, 6)
+        world.deployment.wait_links(gateway, AGENTS)
 
 
 def holds_all_slots(world, endpoint):
--- a/features/steps/own_store_return_steps.py
+++ b/features/steps/own_store_return_steps.py
@@ -11,7 +11,7 @@
 from behave import then, when
 from config_steps import ACCOUNT, edit, read
 from once_steps import holds_all_slots
-from support.world import GATEWAYS, SERVICE
+from support.world import AGENTS, GATEWAYS, SERVICE
 
 from devtools.deployment import wait_until
 from piershore.core.configuration.objects import ObjectKind
@@ -263,7 +263,7 @@
         check_once(world)
     world.deployment.process("order-2").thaw()
     for gateway in GATEWAYS:
-        world.deployment.wait_boxes(gateway, 6)
+        world.deployment.wait_links(gateway, AGENTS)
 
 
 @then("callers' own keys run again in the end, each once")
--- a/features/steps/two_fault_steps.py
+++ b/features/steps/two_fault_steps.py
@@ -10,7 +10,7 @@
     sleep_through_takeover,
 )
 from stream_steps import serving_number, set_engines_paused
-from support.world import GATEWAYS, MODEL, NUMBERS
+from support.world import AGENTS, GATEWAYS, MODEL, NUMBERS
 
 from devtools.deployment import wait_until
 
@@ -28,7 +28,7 @@
     world = context.world
     wait_until(lambda: all_share(world), "both agents to own slots")
     for gateway in GATEWAYS:
-        world.deployment.wait_boxes(gateway, 6)
+        world.deployment.wait_links(gateway, AGENTS)
     first, arguments = first_call(world, LONG_CALL_SECONDS)
     world.deployment.set_faults(outage=True)
     kill_owner(world, first)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -16,6 +16,7 @@
 PLAIN_KIND = "panel_status"
 GATEWAYS = {"gateway-1": "ikeja", "gateway-2": "lekki"}
 NUMBERS = (1, 2)
+AGENTS = 2 * len(NUMBERS)
 OWNERSHIP = {"lease_length": 2_000, "takeover_grace": 200}
 
 
@@ -92,6 +93,7 @@
         self.streams: list[BackgroundStream] = []
         self.results: list[Result] = []
         self.values: dict = {}
+        self.has_all_links = True
 
     def close(self) -> None:
         for relay in self.relays.values():
@@ -115,6 +117,7 @@
     ) -> None:
         """Start a small deployment of the first example."""
         deployment = self.deployment
+        self.has_all_links = aperture >= len(NUMBERS)
         deployment.start_platform()
         for number in NUMBERS:
             deployment.start_engine(f"engine-{number}")
@@ -147,6 +150,8 @@
     def wait_serving(self, boxes: int = 6) -> None:
         for gateway in GATEWAYS:
             self.deployment.wait_boxes(gateway, boxes)
+            if self.has_all_links:
+                self.deployment.wait_links(gateway, AGENTS)
             self.wait_owners(gateway)
 
     def wait_owners(self, gateway: str) -> None:
