Soak: the port of an endpoint that has crashed refuses connections

No gateway suspected it: the soak's link took connections for an endpoint that had gone and closed them, which tells nothing, and beside load so late that the endpoint seemed to be there, so that what had run there was cleared. The port of a process that has ended refuses; the link listens now only while its endpoint serves.

--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -148,7 +148,9 @@
             for rest in standin.rests:
                 call = known.get(rest.identity)
                 calm_since = endpoint.link.disturbed_at
-                if call is None or rest.at < max(disturbed[call.gateway], calm_since):
+                if call is None or _was_left(call, rest):
+                    continue
+                if rest.at < max(disturbed[call.gateway], calm_since):
                     continue
                 count = _within(standin, rest, call, known)
                 if count > MOST_IN_REST:
@@ -156,6 +158,15 @@
                     yield f"{place} in {rest.seconds:.1f} s of rest"
 
 
+def _was_left(call: Call, rest: AskedRest) -> bool:
+    """Tell whether a caller had gone before the answer that asks for rest came.
+
+    Its gateway had let go of the endpoint's connection then: the rest was told to
+    nobody.
+    """
+    return call.status is None and call.ended_at < rest.at + IN_TRANSIT_SECONDS
+
+
 def _within(
     standin: PublishedEndpoint, rest: AskedRest, asked: Call, known: dict[str, Call]
 ) -> int:
--- a/devtools/soak/fault_proxy.py
+++ b/devtools/soak/fault_proxy.py
@@ -34,6 +34,8 @@
         self._fault = LinkFault.NONE
         self._opened = 0
         self._silenced = 0
+        self._listening = trio.Lock()
+        self._nursery: trio.Nursery | None = None
         self.disturbed_at = 0.0
         self.port = 0
 
@@ -57,12 +59,23 @@
         self._silenced = self._opened
         self.disturbed_at = trio.current_time()
 
-    async def serve(self, port: int, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    def start(self, nursery: trio.Nursery, port: int) -> None:
+        """Let connections run in a nursery; `accept` takes them at a port."""
+        self._nursery = nursery
         self.port = port
-        task_status.started()
-        await trio.serve_listeners(self._relay, listeners)
+
+    async def accept(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Take connections until cancelled; then the port refuses them.
+
+        Run it as long as the target serves: the port of a process that has ended
+        refuses connections, and that is what tells a crash from a busy endpoint.
+        """
+        async with self._listening:
+            listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
+            task_status.started()
+            await trio.serve_listeners(
+                self._relay, listeners, handler_nursery=self._nursery
+            )
 
     async def _relay(self, caller: trio.SocketStream) -> None:
         if self._fault in (LinkFault.REFUSE, LinkFault.RESET):
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -147,6 +147,19 @@
         standin.listed_as = lambda: f"127.0.0.1:{self.link.port}"
         return standin
 
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve behind the link until the present incarnation has ended."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._serve_standin, nursery.cancel_scope)
+            task_status.started()
+            await self.link.accept()
+
+    async def _serve_standin(
+        self, link: trio.CancelScope, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await self.standin.serve(task_status)
+        link.cancel()
+
     def renew(self) -> None:
         """Put a new incarnation in its place."""
         self.past.append(self.standin)
@@ -174,16 +187,17 @@
         self._nursery = nursery
         await nursery.start(self.store.serve)
         for endpoint in self.endpoints:
-            await nursery.start(endpoint.link.serve, free_port())
+            endpoint.link.start(nursery, free_port())
             await self.start_endpoint(endpoint)
         self.accept_configuration()
         for gateway in self.gateways:
-            await nursery.start(gateway.store_link.serve, free_port())
+            gateway.store_link.start(nursery, free_port())
+            await nursery.start(gateway.store_link.accept)
             gateway.start()
 
     async def start_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Start an endpoint's stand-in and list it."""
-        await self._nursery.start(endpoint.standin.serve)
+        await self._nursery.start(endpoint.serve)
         self.list_endpoint(endpoint, "ready")
 
     async def replace(self, endpoint: SoakEndpoint, standin: PublishedEndpoint) -> None:
