A number that the store gave out twice stands for one content

Operators would have seen different contents of one version at different gateways: a write from a gateway that hadn't heard of the store's return, and that ended before it had the answer, gets a number of the old era that a lost edit has, too; versions alone took the two for the same. Contents are compared as well, and the store's, which is the later one, gets a version of its own. The scenario failed before (the lost one stayed in force).

--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -81,7 +81,9 @@
         for arrival in standin.arrivals:
             call = known.get(arrival.identity)
             if call is None:
-                yield f"{standin.identity}: {arrival.identity!r} was never sent"
+                what = f"{arrival.identity!r} for {arrival.headers.get('host')}"
+                what += f", {arrival.request.target.decode()}"
+                yield f"{standin.identity}: {what} was never sent"
             elif arrival.headers.get("tenant") != ACCOUNTS[call.account]:
                 yield f"{standin.identity}: {call.identity} with another account"
 
--- a/features/own_store_returns.feature
+++ b/features/own_store_returns.feature
@@ -49,3 +49,8 @@
 
   Scenario: an endpoint whose last announcement was lost is drained
     Then an endpoint that is drained just after a return isn't the one of the copy
+
+  # A gateway that hadn't heard of the return wrote, and ended: the same version stood for
+  # two contents.
+  Scenario: a write after the return gets the number of a lost one
+    Then of two writes that got one number the store's is in force everywhere
--- a/features/steps/own_return_history_steps.py
+++ b/features/steps/own_return_history_steps.py
@@ -245,6 +245,28 @@
         assert (status.incarnation, status.drain) == ("two", True), status
 
 
+@then("of two writes that got one number the store's is in force everywhere")
+def check_one_number(context):
+    history = AfterReturn()
+    name = NAMES[0]
+
+    async def script(nursery):
+        copy = history.store.copy()
+        put = history.first.editor.put
+        lost = await put(name, {"parameters": {"concurrent_requests": 1}}, 0)
+        await trio.sleep(1.0)
+        history.store.come_back(copy)
+        # From one who hadn't heard of the return, and ended before he had the answer.
+        later = lost.value.replace(b":1,", b":2,")
+        again = history.store.write(name, later, 0, ("w",), 0)
+        assert again.version == lost.version and again.value != lost.value
+
+    trio.run(history.run, script, clock=MockClock(autojump_threshold=0))
+    assert value_of(history.store.objects[name]) == 2
+    in_force = {value_of(g.view.stored(name.kind, name.name)) for g in history.gateways}
+    assert in_force == {2}, in_force
+
+
 def value_of(stored):
     return orjson.loads(stored.value)["parameters"]["concurrent_requests"]
 
--- a/src/piershore/core/configuration/config_view.py
+++ b/src/piershore/core/configuration/config_view.py
@@ -120,7 +120,7 @@
             return False
         for stored in snapshot.objects:
             self.apply(stored)
-            if self._objects[stored.name].version == stored.version:
+            if _is_same(self._objects[stored.name], stored):
                 self._recent.note_seen(stored.name, era_of(snapshot.revision))
         for name in list(self._deleted(snapshot)):
             self.apply(StoredObject(name, snapshot.revision, None))
@@ -168,12 +168,13 @@
 
     def _shown_otherwise(self, snapshot: Snapshot) -> Iterator[ObjectName]:
         """Yield what a store that came back doesn't have as it is in force here."""
-        shown = {stored.name: stored.version for stored in snapshot.objects}
+        shown = {stored.name: stored for stored in snapshot.objects}
         era = era_of(snapshot.revision)
         for name, held in self._objects.items():
-            is_gone = held.value is None and name not in shown
-            is_lost = shown.get(name, 0) < held.version and not is_gone
-            if is_lost and era_of(held.version) < era:
+            stored = shown.get(name)
+            is_there = stored is not None and _is_same(stored, held)
+            is_gone = stored is None and held.value is None
+            if era_of(held.version) < era and not (is_there or is_gone):
                 yield name
 
     def _keep(self, change: StoredObject) -> None:
@@ -196,3 +197,11 @@
         except InvalidObjectError:
             # Written by a newer release: what was in force before stays so.
             return
+
+
+def _is_same(one: StoredObject, other: StoredObject) -> bool:
+    """Tell whether two objects are the same version.
+
+    Their contents differ where a number was given out twice, before and after a return.
+    """
+    return one.version == other.version and one.value == other.value
--- a/src/piershore/gateway/edit_restorer.py
+++ b/src/piershore/gateway/edit_restorer.py
@@ -128,13 +128,7 @@
         elif current.version > held.version:
             self._view.apply(current)
         elif current.value != held.value:
-            # Two writes got this number, in two eras: the store's is the later one.
-            write_id = uuid4().hex
-            self._written(
-                await settled_put(
-                    self._store, name, current.value, current.version, write_id
-                )
-            )
+            await self._write_as_new(current)
         self._confirm(name)
 
     async def _write_again(
@@ -154,6 +148,18 @@
             version=lost.version,
         )
 
+    async def _write_as_new(self, current: StoredObject) -> None:
+        """Give the store's contents a version of their own.
+
+        Two writes got the same number, before and after the return: the store's is the
+        later one.
+        """
+        written = await settled_put(
+            self._store, current.name, current.value, current.version, uuid4().hex
+        )
+        self._view.apply(written)
+        self._written(written)
+
     def _confirm(self, name: ObjectName) -> None:
         self._view.confirm(name)
         self._recent.note_seen(name, self._reached.era)
--- a/src/piershore/platform/http_platform_store.py
+++ b/src/piershore/platform/http_platform_store.py
@@ -154,11 +154,11 @@
     async def _number_of(
         self, client: ObjectClient, name: ObjectName, version: StoreRevision
     ) -> int:
-        """Return the store's number of a version; raise `StaleVersionError` if it has
-        another one.
+        """Return the store's number of a version.
 
-        The store compares numbers alone: that of an earlier era may have been given
-        out again, and what was lost and written again has a new one.
+        Raise `StaleVersionError` if it has another one. The store compares numbers
+        alone: that of an earlier era may have been given out again, and what was lost
+        and written again has a new one.
         """
         if version.era >= self.era:
             return version.number
