--- a/features/steps/ingress_silence_steps.py
+++ b/features/steps/ingress_silence_steps.py
@@ -39,7 +39,8 @@
     links = []
     for endpoint in world.endpoints:
         link = FaultProxy(lambda endpoint=endpoint: ("127.0.0.1", endpoint.port))
-        await world.nursery.start(link.serve, free_port())
+        link.start(world.nursery, free_port())
+        await world.nursery.start(link.accept)
         endpoint.listed_as = lambda link=link: f"127.0.0.1:{link.port}"
         world.list_endpoint(endpoint)
         links.append(link)
@@ -143,7 +144,8 @@
 def silence_store(context):
     async def script(world):
         link = FaultProxy(lambda: ("127.0.0.1", world.store.port))
-        await world.nursery.start(link.serve, free_port())
+        link.start(world.nursery, free_port())
+        await world.nursery.start(link.accept)
         await wait_for_peers(world)
         _, second = world.gateways[1]
         for follower in (second._configuration, second._endpoints):
--- a/model/store_return.pml
+++ b/model/store_return.pml
@@ -22,13 +22,12 @@
 #define IS_OF(e) true
 #else
 #define RECORD(a) told[a]
-#endif
 #ifdef CONFIRM_IN_ANY_ERA
 #define IS_OF(e) true
-#endif
-#ifndef IS_OF
+#else
 #define IS_OF(e) ((e) == era)
 #endif
+#endif
 #define AT(e, v) ((e) * (V + 1) + (v))
 
 byte h_owner[2 * (V + 1)], h_start[2 * (V + 1)], h_end[2 * (V + 1)];
