One link to an agent that comes back at its address

Causes: a link that was retired while it waited to be opened again was opened again, to the next life of the agent; and one that had found that before the announcement came was retired for a second one. A retired link ends; an announcement of the process that a link has found is taken as its own. Two scenarios, each failed before.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -26,3 +26,15 @@
     Then calls go on running, all of them at order-2
     When the drain of order-1 is ended
     Then order-1 gets work again
+
+  # The old link stayed as a second one to the same process, as long as that lived.
+  Scenario: An agent's next life is found before its announcement
+    Given a gateway whose link was opened again before it heard who is there now
+    When the new agent's announcement comes
+    Then the gateway goes on with that link and opens no other
+
+  # It led to the agent's next life, beside the link that was opened to that.
+  Scenario: A link whose agent is replaced while it waits to be opened again
+    Given a link that waits to be opened again
+    When its agent has been replaced by then
+    Then it isn't opened again
--- a/src/piershore/gateway/agent_link.py
+++ b/src/piershore/gateway/agent_link.py
@@ -141,16 +141,26 @@
         """Keep the link up until cancelled."""
         backoff = FIRST_BACKOFF_SECONDS
         try:
-            while True:
+            while not self._retired:
                 was_open = await self._connect_once()
-                if self._retired:
-                    return
                 backoff = FIRST_BACKOFF_SECONDS if was_open else backoff * 2
                 backoff = min(backoff, LONGEST_BACKOFF_SECONDS)
                 await trio.sleep(backoff)
         finally:
             self._disconnect()
 
+    def follow(self, status: EndpointStatus) -> bool:
+        """Take a new announcement; tell whether this link leads to that process.
+
+        It may have found it first, by the address that it was opened again at.
+        """
+        is_same_address = status.address == self._status.address
+        known = {self._status.incarnation, self.incarnation}
+        if not is_same_address or status.incarnation not in known:
+            return False
+        self._status = status
+        return True
+
     def retire(self) -> None:
         """Take no new work; the link ends when the agent's process does.
 
--- a/src/piershore/gateway/agent_links.py
+++ b/src/piershore/gateway/agent_links.py
@@ -147,7 +147,7 @@
         wanted = self._wanted()
         for name, status in wanted.items():
             link = self._links.get(name)
-            if link is not None and _same_process(link.status, status):
+            if link is not None and link.follow(status):
                 continue
             if link is not None:
                 self._retire(name)
@@ -184,7 +184,3 @@
         link = self._links.pop(name)
         self._retired.add(link)
         link.retire()
-
-
-def _same_process(one: EndpointStatus, other: EndpointStatus) -> bool:
-    return (one.address, one.incarnation) == (other.address, other.incarnation)
