Rates that endpoints name are logged and counted

Callers saw nothing of the incident; operators saw endpoints get more than the rate that they had named. Neither logs nor metrics could tell whether a gateway had read a rate, which one, and whether it was lost again (hypotheses 1, 2 and 4 of docs/incidents/server-limit.md).

The head's rate is decoded where the other notices are, and told by endpoint_told and piershore_ingress_notices_total. What can't be read is told as such. No decision uses it yet.

--- a/src/piershore/ingress/attempts/endpoint_notices.py
+++ b/src/piershore/ingress/attempts/endpoint_notices.py
@@ -67,6 +67,8 @@
                 status,
                 notice.is_leaving,
                 notice.rest_seconds,
+                notice.rate_limit,
+                notice.unreadable,
             )
             self._log.write(event, is_failure=True)
         self._on_departures(heard.departures)
@@ -77,3 +79,7 @@
             ingress_metrics.NOTICES.labels("leaving").inc()
         if notice.rest_seconds is not None:
             ingress_metrics.NOTICES.labels("rest").inc()
+        if notice.rate_limit is not None:
+            ingress_metrics.NOTICES.labels("rate_limit").inc()
+        if notice.unreadable:
+            ingress_metrics.NOTICES.labels("unreadable").inc()
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -9,6 +9,7 @@
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import end_to_end, Headers, RequestHead, ResponseHead
+from piershore.http1.rate_limit import lowest_rate
 from piershore.http1.retry_after import longest_rest
 from piershore.ingress.ports import (
     CallerRequest,
@@ -37,6 +38,7 @@
 BACK_UP_AT = b"kv-backup"
 RETRY_AFTER = b"retry-after"
 LEAVES = b"server-leaving"
+RATE_LIMIT = b"server-limit"
 DENIALS = frozenset({b"", b"0", b"false"})
 """Values with which a header says that something is not so."""
 
@@ -140,7 +142,10 @@
         rest = None
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
             rest = longest_rest(v.decode("latin-1") for v in head.values(RETRY_AFTER))
-        return EndpointNotice(is_leaving, rest)
+        limits = [v.decode("latin-1") for v in head.values(RATE_LIMIT)]
+        rate = lowest_rate(limits)
+        unreadable = ", ".join(limits) if rate is None else ""
+        return EndpointNotice(is_leaving, rest, rate, unreadable)
 
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Return the endpoint's headers that the caller gets."""
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -132,7 +132,9 @@
 class EndpointTold(LogEvent):
     """An endpoint's answer with this status said something new of the endpoint itself.
 
-    It leaves, or wants nothing from this gateway for `rest_seconds`.
+    It leaves, wants nothing from this gateway for `rest_seconds`, or takes only
+    `rate_limit` requests a second from all gateways; `unreadable` is what it sent in
+    place of a rate.
     """
 
     endpoint: str
@@ -140,6 +142,8 @@
     status: int
     is_leaving: bool
     rest_seconds: float | None
+    rate_limit: float | None
+    unreadable: str
 
 
 @dataclass(frozen=True)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -96,7 +96,7 @@
 )
 NOTICES = Counter(
     "piershore_ingress_notices_total",
-    "Answers in which endpoints said that they leave, or asked for rest.",
+    "Answers in which endpoints said that they leave, asked for rest or named a rate.",
     ["kind"],
     registry=REGISTRY,
 )
