--- a/devtools/bench/call_simulation.py
+++ b/devtools/bench/call_simulation.py
@@ -1,7 +1,8 @@
 """Several gateways before a plain service whose endpoints ask for something.
 
-An endpoint says in its answers that it leaves, while the store can't say so, or turns
-calls away and asks for rest. Gateways choose by the product's own code.
+An endpoint says in its answers that it leaves, while the store can't say so, turns
+calls away and asks for rest, or names the rate that it takes from all gateways
+together. Gateways choose by the product's own code.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from devtools.bench.fleet_settings import HALLS, NETWORK_SECONDS
 from devtools.bench.simulated_fleet import gateway_name
 from devtools.bench.virtual_time import VirtualTime
+from devtools.rate_window import CONTACT_SECONDS, most_in_window, TOLD_SECONDS
 from piershore.core.attempts.attempt_outcome import MOST_PROVEN_UNRUN
 from piershore.core.attempts.retry_allowance import RetryAllowance, RetryLimits
 from piershore.core.fleet.asked_rests import AskedRests
@@ -47,8 +49,9 @@
 
     From `begins` to `ends`, the `asking` first endpoints turn every call away and ask
     for `rest` with it (for nothing if it is None); or, if `leaves`, they serve on and
-    say in their answers that they leave. All turn calls away, and ask for nothing, that
-    come when `full_at` are under way.
+    say in their answers that they leave; or, if `rate_limit` is given, they serve on
+    and name that rate. All turn calls away, and ask for nothing, that come when
+    `full_at` are under way.
     """
 
     seconds: float = 24.0
@@ -62,6 +65,7 @@
     asking: int = 1
     rest: float | None = 3.0
     leaves: bool = False
+    rate_limit: float | None = None
     full_at: int = 1_000
     retries: RetryLimits = field(
         default_factory=lambda: RetryLimits(ratio=0.2, slack=58, window=10)
@@ -129,6 +133,7 @@
         self.calls: list[Call] = []
         self.arrivals: list[Arrival] = []
         self.asked_at: dict[tuple[str, str], list[float]] = defaultdict(list)
+        self.named_at: dict[str, float] = {}
         for gateway in self._gateways:
             for endpoint in self._endpoints:
                 gateway.directory.put(endpoint)
@@ -151,6 +156,20 @@
                 until = at + (self._settings.rest or 0.0)
                 yield self._count(gateway, endpoint, at + IN_TRANSIT_SECONDS, until)
 
+    def most_at_limited(self) -> int:
+        """Return the most calls in a window that gateways which knew the rate sent."""
+        return max(
+            most_in_window(self._arrivals_of_told(identity), named_at + CONTACT_SECONDS)
+            for identity, named_at in self.named_at.items()
+        )
+
+    def _arrivals_of_told(self, identity: str) -> Iterator[float]:
+        for arrival in self.arrivals:
+            told = self.asked_at.get((arrival.gateway, identity))
+            is_there = arrival.endpoint == identity and arrival.at < self._settings.ends
+            if is_there and told and arrival.at >= told[0] + TOLD_SECONDS:
+                yield arrival.at
+
     def late_arrivals(self, allowed: float) -> Iterator[Arrival]:
         """Yield the calls sent so long after the endpoint had told the gateway."""
         for arrival in self.arrivals:
@@ -205,7 +224,7 @@
             Arrival(call.gateway.name, identity, self._now, call.arrived_at)
         )
         is_asking = identity in self._asking and self._asks()
-        if is_asking and not self._settings.leaves:
+        if is_asking and not self._serves_on:
             rest = self._settings.rest
             self._at(REFUSING_SECONDS, self._turn_away, call, endpoint, work, rest)
             return
@@ -217,6 +236,10 @@
         seconds = self._settings.work_seconds * crowd
         self._at(seconds, self._answer, call, endpoint, work, is_asking)
 
+    @property
+    def _serves_on(self) -> bool:
+        return self._settings.leaves or self._settings.rate_limit is not None
+
     def _asks(self) -> bool:
         return self._settings.begins <= self._now < self._settings.ends
 
@@ -242,23 +265,33 @@
         self._try(call)
 
     def _answer(
-        self, call: Call, endpoint: Endpoint, work: PlainWork, is_leaving: bool
+        self, call: Call, endpoint: Endpoint, work: PlainWork, is_asking: bool
     ) -> None:
         self._busy[endpoint.identity] -= 1
-        self._at(NETWORK_SECONDS, self._take_answer, call, endpoint, work, is_leaving)
+        rate = self._settings.rate_limit
+        if is_asking and rate is not None:
+            self.named_at.setdefault(endpoint.identity, self._now)
+        self._at(NETWORK_SECONDS, self._take_answer, call, endpoint, work, is_asking)
 
     def _take_answer(
-        self, call: Call, endpoint: Endpoint, work: PlainWork, is_leaving: bool
+        self, call: Call, endpoint: Endpoint, work: PlainWork, is_asking: bool
     ) -> None:
         gateway = call.gateway
         gateway.loads.remove(endpoint.identity, work)
         call.answered_at = self._now
         gateway.health.note_success(endpoint.identity)
-        if is_leaving:
+        if is_asking:
             self.asked_at[gateway.name, endpoint.identity].append(self._now)
-            notice = EndpointNotice(is_leaving=True)
-            for departure in gateway.heard.take(endpoint, notice, self._now).departures:
-                self._tell(gateway, departure.endpoint.identity)
+        notice = self._notice(is_asking=is_asking)
+        for departure in gateway.heard.take(endpoint, notice, self._now).departures:
+            self._tell(gateway, departure.endpoint.identity)
+
+    def _notice(self, *, is_asking: bool) -> EndpointNotice:
+        if not is_asking:
+            return EndpointNotice()
+        return EndpointNotice(
+            is_leaving=self._settings.leaves, rate_limit=self._settings.rate_limit
+        )
 
     def _tell(self, gateway: _Gateway, identity: str) -> None:
         for peer in self._others(gateway):
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -20,6 +20,7 @@
 from devtools.soak.drill import Drill
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import Fleet, Gateway
+from devtools.soak.limiting_endpoints import LimitingEndpoints
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead
@@ -67,6 +68,8 @@
         extras.append(CrashingCaller(fleet, callers, seed))
     if options.asking:
         extras.append(AskingEndpoints(fleet, seed))
+    if options.limiting:
+        extras.append(LimitingEndpoints(fleet, seed))
     if options.drill:
         extras.append(Drill(fleet, troubles, seed))
     try:
@@ -91,7 +94,7 @@
 async def _run(
     fleet: Fleet,
     callers: Callers,
-    extras: list[CrashingCaller | AskingEndpoints | Drill],
+    extras: list[CrashingCaller | AskingEndpoints | LimitingEndpoints | Drill],
     troubles: Troubles,
     seconds: float,
 ) -> None:
@@ -155,6 +158,11 @@
         action="store_true",
         help="endpoints say in their answers that they leave, or ask for rest",
     )
+    parser.add_argument(
+        "--limiting",
+        action="store_true",
+        help="endpoints name the rate that they take from all gateways together",
+    )
     parser.add_argument(
         "--drill",
         action="store_true",
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -7,10 +7,11 @@
 from http import HTTPStatus
 from math import inf
 
+from devtools.rate_window import allowed_requests, most_in_window, TOLD_SECONDS
 from devtools.soak.callers import Call, Callers
 from devtools.soak.crashing_caller import KIND as CRASHING
 from devtools.soak.faults import Troubles
-from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet
+from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet, SoakEndpoint
 from standins.published_endpoint import AskedRest, PublishedEndpoint
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -18,7 +19,7 @@
 """A gateway that was disturbed is not held to times for so long."""
 DRAIN_SLACK_SECONDS = 0.5
 CRASHES_KNOWN, MOST_SENT_ON = 3, 3
-LEAVES = "server-leaving"
+LEAVES, RATE_LIMIT = "server-leaving", "server-limit"
 IN_TRANSIT_SECONDS, MOST_IN_REST = 0.5, 2
 """Calls on their way may still come so long after an endpoint has asked for rest, and
 so many later."""
@@ -41,6 +42,7 @@
     yield from _leaving(fleet, known, troubles)
     yield from _told_leaving(fleet, callers.calls, known)
     yield from _rests(fleet, known)
+    yield from _rates(fleet, callers.calls, known)
     yield from _crashing(fleet, known)
     yield from _service(callers.calls)
     yield from _faults_of_the_program(fleet)
@@ -182,6 +184,45 @@
     )
 
 
+def _rates(fleet: Fleet, calls: list[Call], known: dict[str, Call]) -> Iterator[str]:
+    """Gateways that have passed a rate on send an endpoint no more than it takes."""
+    passed_on: dict[tuple[str, int, str], float] = {}
+    for call in calls:
+        if call.is_whole and RATE_LIMIT in call.headers:
+            place = (call.gateway, call.life, call.headers["instance-id"])
+            passed_on[place] = min(call.ended_at, passed_on.get(place, call.ended_at))
+    for endpoint in fleet.endpoints:
+        for standin in (*endpoint.past, endpoint.standin):
+            if not standin.named:
+                continue
+            first, last = standin.named[0], standin.named[-1]
+            times = _bound_arrivals(fleet, endpoint, standin, passed_on, known)
+            within = [at for at in times if at <= last.at]
+            most = most_in_window(within, first.at + CONTACT_SECONDS)
+            if most > allowed_requests(float(first.rate)):
+                place = f"{standin.identity}: {most} requests"
+                yield f"{place} in 4 s, having named {first.rate} a second"
+
+
+def _bound_arrivals(
+    fleet: Fleet,
+    endpoint: SoakEndpoint,
+    standin: PublishedEndpoint,
+    passed_on: dict[tuple[str, int, str], float],
+    known: dict[str, Call],
+) -> Iterator[float]:
+    """Yield when requests came of undisturbed gateways that knew of the rate."""
+    disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
+    for arrival in standin.arrivals:
+        call = known.get(arrival.identity)
+        if call is None:
+            continue
+        told = passed_on.get((call.gateway, call.life, standin.identity), inf)
+        calm_since = max(disturbed[call.gateway], endpoint.link.disturbed_at)
+        if arrival.at >= max(told + TOLD_SECONDS, calm_since + CONTACT_SECONDS):
+            yield arrival.at
+
+
 def _crashing(fleet: Fleet, known: dict[str, Call]) -> Iterator[str]:
     """Once three endpoints have crashed under a request, hardly any gets it."""
     crashes = sorted(s.crashed_at for s in fleet.standins() if s.crashed_at)
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -72,6 +72,15 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class NamedRate:
+    """The answer to a request named a rate."""
+
+    identity: str
+    at: float
+    rate: str
+
+
 class EngineMemory:
     """Copies of generations by `HOST:PORT/NAME`: where each lies."""
 
@@ -85,7 +94,8 @@
 
     One that `tells_leaving` says in all its answers that it leaves, whatever its entry
     says. Until `sheds_until` it turns requests away, and asks for `rest` seconds with
-    it if that is given; `rests` are those that it asked for.
+    it if that is given; `rests` are those that it asked for. `rate_limit` is the value
+    that all its answers name as its rate; `named` are the times of those.
     """
 
     def __init__(
@@ -107,6 +117,8 @@
         self.data_hall = "ikeja"
         self.born: int | None = None
         self.tells_leaving = False
+        self.rate_limit: str | None = None
+        self.named: list[NamedRate] = []
         self.sheds_until = 0.0
         self.rest: float | None = None
         self.rests: list[AskedRest] = []
@@ -265,6 +277,10 @@
             headers.append(("Response-Seal", f"seal.{arrival.identity}"))
         if self.tells_leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.rate_limit is not None:
+            headers.append(("Server-Limit", self.rate_limit))
+            named = NamedRate(arrival.identity, trio.current_time(), self.rate_limit)
+            self.named.append(named)
         return [*headers, *extra]
 
     async def respond(
