The rate that an endpoint names is shared by all gateways

Callers saw nothing: the calls were served. Endpoints that had named the requests a second that they take got several times as much (27 in 4 s of 19 allowed, 19 of 15), first attempts of all gateways.

Cause: the head of an answer that names a rate wasn't read, and nothing in the choice of an endpoint knows of a rate. Endpoints are chosen by load in flight, and one that answers within 50 ms always seems idle. Class: a bound on a sum over all gateways that no gateway keeps its part of.

The rate is dealt out in whole requests by the rank of each gateway, over the shortest of 1, 2 and 4 s in which each has one; if there are fewer requests than gateways, some have none. So the sum over any 4 s is at most four times the rate, whatever the number of gateways. Endpoints that start cold were dealt out alike; both use one mechanism now (rate_shares, sent_requests). An endpoint whose part is used up isn't a candidate; the attempt itself asks once more before it sends. The latest answer counts, own or told by a peer with its age; one without a rate ends the limit if it comes 0.5 s after the last that named it. What nobody has confirmed for 10 s is asked again, one gateway after the other. If all endpoints are limited, a caller waits or is refused at once with a place of its own to come back to.

--- a/devtools/bench/call_simulation.py
+++ b/devtools/bench/call_simulation.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -23,7 +23,8 @@
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
-from piershore.core.fleet.endpoint_notice import EndpointNotice
+from piershore.core.fleet.endpoint_notice import EndpointNotice, PLAIN_NOTICE
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.fleet_load import FleetLoad, PlainWork
 from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.heard_notices import HeardNotices
@@ -32,6 +33,7 @@
     DEFAULT_PLACEMENT,
     PLACEMENT_POLICIES,
 )
+from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.routes.current_configuration import CurrentConfiguration
 
@@ -50,8 +52,8 @@
     From `begins` to `ends`, the `asking` first endpoints turn every call away and ask
     for `rest` with it (for nothing if it is None); or, if `leaves`, they serve on and
     say in their answers that they leave; or, if `rate_limit` is given, they serve on
-    and name that rate. All turn calls away, and ask for nothing, that come when
-    `full_at` are under way.
+    and name that rate, which gateways share by `limits`. All turn calls away, and ask
+    for nothing, that come when `full_at` are under way.
     """
 
     seconds: float = 24.0
@@ -66,6 +68,7 @@
     rest: float | None = 3.0
     leaves: bool = False
     rate_limit: float | None = None
+    limits: Callable[[RateShares], EndpointRateLimits] = EndpointRateLimits
     full_at: int = 1_000
     retries: RetryLimits = field(
         default_factory=lambda: RetryLimits(ratio=0.2, slack=58, window=10)
@@ -101,8 +104,12 @@
         self.allowance = RetryAllowance(settings.retries)
         self.rests = AskedRests()
         self.health = EndpointHealth()
-        self.heard = HeardNotices(self.directory, self.rests)
         subsets = EndpointSubsets(self.name, self.directory)
+        subsets.set_peers(map(gateway_name, range(settings.gateways)))
+        configuration = CurrentConfiguration()
+        shares = RateShares(self.name, subsets, configuration)
+        self.limits = settings.limits(shares)
+        self.heard = HeardNotices(self.directory, self.rests, self.limits)
         self.placement = Placement(
             HALLS[number % len(HALLS)],
             self.directory,
@@ -112,8 +119,9 @@
             PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
             HallStalls(),
             subsets,
-            ColdStarts(self.name, subsets, CurrentConfiguration()),
+            ColdStarts(shares, configuration),
             self.rests,
+            self.limits,
         )
 
 
@@ -122,7 +130,7 @@
 
     def __init__(self, settings: CallSettings, seed: int) -> None:
         super().__init__()
-        self._settings = settings
+        self.settings = settings
         self._random = Random(seed)
         self._gateways = [
             _Gateway(number, settings, seed) for number in range(settings.gateways)
@@ -153,7 +161,7 @@
         """Yield how many calls of a gateway came within each rest that it was asked."""
         for (gateway, endpoint), asked in self.asked_at.items():
             for at in asked:
-                until = at + (self._settings.rest or 0.0)
+                until = at + (self.settings.rest or 0.0)
                 yield self._count(gateway, endpoint, at + IN_TRANSIT_SECONDS, until)
 
     def most_at_limited(self) -> int:
@@ -166,7 +174,7 @@
     def _arrivals_of_told(self, identity: str) -> Iterator[float]:
         for arrival in self.arrivals:
             told = self.asked_at.get((arrival.gateway, identity))
-            is_there = arrival.endpoint == identity and arrival.at < self._settings.ends
+            is_there = arrival.endpoint == identity and arrival.at < self.settings.ends
             if is_there and told and arrival.at >= told[0] + TOLD_SECONDS:
                 yield arrival.at
 
@@ -185,12 +193,12 @@
 
     @property
     def _is_over(self) -> bool:
-        return self._now >= self._settings.seconds
+        return self._now >= self.settings.seconds
 
     def _arrive(self) -> None:
         if self._is_over:
             return
-        self._at(self._random.expovariate(self._settings.rate), self._arrive)
+        self._at(self._random.expovariate(self.settings.rate), self._arrive)
         call = Call(self._random.choice(self._gateways), self._now)
         self.calls.append(call)
         call.gateway.allowance.note_request(self._now)
@@ -201,9 +209,11 @@
             return
         self._at(REPORT_SECONDS, self._report)
         for gateway in self._gateways:
+            loads = gateway.loads.own_loads()
+            told = gateway.limits.report(self._now)
             for peer in self._others(gateway):
-                loads = gateway.loads.own_loads()
                 peer.loads.take_report(gateway.name, loads, self._now)
+                list(peer.limits.apply_report(told, self._now))
 
     def _others(self, gateway: _Gateway) -> Iterable[_Gateway]:
         return (peer for peer in self._gateways if peer is not gateway)
@@ -214,6 +224,7 @@
             call.is_refused = True
             return
         call.tried.append(choice.endpoint.identity)
+        call.gateway.limits.claim(choice.endpoint, self._now)
         work = PlainWork()
         call.gateway.loads.add(choice.endpoint.identity, work)
         self._at(NETWORK_SECONDS, self._reach, call, choice.endpoint, work)
@@ -225,23 +236,23 @@
         )
         is_asking = identity in self._asking and self._asks()
         if is_asking and not self._serves_on:
-            rest = self._settings.rest
+            rest = self.settings.rest
             self._at(REFUSING_SECONDS, self._turn_away, call, endpoint, work, rest)
             return
-        if self._busy[identity] >= self._settings.full_at:
+        if self._busy[identity] >= self.settings.full_at:
             self._at(REFUSING_SECONDS, self._turn_away, call, endpoint, work, None)
             return
         self._busy[identity] += 1
-        crowd = max(1.0, self._busy[identity] / self._settings.slots)
-        seconds = self._settings.work_seconds * crowd
+        crowd = max(1.0, self._busy[identity] / self.settings.slots)
+        seconds = self.settings.work_seconds * crowd
         self._at(seconds, self._answer, call, endpoint, work, is_asking)
 
     @property
     def _serves_on(self) -> bool:
-        return self._settings.leaves or self._settings.rate_limit is not None
+        return self.settings.leaves or self.settings.rate_limit is not None
 
     def _asks(self) -> bool:
-        return self._settings.begins <= self._now < self._settings.ends
+        return self.settings.begins <= self._now < self.settings.ends
 
     def _turn_away(
         self, call: Call, endpoint: Endpoint, work: PlainWork, rest: float | None
@@ -268,7 +279,7 @@
         self, call: Call, endpoint: Endpoint, work: PlainWork, is_asking: bool
     ) -> None:
         self._busy[endpoint.identity] -= 1
-        rate = self._settings.rate_limit
+        rate = self.settings.rate_limit
         if is_asking and rate is not None:
             self.named_at.setdefault(endpoint.identity, self._now)
         self._at(NETWORK_SECONDS, self._take_answer, call, endpoint, work, is_asking)
@@ -288,9 +299,9 @@
 
     def _notice(self, *, is_asking: bool) -> EndpointNotice:
         if not is_asking:
-            return EndpointNotice()
+            return PLAIN_NOTICE
         return EndpointNotice(
-            is_leaving=self._settings.leaves, rate_limit=self._settings.rate_limit
+            is_leaving=self.settings.leaves, rate_limit=self.settings.rate_limit
         )
 
     def _tell(self, gateway: _Gateway, identity: str) -> None:
--- a/devtools/bench/simulated_fleet.py
+++ b/devtools/bench/simulated_fleet.py
@@ -12,6 +12,7 @@
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
@@ -19,6 +20,7 @@
 from piershore.core.fleet.output_lengths import OutputLengths
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
+from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.room_wait import RoomWait
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
@@ -98,6 +100,8 @@
         self.directory = EndpointDirectory()
         self.subsets = EndpointSubsets(self.name, self.directory)
         self.subsets.set_peers(map(gateway_name, range(settings.gateways)))
+        configuration = CurrentConfiguration()
+        shares = RateShares(self.name, self.subsets, configuration)
         self.loads = FleetLoad()
         self.lengths = OutputLengths()
         self.streams: dict[str, FleetStream] = {}
@@ -110,8 +114,9 @@
             PLACEMENT_POLICIES[settings.policy](),
             HallStalls(),
             self.subsets,
-            ColdStarts(self.name, self.subsets, CurrentConfiguration()),
+            ColdStarts(shares, configuration),
             AskedRests(),
+            EndpointRateLimits(shares),
             frozenset() if settings.subsets else {Mechanism.SUBSETS},
         )
 
--- a/features/steps/cold_endpoint_steps.py
+++ b/features/steps/cold_endpoint_steps.py
@@ -12,12 +12,9 @@
 from support.core_checks import checked, ENGINE, fleet_of
 from support.ingress_world import IngressWorld
 
-from piershore.core.fleet.cold_starts import (
-    ColdStarts,
-    part_of_rate,
-    TRANSIT_SECONDS,
-)
+from piershore.core.fleet.cold_starts import ColdStarts, TRANSIT_SECONDS
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.rate_shares import part_of_rate, RateShares
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.service_spec import ServiceSpec
@@ -60,7 +57,8 @@
         for host in self.hosts:
             subsets = EndpointSubsets(host, self.directory)
             subsets.set_peers(self.hosts)
-            starts = ColdStarts(host, subsets, self.configuration)
+            shares = RateShares(host, subsets, self.configuration)
+            starts = ColdStarts(shares, self.configuration)
             for endpoint in self.directory:
                 starts.note_entry(endpoint, 0.0)
             self.views[host] = (subsets.own("model"), starts)
@@ -181,7 +179,8 @@
     spec = ServiceSpec("model", None, COLD_START_SECONDS, 5.0)
     configuration.offer(ServingConfiguration(1, {}, {"model": spec}, {}))
     subsets = EndpointSubsets("self", EndpointDirectory())
-    return ColdStarts("self", subsets, configuration)
+    shares = RateShares("self", subsets, configuration)
+    return ColdStarts(shares, configuration)
 
 
 @then("what an entry says counts, and what a peer has seen, for its time")
--- a/features/support/placements.py
+++ b/features/support/placements.py
@@ -7,12 +7,14 @@
 from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import (
     DEFAULT_PLACEMENT,
     PLACEMENT_POLICIES,
 )
+from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.routes.current_configuration import CurrentConfiguration
 
@@ -20,6 +22,8 @@
 def placement_over(directory, loads, *, health=None, stalls=None, subsets=None):
     """Return the placement of a gateway at ikeja; alone, unless it has subsets."""
     subsets = subsets or EndpointSubsets("self", directory)
+    configuration = CurrentConfiguration()
+    shares = RateShares("self", subsets, configuration)
     return Placement(
         "ikeja",
         directory,
@@ -29,6 +33,7 @@
         PLACEMENT_POLICIES[DEFAULT_PLACEMENT](),
         stalls or HallStalls(),
         subsets,
-        ColdStarts("self", subsets, CurrentConfiguration()),
+        ColdStarts(shares, configuration),
         AskedRests(),
+        EndpointRateLimits(shares),
     )
--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -25,16 +25,18 @@
 class AttemptOutcome(StrEnum):
     """What is known of one attempt.
 
-    Only `NOT_SENT`, `REJECTED`, `HELD` and `RESTING` prove that the endpoint has not
-    executed the request and never will. `HELD`: it goes to no endpoint, since some have
-    crashed under it. `RESTING`: it was not sent, since its endpoint had asked for rest
-    meanwhile.
+    Only `NOT_SENT`, `REJECTED`, `HELD`, `RESTING` and `LIMITED` prove that the endpoint
+    has not executed the request and never will. `HELD`: it goes to no endpoint, since
+    some have crashed under it. `RESTING`: it was not sent, since its endpoint had asked
+    for rest meanwhile; `LIMITED`: since this gateway has sent its part of what the
+    endpoint takes.
     """
 
     NOT_SENT = "not_sent"
     REJECTED = "rejected"
     HELD = "held"
     RESTING = "resting"
+    LIMITED = "limited"
     MAYBE_RUN = "maybe_run"
     ANSWERED = "answered"
     FAILED_ANSWER = "failed_answer"
@@ -53,6 +55,7 @@
         AttemptOutcome.REJECTED,
         AttemptOutcome.HELD,
         AttemptOutcome.RESTING,
+        AttemptOutcome.LIMITED,
     }
 )
 
--- a/src/piershore/core/fleet/asked_rests.py
+++ b/src/piershore/core/fleet/asked_rests.py
@@ -33,8 +33,12 @@
 
     def is_resting(self, identity: str, now: float) -> bool:
         """Tell whether an endpoint is to get nothing now."""
+        return self.left(identity, now) > 0
+
+    def left(self, identity: str, now: float) -> float:
+        """Return for how many seconds more an endpoint is to get nothing."""
         rest = self._rests.get(identity)
-        return rest is not None and rest.seconds_left(now) > 0
+        return rest.seconds_left(now) if rest else 0.0
 
     def seconds_left(self, endpoints: Iterable[Endpoint], now: float) -> float | None:
         """Return when the first of the endpoints has rested, if all of them rest."""
--- a/src/piershore/core/fleet/cold_starts.py
+++ b/src/piershore/core/fleet/cold_starts.py
@@ -3,23 +3,19 @@
 The load pattern: a third of a service's endpoints come back together while the others
 are full. They look empty, every gateway sends there, and a cold endpoint that gets much
 more than it bears falls over. So the requests that it bears in a second are dealt out
-to the gateways that choose from it, in whole requests: all gateways work their parts
-out alike from who they know, and the parts add up to that number at the most, also
-when there are more gateways than requests. A part whose gateway has died is not used
-until the others have missed it. With 23 gateways and 900 requests a second before 22
-endpoints, of which 7 are cold and bear 32 requests a second, these got 31.9 in the mean
-and 32 in their worst second; with 410 gateways before 300 endpoints 31.8 and 32
+to the gateways that choose from it. With 23 gateways and 900 requests a second before
+22 endpoints, of which 7 are cold and bear 32 requests a second, these got 31.9 in the
+mean and 32 in their worst second; with 410 gateways before 300 endpoints 31.8 and 32
 (virtual time).
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Mapping
 
-from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.fleet.rate_shares import RateShares
+from piershore.core.fleet.sent_requests import SentRequests
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.service_spec import ServiceSpec
 
@@ -33,29 +29,15 @@
 """Cold endpoints that one report tells of, so that it fits a packet."""
 
 
-def part_of_rate(rate: int, gateways: int, rank: int) -> int:
-    """Return the whole requests a second that the gateway of a rank may send.
-
-    The parts of all ranks add up to `rate`.
-    """
-    return rate // gateways + (rank < rate % gateways)
-
-
 class ColdStarts:
     """Cold endpoints by identity, and what this gateway has sent to them lately."""
 
-    def __init__(
-        self,
-        own_host: str,
-        subsets: EndpointSubsets,
-        configuration: CurrentConfiguration,
-    ) -> None:
-        self._own_host = own_host
-        self._subsets = subsets
+    def __init__(self, shares: RateShares, configuration: CurrentConfiguration) -> None:
+        self._shares = shares
         self._configuration = configuration
         self._until: dict[str, float] = {}
         self._seen: dict[str, float] = {}
-        self._sent: dict[str, deque[float]] = {}
+        self._sent = SentRequests()
 
     def note_entry(self, endpoint: Endpoint, now: float) -> None:
         """Note what an endpoint's own entry says."""
@@ -94,34 +76,17 @@
         spec = self._spec(endpoint)
         if spec is None or spec.cold_rate is None:
             return True
-        sent = self._sent.get(endpoint.identity, ())
-        lately = sum(at > now - COUNTED_SECONDS for at in sent)
+        lately = self._sent.count(endpoint.identity, now - COUNTED_SECONDS)
         return lately < self._part(endpoint, spec)
 
     def note_sent(self, endpoint: Endpoint, now: float) -> None:
         """Count a request to an endpoint."""
-        if not self.is_cold(endpoint.identity, now):
-            return
-        sent = self._sent.setdefault(endpoint.identity, deque())
-        while sent and sent[0] <= now - COUNTED_SECONDS:
-            sent.popleft()
-        sent.append(now)
+        if self.is_cold(endpoint.identity, now):
+            self._sent.record(endpoint.identity, now, COUNTED_SECONDS)
 
     def _part(self, endpoint: Endpoint, spec: ServiceSpec) -> int:
-        sharers = self._sharers(endpoint, spec)
-        if sharers is None:
-            return 0
-        order = rendezvous_order(endpoint.identity, [self._own_host, *sharers])
-        rank = order.index(self._own_host)
-        return part_of_rate(max(1, int(spec.cold_rate)), len(order), rank)
-
-    def _sharers(self, endpoint: Endpoint, spec: ServiceSpec) -> list[str] | None:
-        """Return the peers that choose from an endpoint; None if this one doesn't."""
-        if spec.engine is None:
-            return self._subsets.peers
-        if endpoint not in self._subsets.own(endpoint.service):
-            return None
-        return list(self._subsets.sharing_peers(endpoint))
+        share = self._shares.of(endpoint)
+        return share.part(max(1, int(spec.cold_rate))) if share else 0
 
     def _spec(self, endpoint: Endpoint) -> ServiceSpec | None:
         configuration = self._configuration.value
@@ -136,5 +101,5 @@
         for known in (self._until, self._seen):
             for identity in [i for i, until in known.items() if until <= now]:
                 del known[identity]
-        for identity in self._sent.keys() - self._until.keys():
-            del self._sent[identity]
+        for identity in self._sent.identities() - self._until.keys():
+            self._sent.forget(identity)
--- a/src/piershore/core/fleet/heard_notices.py
+++ b/src/piershore/core/fleet/heard_notices.py
@@ -7,7 +7,8 @@
 from piershore.core.fleet.asked_rests import AskedRests
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import Departure, EndpointDirectory
-from piershore.core.fleet.endpoint_notice import EndpointNotice
+from piershore.core.fleet.endpoint_notice import EndpointNotice, PLAIN_NOTICE
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.remembering import remember
 
 MOST_KNOWN = 512
@@ -16,18 +17,28 @@
 
 @dataclass(frozen=True)
 class Heard:
-    """What came of a notice: whether it said something new, and who left by it."""
+    """What came of a notice: whether it said something new, and who left by it.
+
+    `has_new_limit` tells that the endpoint takes another rate than before.
+    """
 
     is_new: bool
+    has_new_limit: bool
     departures: tuple[Departure, ...] = ()
 
 
 class HeardNotices:
     """Takes notices, and applies them to what is known of the endpoints."""
 
-    def __init__(self, directory: EndpointDirectory, rests: AskedRests) -> None:
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        rests: AskedRests,
+        limits: EndpointRateLimits,
+    ) -> None:
         self._directory = directory
         self._rests = rests
+        self._limits = limits
         self._last: dict[str, EndpointNotice] = {}
 
     def take(self, endpoint: Endpoint, notice: EndpointNotice, now: float) -> Heard:
@@ -38,10 +49,14 @@
             # Its entry may say so much later: in 6 s in which the store took no writes
             # 40 calls were sent to an endpoint that ended under the last of them.
             departures = self._directory.mark_leaving(identity)
-        is_new = self._last.get(identity) != notice
+        is_new = notice not in (PLAIN_NOTICE, self._last.get(identity))
         if notice.rest_seconds is not None:
             is_new = is_new or not self._rests.is_resting(identity, now)
             self._rests.note(identity, notice.rest_seconds, now)
+        has_new_limit = False
+        if notice.rate_limit is not None:
+            rate = notice.rate_limit
+            has_new_limit = self._limits.record_answer(identity, rate, now)
         if is_new:
             remember(self._last, identity, notice, MOST_KNOWN)
-        return Heard(is_new, tuple(departures))
+        return Heard(is_new, has_new_limit, tuple(departures))
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -9,6 +9,7 @@
 
 from piershore.core.fleet.drained_halls import DrainedHalls
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.endpoint_rate_limits import RateReport, UNLIMITED
 from piershore.core.fleet.evacuation_plan import StreamNote
 from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.shared_failures import Outcomes
@@ -21,6 +22,8 @@
 NOTE_FLAGS = 2
 LARGEST_AMOUNT = 1e12
 """Above any sum over generations and any time."""
+AGE_DIGITS = 3
+"""Digits of the ages of answers, which tell their order."""
 SUM_DIGITS = 2
 """Digits of sums of logarithms; spreads come out right within some hundredths."""
 MOST_HALVINGS = 3
@@ -58,7 +61,8 @@
     `outcomes` its attempts at endpoints where anybody sees failures, `cold` the seconds
     that endpoints are still cold which it has seen itself, and `drained` the data halls
     that get nothing new, if it knows. `lengths` are those of the generations that ended
-    here, by route, told only now and then.
+    here, by route, told only now and then. `rate_limits` are the rates that endpoints
+    named lately in answers to it.
     """
 
     host: str
@@ -80,6 +84,7 @@
     cold: Mapping[str, float] = field(default_factory=dict)
     drained: DrainedHalls | None = None
     lengths: Mapping[str, LengthSums] = field(default_factory=dict)
+    rate_limits: Mapping[str, RateReport] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -130,6 +135,10 @@
                 {identity: round(left, 3) for identity, left in self.cold.items()},
                 _drained_fields(self.drained),
                 {route: _sums_fields(sums) for route, sums in self.lengths.items()},
+                {
+                    identity: [_rate_field(named.rate), round(named.age, AGE_DIGITS)]
+                    for identity, named in self.rate_limits.items()
+                },
             ]
         )
 
@@ -153,7 +162,13 @@
         yield report
         for halvings in range(1, MOST_HALVINGS + 1):
             yield replace(report, loads=self._busiest(len(self.loads) >> halvings))
-        for rest in ({"loads": {}}, {"members": ()}, {"leaving": {}}, {"departed": ()}):
+        for rest in (
+            {"loads": {}},
+            {"rate_limits": {}},
+            {"members": ()},
+            {"leaving": {}},
+            {"departed": ()},
+        ):
             report = replace(report, **rest)
             yield report
 
@@ -166,8 +181,8 @@
         """Read a datagram; raise `InvalidReportError` if it isn't a report."""
         try:
             fields = orjson.loads(data)
-            members, loads, leaving, departed, outcomes = fields[PLAIN_FIELDS:-3]
-            cold, drained, lengths = fields[-3:]
+            members, loads, leaving, departed, outcomes = fields[PLAIN_FIELDS:-4]
+            cold, drained, lengths, rate_limits = fields[-4:]
             host, data_hall, incarnation, *numbers = fields[:PLAIN_FIELDS]
             number, version, revision, fingerprint = map(int, numbers[:4])
             return cls(
@@ -190,6 +205,7 @@
                 {k: _amount(v) for k, v in cold.items()},
                 None if drained is None else _drained(drained),
                 {k: LengthSums(*map(_amount, v)) for k, v in lengths.items()},
+                {k: _rate_report(*v) for k, v in rate_limits.items()},
             )
         except (
             ValueError,
@@ -215,6 +231,14 @@
     return amount
 
 
+def _rate_field(rate: float) -> float | None:
+    return None if rate == UNLIMITED else rate
+
+
+def _rate_report(rate: object, age: object) -> RateReport:
+    return RateReport(UNLIMITED if rate is None else _amount(rate), _amount(age))
+
+
 def _sums_fields(sums: LengthSums) -> list[float]:
     return [round(value, SUM_DIGITS) for value in astuple(sums)]
 
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -13,6 +13,7 @@
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.hall_stalls import HallStalls
@@ -51,7 +52,8 @@
     """The cheapest endpoint, and why it was none of the others.
 
     `others` are the next best, `ejected` the identities that were left out, `resting`
-    those that want nothing from this gateway now; `view_age` is the age of the oldest
+    those that want nothing from this gateway now, `limited` those that have got this
+    gateway's part of the rate that they take; `view_age` is the age of the oldest
     report that the loads rest on, in seconds.
     """
 
@@ -59,6 +61,7 @@
     others: tuple[Candidate, ...]
     ejected: tuple[str, ...]
     resting: tuple[str, ...]
+    limited: tuple[str, ...]
     view_age: float
 
     @property
@@ -87,6 +90,7 @@
         subsets: EndpointSubsets,
         cold: ColdStarts,
         rests: AskedRests,
+        limits: EndpointRateLimits,
         disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._data_hall = data_hall
@@ -99,6 +103,7 @@
         self._subsets = subsets
         self._cold = cold
         self._rests = rests
+        self._limits = limits
         self._uses_subsets = Mechanism.SUBSETS not in disabled
         self._counts_stalls = Mechanism.STALL_COST not in disabled
         self._ejects = Mechanism.EJECTION not in disabled
@@ -141,27 +146,44 @@
     def sound_of(self, service: str, now: float) -> Iterator[Endpoint]:
         """Yield the endpoints of a service that are not left out now."""
         for endpoint in self._directory.of_service(service):
-            is_resting = self._rests.is_resting(endpoint.identity, now)
-            if self._is_sound(endpoint, now) and not is_resting:
+            if self._is_sound(endpoint, now) and not self.seconds_left(endpoint, now):
                 yield endpoint
 
-    def rest_left(self, service: str, now: float) -> float | None:
-        """Return when the first endpoint of a service has rested, if all of them rest.
+    def seconds_left(self, endpoint: Endpoint, now: float) -> float:
+        """Return when an endpoint takes work from this gateway: 0 now, inf if the rate
+        that it takes leaves no part to this gateway.
+        """
+        rest = self._rests.left(endpoint.identity, now)
+        return max(rest, self._limits.seconds_until_free(endpoint, now))
+
+    def service_seconds_left(self, service: str, now: float) -> float | None:
+        """Return when the first endpoint of a service takes work, if none does now.
 
         None means that one takes work, or that there is none at all.
         """
-        return self._rests.seconds_left(self._directory.of_service(service), now)
+        endpoints = self._directory.of_service(service)
+        return min((self.seconds_left(e, now) for e in endpoints), default=0) or None
+
+    def limited_rate(self, service: str, now: float) -> float:
+        """Return what this gateway may send a second to a service's endpoints that are
+        limited and don't rest.
+        """
+        return sum(
+            self._limits.own_rate(endpoint)
+            for endpoint in self._directory.of_service(service)
+            if self._limits.is_limited(endpoint.identity)
+            and not self._rests.is_resting(endpoint.identity, now)
+        )
 
     def _able(
         self, endpoints: Iterable[Endpoint], now: float, excluded: Collection[str]
     ) -> Iterator[Endpoint]:
         """Yield the endpoints that may be chosen.
 
-        Cold ones bear only so much, and those that rest want nothing.
+        Cold and limited ones bear only so much, and those that rest want nothing.
         """
         for endpoint in endpoints:
-            identity = endpoint.identity
-            if identity in excluded or self._rests.is_resting(identity, now):
+            if endpoint.identity in excluded or self.seconds_left(endpoint, now):
                 continue
             if self._cold.may_send(endpoint, now):
                 yield endpoint
@@ -191,11 +213,13 @@
         resting = [
             e.identity for e in compared if self._rests.is_resting(e.identity, now)
         ]
+        limited = [e.identity for e in compared if not self._limits.may_send(e, now)]
         return Choice(
             best,
             tuple(others),
             tuple(sorted(ejected)),
             tuple(sorted(resting)),
+            tuple(sorted(limited)),
             view_age,
         )
 
--- a/src/piershore/core/fleet/subsetting.py
+++ b/src/piershore/core/fleet/subsetting.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from math import ceil
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -58,13 +59,21 @@
     return ceil(start * gateways / endpoints)
 
 
+@dataclass(frozen=True)
+class SubsetView:
+    """The living gateways, and the state of the list of endpoints."""
+
+    hosts: tuple[str, ...]
+    selection: tuple[int, frozenset[str]]
+
+
 class EndpointSubsets:
     """The subsets of the living gateways, as far as this one knows them."""
 
     def __init__(self, own_host: str, directory: EndpointDirectory) -> None:
         self._own_host = own_host
         self._directory = directory
-        self._hosts = [own_host]
+        self._hosts: tuple[str, ...] = (own_host,)
         self._own_rank = 0
         self._rings: dict[str, list[Endpoint]] = {}
         self._places: dict[str, int] = {}
@@ -75,9 +84,14 @@
         known = {*hosts, self._own_host}
         if known == set(self._hosts):
             return
-        self._hosts = sorted(known, key=stable_hash)
+        self._hosts = tuple(sorted(known, key=stable_hash))
         self._own_rank = self._hosts.index(self._own_host)
 
+    @property
+    def view(self) -> SubsetView:
+        """What the subsets are worked out from; another one if that has changed."""
+        return SubsetView(self._hosts, self._directory.selection)
+
     @property
     def peers(self) -> list[str]:
         """The hosts of all gateways but this one."""
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -24,6 +24,7 @@
     AttemptOutcome.REJECTED,
     AttemptOutcome.HELD,
     AttemptOutcome.RESTING,
+    AttemptOutcome.LIMITED,
 )
 COST_DIGITS = 3
 """Digits of costs in logs; ties are decided by less than that."""
@@ -58,6 +59,7 @@
             others=tuple(map(_view, choice.others)),
             ejected=choice.ejected,
             resting=choice.resting,
+            limited=choice.limited,
         )
     )
 
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -45,7 +45,9 @@
         self.answer: EndpointAnswer | None = None
         self.may_have_run = False
         # At once with the choice: others choose while this one connects.
-        state.cold.note_sent(endpoint, trio.current_time())
+        now = trio.current_time()
+        state.cold.note_sent(endpoint, now)
+        self._is_counted = state.limits.claim(endpoint, now)
 
     @property
     def is_unanswered(self) -> bool:
@@ -65,6 +67,7 @@
         except NotConnectedError as error:
             raise AttemptFailedError(AttemptOutcome.NOT_SENT, error.message) from error
         self._check_rest()
+        self._check_limit()
         self._begin_run()
         head = self._state.dialect.for_endpoint(
             exchange.request, len(exchange.body), self.endpoint, order
@@ -128,6 +131,17 @@
                 AttemptOutcome.RESTING, "the endpoint has asked for rest"
             )
 
+    def _check_limit(self) -> None:
+        """Send nothing beyond the rate that the endpoint takes."""
+        limits, now = self._state.limits, trio.current_time()
+        if self._is_counted or not limits.is_limited(self.endpoint.identity):
+            return
+        self._is_counted = limits.claim(self.endpoint, now)
+        if not self._is_counted:
+            raise AttemptFailedError(
+                AttemptOutcome.LIMITED, "the endpoint takes no more requests now"
+            )
+
     def _begin_run(self) -> None:
         """Note that the endpoint gets the request, unless it is held.
 
--- a/src/piershore/ingress/attempts/endpoint_notices.py
+++ b/src/piershore/ingress/attempts/endpoint_notices.py
@@ -9,10 +9,16 @@
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import Departure
-from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
+from piershore.core.fleet.endpoint_notice import (
+    EndpointNotice,
+    NO_NOTICE,
+    PLAIN_NOTICE,
+)
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.heard_notices import HeardNotices
 from piershore.core.streams.silence import EndpointReport
 from piershore.http1.message import ResponseHead
+from piershore.ingress.attempts.rate_limit_monitor import RateLimitMonitor
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
@@ -25,6 +31,10 @@
     """Do nothing for endpoints that leave: the process has not started yet."""
 
 
+def _announce_nothing() -> None:
+    """Tell no peer: the process has not started yet."""
+
+
 class EndpointNotices:
     """Takes the head of each answer that an endpoint gives to anything.
 
@@ -32,21 +42,36 @@
     """
 
     def __init__(
-        self, heard: HeardNotices, dialect: RequestDialect, log: EventLog
+        self,
+        heard: HeardNotices,
+        limits: EndpointRateLimits,
+        monitor: RateLimitMonitor,
+        dialect: RequestDialect,
+        log: EventLog,
     ) -> None:
         self._heard = heard
+        self._limits = limits
+        self._monitor = monitor
         self._dialect = dialect
         self._log = log
         self._on_departures: OnDepartures = _ignore
+        self._announce: Callable[[], None] = _announce_nothing
 
-    def start(self, on_departures: OnDepartures) -> None:
-        """Let `on_departures` do what follows when endpoints leave."""
+    def start(self, on_departures: OnDepartures, announce: Callable[[], None]) -> None:
+        """Let `on_departures` do what follows when endpoints leave.
+
+        `announce` tells peers soon of a limit that has begun or ended.
+        """
         self._on_departures = on_departures
+        self._announce = announce
 
     def take(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what an answer asks."""
         notice = self._dialect.read_notice(head)
-        if notice != NO_NOTICE:
+        if notice == NO_NOTICE:
+            return
+        is_limited = self._limits.is_limited(endpoint.identity)
+        if notice != PLAIN_NOTICE or is_limited:
             self._apply(endpoint, notice, head.status)
 
     def take_report(self, endpoint: Endpoint, report: EndpointReport) -> None:
@@ -59,7 +84,13 @@
 
     def _apply(self, endpoint: Endpoint, notice: EndpointNotice, status: int) -> None:
         self._count(notice)
+        identity = endpoint.identity
+        was_limited = self._limits.is_limited(identity)
         heard = self._heard.take(endpoint, notice, trio.current_time())
+        if heard.has_new_limit:
+            self._monitor.record_change(identity)
+        if self._limits.is_limited(identity) != was_limited:
+            self._announce()
         if heard.is_new:
             event = EndpointTold(
                 endpoint.identity,
@@ -67,7 +98,7 @@
                 status,
                 notice.is_leaving,
                 notice.rest_seconds,
-                notice.rate_limit,
+                notice.named_rate,
                 notice.unreadable,
             )
             self._log.write(event, is_failure=True)
@@ -79,7 +110,7 @@
             ingress_metrics.NOTICES.labels("leaving").inc()
         if notice.rest_seconds is not None:
             ingress_metrics.NOTICES.labels("rest").inc()
-        if notice.rate_limit is not None:
+        if notice.named_rate is not None:
             ingress_metrics.NOTICES.labels("rate_limit").inc()
         if notice.unreadable:
             ingress_metrics.NOTICES.labels("unreadable").inc()
--- a/src/piershore/ingress/callers/final_refusal.py
+++ b/src/piershore/ingress/callers/final_refusal.py
@@ -46,9 +46,18 @@
     """Return the refusal of a request that has not run, with when to come back."""
     status = HTTPStatus.SERVICE_UNAVAILABLE
     service = exchange.route.service_for(exchange.identity) or ""
-    rest_left = state.placement.rest_left(service, trio.current_time())
-    if rest_left is not None:
-        seconds = rest_left * state.random.uniform(*RESTED_SPREAD)
+    now = trio.current_time()
+    left = state.placement.service_seconds_left(service, now)
+    rate = state.placement.limited_rate(service, now)
+    if left is not None and rate:
+        return RequestRefusedError(
+            status,
+            "endpoints_limited",
+            "all endpoints have got what they take",
+            max(come_back, state.returns(service).book(left, rate, now)),
+        )
+    if left is not None:
+        seconds = left * state.random.uniform(*RESTED_SPREAD)
         return RequestRefusedError(
             status,
             "endpoints_resting",
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -125,7 +125,7 @@
             choice = self._state.placement.for_call(service, now, self._tried)
             if choice is None and self._tried and self._runs == 0:
                 choice = self._state.placement.for_call(service, now)
-            if choice is None and await self._wait_rested(service):
+            if choice is None and await self._wait_for_endpoint(service):
                 continue
             if choice is None:
                 return self._failed_answer
@@ -136,10 +136,10 @@
             if not self._may_go_on(service):
                 return self._failed_answer
 
-    async def _wait_rested(self, service: str) -> bool:
-        """Wait if all endpoints rest and the first has rested in a moment."""
+    async def _wait_for_endpoint(self, service: str) -> bool:
+        """Wait if all endpoints rest or are limited, and one takes work in a moment."""
         now = trio.current_time()
-        left = self._state.placement.rest_left(service, now)
+        left = self._state.placement.service_seconds_left(service, now)
         exchange = self._exchange
         until = exchange.arrived + waiting_seconds(exchange.route.target_latency)
         if left is None or now + left > until:
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -108,7 +108,9 @@
         self._endpoints = EndpointFollower(
             self._state, endpoint_feed, WATCH_SECONDS, self._on_departure
         )
-        self._state.notices.start(self._endpoints.take_departures)
+        self._state.notices.start(
+            self._endpoints.take_departures, self._announce_to_peers
+        )
         self._drains = DrainFollower(
             self._state, drain_feed, DRAIN_WATCH_SECONDS, self._on_drained
         )
@@ -277,6 +279,9 @@
         ingress_metrics.DRAINED_HALLS.set(len(view.data_halls))
         self._state.announce()
 
+    def _announce_to_peers(self) -> None:
+        self._state.announce()
+
     def _on_departure(self, departure: Departure) -> None:
         endpoint = departure.endpoint
         streams = self._live.at(endpoint.identity)
@@ -307,6 +312,7 @@
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
             self._state.failures.forget(endpoint.identity)
+            self._state.limits.forget(endpoint.identity)
 
     @staticmethod
     def _end_streams(streams: Iterable[LiveStream]) -> None:
@@ -324,6 +330,7 @@
             ingress_metrics.IN_FLIGHT.set(self._state.in_flight)
             self._state.rests.forget_ended(trio.current_time())
             ingress_metrics.RESTING.set(len(self._state.rests))
+            self._state.limit_monitor.measure()
             for service, left in self._state.retries_left():
                 ingress_metrics.RETRIES_LEFT.labels(service).set(left)
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -16,6 +16,7 @@
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_paces import EndpointPaces
+from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.hall_stalls import HallStalls
 from piershore.core.fleet.heard_notices import HeardNotices
@@ -24,8 +25,10 @@
 from piershore.core.fleet.placement import Placement
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
 from piershore.core.fleet.policies import Policies
+from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.shared_failures import SharedFailures
 from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.limits.return_schedule import ReturnSchedule
 from piershore.core.mechanism import Mechanism
 from piershore.core.quarantine.endpoint_runs import EndpointRuns
 from piershore.core.quarantine.quarantine import Quarantine
@@ -33,6 +36,7 @@
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.attempts.crash_watch import CrashWatch
 from piershore.ingress.attempts.endpoint_notices import EndpointNotices
+from piershore.ingress.attempts.rate_limit_monitor import RateLimitMonitor
 from piershore.ingress.ports import RequestDialect
 from piershore.telemetry.event_log import EventLog
 
@@ -92,6 +96,7 @@
     tell_load: Callable[[Endpoint], None] = _tell_nobody
     seconds_until_taken: Callable[[], float] = _at_once
     _allowances: dict[str, RetryAllowance] = field(default_factory=dict)
+    _returns: dict[str, ReturnSchedule] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
@@ -99,10 +104,15 @@
         self.crash_watch = CrashWatch(
             self.runs, self.quarantine, self.directory, self.pool, self.log
         )
-        heard = HeardNotices(self.directory, self.rests)
-        self.notices = EndpointNotices(heard, self.dialect, self.log)
+        shares = RateShares(self.host, self.subsets, self.configuration)
+        self.limits = EndpointRateLimits(shares)
+        heard = HeardNotices(self.directory, self.rests, self.limits)
+        self.limit_monitor = RateLimitMonitor(self.limits, self.directory, self.log)
+        self.notices = EndpointNotices(
+            heard, self.limits, self.limit_monitor, self.dialect, self.log
+        )
         self.pool.listen(self.notices.take)
-        self.cold = ColdStarts(self.host, self.subsets, self.configuration)
+        self.cold = ColdStarts(shares, self.configuration)
         self.placement = Placement(
             self.data_hall,
             self.directory,
@@ -114,6 +124,7 @@
             self.subsets,
             self.cold,
             self.rests,
+            self.limits,
             self.policies.disabled,
         )
 
@@ -132,6 +143,10 @@
             self._allowances[service] = RetryAllowance(self.retry_limits)
         return self._allowances[service]
 
+    def returns(self, service: str) -> ReturnSchedule:
+        """Return the places that refused callers of a service were told of."""
+        return self._returns.setdefault(service, ReturnSchedule())
+
     def retries_left(self) -> Iterator[tuple[str, float]]:
         """Yield what is left of the retries of each service that was called."""
         now = trio.current_time()
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -257,6 +257,7 @@
             departed=tuple(self._lately_departed(now)),
             outcomes=state.failures.report(now),
             cold=state.cold.report(now),
+            rate_limits=state.limits.report(now),
             drained=self._drains.view,
             lengths=self._told_lengths(now),
         )
@@ -331,6 +332,7 @@
             self._state.fleet_load.take_report(report.host, report.loads, now)
         self._state.failures.take_report(report.host, report.outcomes, now)
         self._state.cold.take_report(report.cold, now)
+        self._state.limit_monitor.apply_report(report.rate_limits, report.host)
         if report.lengths:
             self._state.lengths.take_report(report.host, report.lengths, now)
         if report.drained is not None:
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -19,9 +19,9 @@
 
 MOST_RUNS_ANEW = 2
 """Endpoints that may run a resumable stream anew after one break."""
-LONGEST_REST_WAIT_SECONDS = 1.0
-"""Longest wait for the end of an endpoint's rest: callers give a stream up after a
-pause of 2 s, and the copy lies nowhere else."""
+LONGEST_WAIT_SECONDS = 1.0
+"""Longest wait for an endpoint that rests or is limited: callers give a stream up after
+a pause of 2 s, and the copy lies nowhere else."""
 HANDOVER_SECONDS = 3.0
 """Longest wait for a move that was under way when the old stream ended."""
 
@@ -102,7 +102,7 @@
         """Send the request with its last event, and the copy to go on from."""
         if self._state.directory.is_drained(endpoint):
             return None
-        await self._wait_rested(endpoint)
+        await self._wait_for(endpoint)
         exchange = self._stream.exchange
         last = self._stream.delivered.last_number
         backup = self._memory.choose_backup(endpoint, trio.current_time())
@@ -132,11 +132,10 @@
         self._settle_at(endpoint, backup)
         return attempt
 
-    async def _wait_rested(self, endpoint: Endpoint) -> None:
-        """Wait for the end of a short rest; during a longer one nothing is sent."""
-        now = trio.current_time()
-        left = self._state.rests.seconds_left([endpoint], now)
-        if left is not None and left <= LONGEST_REST_WAIT_SECONDS:
+    async def _wait_for(self, endpoint: Endpoint) -> None:
+        """Wait until an endpoint takes work, if that is soon; else nothing is sent."""
+        left = self._state.placement.seconds_left(endpoint, trio.current_time())
+        if left <= LONGEST_WAIT_SECONDS:
             await trio.sleep(left)
 
     def _settle_at(self, endpoint: Endpoint, backup: Endpoint | None) -> None:
--- a/src/piershore/ingress/streams/stream_memory.py
+++ b/src/piershore/ingress/streams/stream_memory.py
@@ -90,7 +90,9 @@
         room = backup_room(load, self.work, engine) if engine else None
         if room is None:
             return None
-        choice = self.choose(endpoint.service, [endpoint.identity], now)
+        # A limited endpoint might not take the stream when it must go on there.
+        excluded = [endpoint.identity, *self._state.limits.limited()]
+        choice = self.choose(endpoint.service, excluded, now)
         if choice is None or not has_room(choice.load, self.work, engine, room):
             return None
         return choice.endpoint
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -78,7 +78,7 @@
     async def _choose_with_room(self, service: str, tried: list[str]) -> Choice | None:
         """Return a choice with memory; the last one if none has in time.
 
-        None means that there is no endpoint, or that all of them rest for longer.
+        None means that there is no endpoint, or that none takes work in time.
         """
         wait = RoomWait(self._state.random)
         until = self._exchange.arrived
@@ -87,15 +87,16 @@
         while True:
             choice = self._memory.choose(service, tried, trio.current_time())
             if choice is None:
-                pause = self._rest_left(service)
+                pause = self._seconds_left(service)
             else:
                 pause = wait.next_pause(has_room=self._memory.fits(choice))
             if pause is None or trio.current_time() + pause > until:
                 return choice
             await trio.sleep(pause)
 
-    def _rest_left(self, service: str) -> float | None:
-        return self._state.placement.rest_left(service, trio.current_time())
+    def _seconds_left(self, service: str) -> float | None:
+        now = trio.current_time()
+        return self._state.placement.service_seconds_left(service, now)
 
     def refusal(self, *, timed_out: bool = False) -> RequestRefusedError:
         """Return the final answer when no endpoint gave one."""
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -6,6 +6,7 @@
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
+from piershore.core.fleet.endpoint_rate_limits import UNLIMITED
 from piershore.core.fleet.generation_work import GenerationSize
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import end_to_end, Headers, RequestHead, ResponseHead
@@ -145,6 +146,8 @@
         limits = [v.decode("latin-1") for v in head.values(RATE_LIMIT)]
         rate = lowest_rate(limits)
         unreadable = ", ".join(limits) if rate is None else ""
+        if not limits and head.header(REQUEST_ID):
+            rate = UNLIMITED
         return EndpointNotice(is_leaving, rest, rate, unreadable)
 
     def answer_headers(self, head: ResponseHead) -> Headers:
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -146,6 +146,21 @@
     unreadable: str
 
 
+@dataclass(frozen=True)
+class EndpointLimitChanged(LogEvent):
+    """An endpoint takes `rate` requests a second from all gateways, or any if None.
+
+    This gateway may send it `part` requests in any `window` seconds; `source` is
+    "endpoint" or the peer that told of it.
+    """
+
+    endpoint: str
+    rate: float | None
+    part: int | None
+    window: float | None
+    source: str
+
+
 @dataclass(frozen=True)
 class HallDrained(LogEvent):
     """Nothing new is sent to a data hall any more, or again if `is_drained` is false.
@@ -189,8 +204,8 @@
     `content` is the same for each request of an `account` with the same target and
     body. `others` are the next best ones, `ejected` those that were left out, `resting`
     those that want nothing now; `view_age` is the age of the oldest report of a peer
-    that the loads rest on. A generation's output is expected to be `expected_tokens`
-    long.
+    that the loads rest on. `limited` are those that have got this gateway's part of the
+    rate that they take. A generation's output is expected to be `expected_tokens` long.
     """
 
     request: str
@@ -211,6 +226,7 @@
     others: tuple[EndpointView, ...] = ()
     ejected: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
+    limited: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -100,6 +100,18 @@
     ["kind"],
     registry=REGISTRY,
 )
+RATE_LIMITS = Gauge(
+    "piershore_ingress_endpoint_rate_limit",
+    "Requests a second that an endpoint takes from all gateways, where it names them.",
+    ["endpoint"],
+    registry=REGISTRY,
+)
+RATE_PARTS = Gauge(
+    "piershore_ingress_endpoint_rate_part",
+    "This gateway's part of that.",
+    ["endpoint"],
+    registry=REGISTRY,
+)
 EXPECTED_TOKENS = Counter(
     "piershore_ingress_expected_tokens_total",
     "Tokens that were expected of the generations that ended whole, by route.",
--- a/src/piershore/telemetry/request_story.py
+++ b/src/piershore/telemetry/request_story.py
@@ -17,6 +17,7 @@
         "dependency_regained",
         "endpoint_ejected",
         "endpoint_left",
+        "endpoint_limit_changed",
         "endpoint_told",
         "process_started",
         "store_returned",
