Scenarios of named rates: sums, memberships, values, ends, peers, refusals

Property-based over rates, fleets and comings and goings: the sum in any 4 s. Beside it what a rate may look like, answers that cross, what peers tell, who asks when nobody has sent anything, calls and streams of which all endpoints are limited, backups and moves, the log.

--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -2,16 +2,52 @@
 
 from __future__ import annotations
 
+import tempfile
+from dataclasses import replace
+from itertools import pairwise
+from pathlib import Path
+
+import orjson
 import trio
 from behave import then, when
-from notice_steps import SEEDS
-from support.stream_reading import wait_for_peers
+from hypothesis import strategies as st
+from notice_steps import known, SEEDS, state_of
+from rest_steps import LARGE_SIZE, send, SERVICES, standins_of
+from support.core_checks import checked, fleet_of
+from support.placements import placement_over
+from support.stream_reading import Reading, wait_for_peers
 
 from devtools.bench.call_simulation import CallRun, CallSettings
-from devtools.rate_window import allowed_requests, CONTACT_SECONDS, most_in_window
+from devtools.rate_window import (
+    allowed_requests,
+    CONTACT_SECONDS,
+    most_in_window,
+    WINDOW_SECONDS,
+)
+from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.fleet.endpoint_notice import NO_NOTICE, PLAIN_NOTICE
+from piershore.core.fleet.endpoint_rate_limits import (
+    EndpointRateLimits,
+    quota_of,
+    RateReport,
+    TOLD_SECONDS,
+    UNCONFIRMED_SECONDS,
+    UNLIMITED,
+)
+from piershore.core.fleet.fleet_load import FleetLoad
+from piershore.core.fleet.peer_report import InvalidReportError, PeerReport
+from piershore.core.fleet.rate_shares import RateShares
+from piershore.core.fleet.store_revision import StoreRevision
+from piershore.core.fleet.store_silence import StoreSign
+from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.http1.message import ResponseHead
+from piershore.platform.headers import PlatformDialect
 
 CALLS_SECONDS = 5.0
 CALL_GAP_SECONDS = 0.02
+ENDPOINT = next(iter(fleet_of(1)))
+IDENTITY = ENDPOINT.identity
 
 
 @when("one of 3 endpoints names its rate for 9 seconds")
@@ -51,3 +87,377 @@
 @then("it never gets more from gateways that know of it than it takes")
 def check_rate(context):
     assert all(most <= allowed for most, allowed in context.counted), context.counted
+
+
+def limits_of(gateways):
+    """Return the view of each of some gateways of one endpoint."""
+    directory = EndpointDirectory()
+    for listed in fleet_of(1):
+        directory.put(listed)
+    hosts = [f"10.0.{n // 250}.{n % 250}" for n in range(gateways)]
+    views = []
+    for host in hosts:
+        subsets = EndpointSubsets(host, directory)
+        subsets.set_peers(hosts)
+        shares = RateShares(host, subsets, CurrentConfiguration())
+        views.append(EndpointRateLimits(shares))
+    return views
+
+
+@then("in any 4 s they send at most 4 times the rate, however many they are")
+def check_sum(context):
+    @checked(
+        st.floats(0.25, 200),
+        st.integers(1, 80),
+        st.lists(st.floats(0, 0.05), min_size=100, max_size=400),
+        examples=60,
+    )
+    def check(rate, gateways, gaps):
+        views = limits_of(gateways)
+        for view in views:
+            view.record_answer(IDENTITY, rate, 0.0)
+        now, sent = 0.0, []
+        for number, gap in enumerate(gaps):
+            now += gap
+            if views[number % gateways].claim(ENDPOINT, now):
+                sent.append(now)
+        most = most_in_window(sent, 0.0)
+        assert most <= WINDOW_SECONDS * rate, (most, rate)
+
+
+@then("each of them has a part in it if there are enough requests")
+def check_parts(context):
+    @checked(st.floats(0.01, 500), st.integers(1, 500))
+    def check(rate, gateways):
+        quota = quota_of(rate, gateways)
+        assert quota.requests >= gateways or quota.window >= WINDOW_SECONDS
+        assert quota.requests <= max(1, rate * quota.window)
+
+
+@then("no span of 4 s holds more than is allowed while single gateways come and go")
+def check_membership(context):
+    @checked(
+        st.floats(0.3, 60),
+        st.lists(st.integers(0, 9), min_size=20, max_size=20),
+        examples=60,
+    )
+    def check(rate, changes):
+        views = limits_of(10)
+        hosts = [view._shares._own_host for view in views]
+        for view in views:
+            view.record_answer(IDENTITY, rate, 0.0)
+        away, sent = None, []
+        for second, change in enumerate(changes):
+            if second % 4 == 0:
+                away = change
+                for view in views:
+                    living = (h for n, h in enumerate(hosts) if n != away)
+                    view._shares._subsets.set_peers(living)
+            for step in range(100):
+                now = second + step / 100
+                number = step % 10
+                if number != away and views[number].claim(ENDPOINT, now):
+                    sent.append(now)
+        assert most_in_window(sent, 0.0) <= allowed_requests(rate)
+
+
+@then('an answer of {status:d} with the rate "{value}" names {rate}')
+def check_value(context, status, value, rate):
+    limits = [(b"server-limit", v.encode()) for v in value.split(" and ")]
+    head = ResponseHead(status, (*limits, (b"attempt-id", b"a")))
+    notice = PlatformDialect().read_notice(head)
+    if rate == "nothing":
+        assert notice.rate_limit is None, notice
+    else:
+        assert notice.rate_limit == float(rate), notice
+
+
+@when('an endpoint names 2 requests a second and then "{value}"')
+def name_unreadable(context, value):
+    async def script(world):
+        endpoint = world.endpoints[0]
+        identity = known(world, endpoint).identity
+        limits = state_of(world).limits
+        endpoint.rate_limit = "2"
+        while not limits.is_limited(identity):
+            await world.call("once")
+        endpoint.rate_limit = value
+        before = len(endpoint.arrivals)
+        while len(endpoint.arrivals) == before:
+            await world.call("once")
+            await trio.sleep(CALL_GAP_SECONDS)
+        context.rate = limits.rate(identity)
+
+    context.ingress.run(script)
+
+
+@then("it is limited to {rate:g} requests a second")
+def check_limited(context, rate):
+    assert context.rate == rate, context.rate
+
+
+@then("an answer without a rate ends a limit, unless it has crossed one that named it")
+def check_end(context):
+    (view,) = limits_of(1)
+    assert not view.record_answer(IDENTITY, UNLIMITED, 9.0)
+    assert view.record_answer(IDENTITY, 2.0, 10.0)
+    assert not view.record_answer(IDENTITY, UNLIMITED, 10.3)
+    assert view.is_limited(IDENTITY)
+    assert not view.record_answer(IDENTITY, 2.0, 10.4)
+    assert view.record_answer(IDENTITY, UNLIMITED, 11.0)
+    assert not view.is_limited(IDENTITY)
+    assert view.may_send(ENDPOINT, 11.0)
+    assert view.record_answer(IDENTITY, 1.0, 11.1)
+    assert view.rate(IDENTITY) == 1.0
+
+
+@then("an answer that belongs to no request doesn't end it")
+def check_foreign(context):
+    dialect = PlatformDialect()
+    assert dialect.read_notice(ResponseHead(200, ())) == NO_NOTICE
+    named = ((b"attempt-id", b"a"),)
+    assert dialect.read_notice(ResponseHead(200, named)) == PLAIN_NOTICE
+    assert dialect.read_notice(ResponseHead(421, named)) == NO_NOTICE
+
+
+@then("one incarnation's limit isn't its successor's")
+def check_successor(context):
+    (view,) = limits_of(1)
+    first, second = replace(ENDPOINT, born=1), replace(ENDPOINT, born=2)
+    view.record_answer(first.identity, 2.0, 10.0)
+    assert view.is_limited(first.identity)
+    assert not view.is_limited(second.identity)
+
+
+@then("the latest answer counts, whichever gateway got it")
+def check_peers(context):
+    first, second = limits_of(2)
+    first.record_answer(IDENTITY, 2.0, 10.0)
+    assert list(second.apply_report(first.report(10.2), 10.2)) == [IDENTITY]
+    assert second.rate(IDENTITY) == 2.0
+    assert second.report(10.3) == {}, "what a peer told is passed on"
+    second.record_answer(IDENTITY, UNLIMITED, 11.0)
+    assert list(second.apply_report(first.report(11.1), 11.1)) == []
+    assert list(first.apply_report(second.report(11.1), 11.1)) == [IDENTITY]
+    assert not first.is_limited(IDENTITY)
+    first.forget_old(11.0 + TOLD_SECONDS)
+    assert list(first.limited()) == []
+
+
+@then("a report without the latest is read, and a faulty one refused with its code")
+def check_reports(context):
+    named = {IDENTITY: RateReport(2.4, 0.25), "i-9": RateReport(UNLIMITED, 1.5)}
+    report = replace(plain_report(), rate_limits=named)
+    assert PeerReport.decode(report.encode()).rate_limits == named
+    fields = orjson.loads(report.encode())
+    for faulty in ([[1]], {IDENTITY: [1]}, {IDENTITY: [-1, 0]}, {IDENTITY: ["a", 0]}):
+        fields[-1] = faulty
+        try:
+            PeerReport.decode(orjson.dumps(fields))
+        except InvalidReportError as error:
+            assert error.code == "invalid_report"
+        else:
+            raise AssertionError(f"{faulty} was read")
+
+
+def plain_report():
+    return PeerReport(
+        host="10.0.0.1",
+        data_hall="ikeja",
+        incarnation="a",
+        number=1,
+        config_version=1,
+        endpoint_revision=StoreRevision(1),
+        fingerprint=1,
+        reads_store=True,
+        is_leaving=False,
+        store_sign=StoreSign(0.1, False),
+        link_megabits=10.0,
+        members=(),
+        loads={},
+        leaving={},
+    )
+
+
+@then("one gateway after the other asks whether the limit still holds")
+def check_asked(context):
+    views = limits_of(4)
+    for view in views:
+        view.record_answer(IDENTITY, 0.2, 0.0)
+    asked = []
+    for tenth in range(200):
+        now = tenth / 10
+        for number, view in enumerate(views):
+            has_part = bool(view.part(ENDPOINT).requests)
+            if not has_part and view.claim(ENDPOINT, now):
+                asked.append((number, now))
+    assert len(asked) == 3, "those without a part ask once each"
+    assert len({at for _, at in asked}) == 3, "they ask at the same time"
+    assert min(at for _, at in asked) >= UNCONFIRMED_SECONDS
+
+
+@then("it gets one each 10 s from all gateways together")
+def check_none_taken(context):
+    views = limits_of(6)
+    for view in views:
+        view.record_answer(IDENTITY, 0.0, 0.0)
+    sent = []
+    for tenth in range(400):
+        for view in views:
+            if view.claim(ENDPOINT, tenth / 10):
+                sent.append(tenth / 10)
+                for other in views:
+                    other.record_answer(IDENTITY, 0.0, tenth / 10)
+    gaps = [later - earlier for earlier, later in pairwise(sent)]
+    assert sent, "nobody finds out when that is over"
+    assert min(gaps) >= UNCONFIRMED_SECONDS, gaps
+
+
+@when("all endpoints of {service} name 1 request a second, and {count:d} come at once")
+def limit_all(context, service, count):
+    async def script(world):
+        name = SERVICES[service]
+        limits = state_of(world).limits
+        for standin in standins_of(world, name):
+            standin.rate_limit = "1"
+            identity = known(world, standin).identity
+            limits.record_answer(identity, 1.0, trio.current_time())
+        context.replies, context.seconds = [], []
+
+        async def one():
+            started = trio.current_time()
+            kind = "stream" if name == "model" else "once"
+            context.replies.append(await send(world, kind))
+            context.seconds.append(trio.current_time() - started)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(one)
+
+    context.ingress.run(script)
+
+
+@then("some are served and the others refused within {seconds:g} s as unrun")
+def check_some_served(context, seconds):
+    assert {reply.status for reply in context.replies} == {200, 503}
+    refused = [reply for reply in context.replies if reply.status == 503]
+    assert all(b'"endpoints_limited"' in reply.body for reply in refused)
+    assert max(context.seconds) < seconds, context.seconds
+
+
+@then("each is told another time to come back")
+def check_spread(context):
+    refused = [reply for reply in context.replies if reply.status == 503]
+    times = [float(reply.headers["retry-after"]) for reply in refused]
+    assert len(set(times)) == len(times), times
+
+
+@when("an endpoint turns out to be limited while a call to it connects")
+def limit_while_connecting(context):
+    async def script(world):
+        state = state_of(world)
+        take = state.pool.take
+        slow = []
+
+        async def take_slowly(endpoint, longest_idle):
+            connection = await take(endpoint, longest_idle)
+            if not slow:
+                slow.append(endpoint)
+                use_up(state, endpoint)
+            return connection
+
+        state.pool.take = take_slowly
+        context.reply = await world.call("once", request="abc")
+        context.resting = slow[0]
+        context.is_ejected = state.health.failure_rate(slow[0].identity) > 0
+
+    context.ingress.run(script)
+
+
+def use_up(state, endpoint):
+    """Let an endpoint have got all that it takes for now."""
+    now = trio.current_time()
+    state.limits.record_answer(endpoint.identity, 0.5, now)
+    while state.limits.claim(endpoint, now):
+        pass
+
+
+@when(
+    "a caller reads a large stream, its backup has got all it takes, and its engine"
+    " crashes"
+)
+def crash_before_limited(context):
+    async def script(world):
+        context.reading = Reading(world, 300, LARGE_SIZE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.reading.read)
+            await context.reading.wait_events(120)
+            engine = context.reading.running_at()
+            backup = next(e for e in world.endpoints if e is not engine)
+            assert world.memory.copies, "the stream has no backup"
+            use_up(state_of(world), known(world, backup))
+            engine.crash()
+        context.backup = backup
+
+    context.ingress.run(script)
+
+
+@then("the limited engine gets nothing, and the stream ends not whole")
+def check_not_continued(context):
+    assert not context.backup.arrivals
+    assert not context.reading.reply.is_whole
+
+
+@then("a limited endpoint gets no backup, and no move beyond its rate")
+def check_no_backup(context):
+    directory = EndpointDirectory()
+    endpoints = list(fleet_of(3))
+    for listed in endpoints:
+        directory.put(listed)
+    subsets = EndpointSubsets("self", directory)
+    limits = EndpointRateLimits(RateShares("self", subsets, CurrentConfiguration()))
+    placement = placement_over(directory, FleetLoad(), subsets=subsets, limits=limits)
+    limits.record_answer(endpoints[0].identity, 0.5, 0.0)
+    assert endpoints[0] in placement.sound_of("model", 0.0)
+    while limits.claim(endpoints[0], 0.0):
+        pass
+    assert endpoints[0] not in placement.sound_of("model", 0.0)
+    assert list(limits.limited()) == [endpoints[0].identity]
+
+
+@when("an endpoint has got all that it takes, and then a call is served")
+def serve_beside(context):
+    output, context.log = tempfile.mkstemp()
+    context.ingress.log_output = output
+
+    async def script(world):
+        endpoint = world.endpoints[0]
+        state = state_of(world)
+        endpoint.rate_limit = "0.5"
+        while not state.limits.is_limited(known(world, endpoint).identity):
+            await world.call("once")
+        use_up(state, known(world, endpoint))
+        await world.call("once", request="abc")
+        world.gateways[0][1]._log.flush()
+
+    context.ingress.run(script)
+
+
+def events_of(context):
+    return [orjson.loads(line) for line in Path(context.log).read_bytes().splitlines()]
+
+
+@then("the log of that call names the endpoint as limited")
+def check_log(context):
+    started = [e for e in events_of(context) if e["event"] == "attempt_started"]
+    assert started[-1]["limited"] == ["i-0"], started[-1]
+
+
+@then("the log tells the limit and this gateway's part of it")
+def check_limit_log(context):
+    event = next(
+        e for e in events_of(context) if e["event"] == "endpoint_limit_changed"
+    )
+    assert event["rate"] == 0.5, event
+    assert (event["part"], event["window"]) == (1, 2.0), event
+    assert event["source"] == "endpoint", event
--- a/features/support/placements.py
+++ b/features/support/placements.py
@@ -19,7 +19,9 @@
 from piershore.core.routes.current_configuration import CurrentConfiguration
 
 
-def placement_over(directory, loads, *, health=None, stalls=None, subsets=None):
+def placement_over(
+    directory, loads, *, health=None, stalls=None, subsets=None, limits=None
+):
     """Return the placement of a gateway at ikeja; alone, unless it has subsets."""
     subsets = subsets or EndpointSubsets("self", directory)
     configuration = CurrentConfiguration()
@@ -35,5 +37,5 @@
         subsets,
         ColdStarts(shares, configuration),
         AskedRests(),
-        EndpointRateLimits(shares),
+        limits or EndpointRateLimits(shares),
     )
