Agents keep the rate that their endpoint names

Behind an agent of the product's own interface a plain service that had named 2 requests a second (RateLimit-Limit) got 41 in 4 s of 17 allowed: its answers' heads were read for rest only. Callers saw nothing; the endpoint did.

The agent is the only one who sends to its endpoint, so it keeps the rate exactly: a token bucket, shared with the accounts' limits (token_bucket), with a burst of a second's worth. A call without a permit is refused unrun with endpoint_limited and when the next permit is there; its gateway leaves the agent out for so long. A generation waits in the agent's queue for up to 1 s, else it is refused at once.

--- /dev/null
+++ b/features/steps/own_rate_steps.py
@@ -0,0 +1,161 @@
+"""Steps for rates that are named behind the product's own interface."""
+
+from __future__ import annotations
+
+import trio
+from behave import then, when
+from hypothesis import strategies as st
+from own_rest_steps import LINK, OwnAgent, play
+from support.core_checks import checked
+
+from devtools.rate_window import allowed_requests, most_in_window, WINDOW_SECONDS
+from piershore.agent.call_runner import CallRunner
+from piershore.agent.endpoint_work import WorkContext
+from piershore.agent.generation_runner import GenerationRunner
+from piershore.core.admission.engine_queue import EngineQueue
+from piershore.core.configuration.config_view import ConfigView
+from piershore.core.configuration.objects import AdmissionSettings
+from piershore.core.limits.endpoint_rate import CROSSING_SECONDS, EndpointRate
+from piershore.core.outcome import Outcome
+from piershore.core.ownership.interval import Owner
+from piershore.endpoints.http_engine_client import HttpEngineClient
+from piershore.endpoints.http_service_client import HttpServiceClient
+from piershore.wire.link_pb2 import Call, Submit
+from standins.engine import EngineStandin
+from standins.engine_model import EngineSettings
+from standins.service import ServiceStandin
+
+RATE = 2.0
+GAP_SECONDS = 0.1
+COUNT = 40
+LATER = 5
+
+
+def engine_sender(agent, nursery):
+    engine = HttpEngineClient(f"http://127.0.0.1:{agent.port}", 5.0)
+    queue = EngineQueue(AdmissionSettings())
+    runner = GenerationRunner(agent.settings, engine, queue, agent.send)
+    engine.listen(runner.record_rate)
+    nursery.start_soon(agent.standin.run)
+    nursery.start_soon(runner.run)
+
+    def send(number):
+        submit = Submit(request=number, prompt="length=3", max_tokens=3)
+        runner.submit(LINK, submit)
+
+    return send
+
+
+def service_sender(agent, nursery):
+    work = WorkContext(
+        owner=Owner("desk-1", "a"),
+        settings=agent.settings,
+        service=None,
+        store=None,
+        config=ConfigView(),
+        send=agent.send,
+        changed=lambda: None,
+    )
+    client = HttpServiceClient(f"http://127.0.0.1:{agent.port}")
+    runner = CallRunner(work, client)
+    runner._nursery = nursery
+
+    def send(number):
+        runner.call(LINK, Call(request=number, kind="look", body=b"{}"))
+
+    return send
+
+
+ENDPOINTS = {
+    "a plain service": (ServiceStandin, service_sender),
+    "an engine": (lambda: EngineStandin(EngineSettings(), 1.0), engine_sender),
+}
+
+
+@when("{endpoint} names 2 requests a second to its agent, and 40 come within 4 s")
+def name_to_agent(context, endpoint):
+    standin, sender = ENDPOINTS[endpoint]
+
+    async def script(agent, nursery):
+        send = sender(agent, nursery)
+        agent.standin.naming.rate = RATE
+        send(1)
+        await agent.wait_for(1, "answered", "ended")
+        for number in range(2, 2 + COUNT):
+            send(number)
+            await trio.sleep(GAP_SECONDS)
+        for number in range(2, 2 + COUNT):
+            await agent.wait_for(number, "answered", "ended", "refused")
+        context.times = list(agent.standin.naming.times)
+        agent.standin.naming.rate = None
+        await trio.sleep(CROSSING_SECONDS + 1 / RATE)
+        send(100)
+        await agent.wait_for(100, "answered", "ended", "refused")
+        later = range(101, 101 + LATER)
+        for number in later:
+            send(number)
+        for number in later:
+            await agent.wait_for(number, "answered", "ended", "refused")
+        context.later = [agent.of(number)[0][-1] for number in (100, *later)]
+
+    play(context, OwnAgent(standin()), script)
+
+
+@then("it gets what it takes from its agent, and no more")
+def check_sent(context):
+    most = most_in_window(context.times, 0.0)
+    assert most <= allowed_requests(RATE), most
+    assert len(context.times) >= RATE * WINDOW_SECONDS * 0.8, len(context.times)
+
+
+@then("the others are refused as unrun with {code} and a time to come back")
+def check_refused(context, code):
+    ends = [context.agent.of(number) for number in range(2, 2 + COUNT)]
+    refused = [message for kinds, message in ends if kinds[-1] == "refused"]
+    assert len(refused) >= COUNT / 2, len(refused)
+    for message in refused:
+        assert message.reason == code, message
+        assert message.outcome == Outcome.NOT_RUN, message
+        assert 0 < message.retry_after_seconds <= WINDOW_SECONDS, message
+
+
+@then("once it names no rate any more it gets what comes")
+def check_later(context):
+    assert "refused" not in context.later, context.later
+
+
+@then("in any 4 s they are no more than the rate allows, and one second's worth")
+def check_permits(context):
+    @checked(
+        st.floats(0.1, 100),
+        st.lists(st.floats(0, 0.5), min_size=20, max_size=200),
+        examples=100,
+    )
+    def check(rate, gaps):
+        limit = EndpointRate()
+        limit.record_answer(rate, 0.0)
+        now, sent = 0.0, []
+        for gap in gaps:
+            now += gap
+            if limit.take(now):
+                sent.append(now)
+            else:
+                assert limit.seconds_left(now) > 0
+        burst = max(1.0, rate)
+        assert most_in_window(sent, 0.0) <= rate * WINDOW_SECONDS + burst
+
+
+@then("an answer without a rate ends it, unless it has crossed one that named it")
+def check_end(context):
+    limit = EndpointRate()
+    assert limit.take(0.0)
+    limit.record_answer(0.5, 1.0)
+    assert limit.take(1.0)
+    assert not limit.take(1.1)
+    limit.record_answer(None, 1.2)
+    assert not limit.take(1.3)
+    limit.record_answer(None, 1.0 + CROSSING_SECONDS)
+    assert limit.take(1.0 + CROSSING_SECONDS)
+    limit.record_answer(0.0, 3.0)
+    assert limit.take(3.0), "nobody finds out when that is over"
+    assert not limit.take(4.0)
--- a/features/steps/own_rest_steps.py
+++ b/features/steps/own_rest_steps.py
@@ -183,8 +183,8 @@
         self.state = EndpointState(name, SERVICE, "hall", is_open=True)
 
 
-@when("an agent refuses a request with endpoint_resting and {rest:g} s")
-def refuse_resting(context, rest):
+@when("an agent refuses a request with {reason} and {rest:g} s")
+def refuse_for(context, reason, rest):
     async def run():
         links = AgentLinks("g", "hall", "least_work_of_two", 8, ConfigView())
         links._is_staying = lambda state: True
@@ -192,7 +192,7 @@
         links._links = {name: _Link(name) for name in ("a", "b")}
         refused = Refused(
             request=1,
-            reason=RefusalReason.ENDPOINT_RESTING,
+            reason=RefusalReason(reason),
             outcome=Outcome.NOT_RUN,
             retry_after_seconds=rest,
         )
--- a/src/piershore/agent/call_runner.py
+++ b/src/piershore/agent/call_runner.py
@@ -145,6 +145,8 @@
             self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
         elif self._refusals.seconds_to_rest:
             self._refusals.refuse_resting(waiter.link, waiter.request)
+        elif not self._refusals.take_permit():
+            self._refusals.refuse_limited(waiter.link, waiter.request)
         else:
             self._spawn(self._run_repeatable, waiter, call)
 
@@ -177,6 +179,9 @@
             case RunKey() if self._refusals.seconds_to_rest:
                 self._owner.unclaim(key)
                 self._refusals.refuse_resting(waiter.link, waiter.request)
+            case RunKey() if not self._refusals.take_permit():
+                self._owner.unclaim(key)
+                self._refusals.refuse_limited(waiter.link, waiter.request)
             case RunKey():
                 self._waiters[key.text].append(waiter)
                 self._spawn(self._run_claimed, key, call)
@@ -227,6 +232,7 @@
 
     async def _call_service(self, key: str, call: Call) -> Answer:
         answer = await self._client.call(key, call.kind, call.body)
+        self._refusals.record_rate(answer.rate_limit)
         if answer.rest_seconds is not None:
             self._refusals.note_rest(answer.rest_seconds)
         return answer
--- a/src/piershore/agent/generation_runner.py
+++ b/src/piershore/agent/generation_runner.py
@@ -40,6 +40,9 @@
 IDENTITY_BYTES = 16
 JANITOR_PERIOD_SECONDS = 0.5
 POLL_PERIOD_SECONDS = 0.1
+LONGEST_PERMIT_WAIT_SECONDS = 1.0
+"""A generation that must wait longer for its engine's rate is refused: another engine
+may take it."""
 
 
 @endpoint_work(ServiceType.MODEL)
@@ -72,7 +75,9 @@
         settings = context.settings
         engine = HttpEngineClient(settings.endpoint_url, settings.stall_timeout)
         queue = EngineQueue(context.service.admission)
-        return cls(settings, engine, queue, context.send)
+        runner = cls(settings, engine, queue, context.send)
+        engine.listen(runner.record_rate)
+        return runner
 
     @property
     def load(self) -> WorkLoad:
@@ -107,6 +112,10 @@
         """Refuse new work from now on."""
         self._leaving = True
 
+    def record_rate(self, rate: float | None) -> None:
+        """Take the requests a second that an answer of the engine names, or None."""
+        self._refusals.record_rate(rate)
+
     def frame_received(self, link: int, frame: GatewayFrame) -> None:
         """Handle a request's frame."""
         match frame.WhichOneof("body"):
@@ -130,6 +139,10 @@
         if self._refusals.seconds_to_rest:
             self._refusals.refuse_resting(link, submit.request)
             return
+        waiting = self._queue.queued_count
+        if self._refusals.seconds_to_permit(waiting) > LONGEST_PERMIT_WAIT_SECONDS:
+            self._refusals.refuse_limited(link, submit.request, waiting)
+            return
         now = trio.current_time()
         identity = token_hex(IDENTITY_BYTES)
         generation = Generation(
@@ -171,13 +184,18 @@
             self._wake_poll = trio.Event()
             if self._refusals.seconds_to_rest:
                 self._refuse_waiting()
-            for action in self._queue.poll(trio.current_time()):
+            now = trio.current_time()
+            for action in self._queue.poll(now, self._has_permit):
                 if isinstance(action, Refuse):
                     self._refuse_queued(action)
                 else:
+                    self._refusals.take_permit()
                     self._readers.accept(action.candidate.identity)
                     nursery.start_soon(self._generate, action.candidate)
 
+    def _has_permit(self) -> bool:
+        return not self._refusals.seconds_to_permit()
+
     def _refuse_queued(self, action: Refuse) -> None:
         reader = self._drop_unrun(action.candidate.identity)
         if reader is not None:
--- a/src/piershore/agent/refusals.py
+++ b/src/piershore/agent/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of requests by an agent, also while its endpoint rests."""
+"""Refusals of requests by an agent, also while its endpoint rests or is limited."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 import trio
 
+from piershore.core.limits.endpoint_rate import EndpointRate
 from piershore.core.outcome import Outcome
 from piershore.core.refusal_reason import RefusalReason
 from piershore.core.routing.rest import Rest
@@ -17,11 +18,12 @@
 
 
 class Refusals:
-    """Counts and sends refusals; knows how long the endpoint wants nothing."""
+    """Counts and sends refusals; knows when the endpoint takes requests."""
 
     def __init__(self, send: Send) -> None:
         self._send = send
         self._rest = Rest()
+        self._rate = EndpointRate()
 
     @property
     def seconds_to_rest(self) -> float:
@@ -32,6 +34,18 @@
         """Note that the endpoint wants nothing for some seconds."""
         self._rest.note(seconds, trio.current_time())
 
+    def record_rate(self, rate: float | None) -> None:
+        """Take the rate that an answer of the endpoint names, if it names one."""
+        self._rate.record_answer(rate, trio.current_time())
+
+    def take_permit(self) -> bool:
+        """Take a permit for one request, if the endpoint's rate allows it now."""
+        return self._rate.take(trio.current_time())
+
+    def seconds_to_permit(self, waiting: int = 0) -> float:
+        """Return when the rate allows one more request after some that wait."""
+        return self._rate.seconds_until(waiting, trio.current_time())
+
     def refuse(
         self,
         link: int,
@@ -58,3 +72,9 @@
         """
         reason = RefusalReason.ENDPOINT_RESTING
         self.refuse(link, request, reason, retry_after=self.seconds_to_rest)
+
+    def refuse_limited(self, link: int, request: int, waiting: int = 0) -> None:
+        """Refuse a request unrun until the endpoint's rate allows one more."""
+        reason = RefusalReason.ENDPOINT_LIMITED
+        seconds = self.seconds_to_permit(waiting)
+        self.refuse(link, request, reason, retry_after=seconds)
--- a/src/piershore/core/admission/engine_queue.py
+++ b/src/piershore/core/admission/engine_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import count
 
 from sortedcontainers import SortedKeyList
@@ -22,6 +22,11 @@
 NO_DEADLINE = float("inf")
 
 
+def _always() -> bool:
+    """Let every generation start."""
+    return True
+
+
 class EngineQueue:
     """Admission of one engine; times are monotonic seconds.
 
@@ -119,12 +124,17 @@
         """Return the requests that wait, the most urgent first."""
         return tuple(entry[1] for entry in self._queue)
 
-    def poll(self, now: float) -> Iterator[AdmissionAction]:
-        """Yield what is to be done now, the most urgent first."""
+    def poll(
+        self, now: float, may_start: Callable[[], bool] = _always
+    ) -> Iterator[AdmissionAction]:
+        """Yield what is to be done now, the most urgent first.
+
+        `may_start` is asked before each start.
+        """
         yield from self._take_refused()
         yield from self._hopeless(now)
         self._policy.begin(self._running.values())
-        while self._queue and self._has_room_in_batch():
+        while self._queue and self._has_room_in_batch() and may_start():
             candidate = self._queue[0][1]
             if not self._policy.admits(candidate, self._running.values()):
                 return
--- a/src/piershore/core/limits/account_limiter.py
+++ b/src/piershore/core/limits/account_limiter.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from piershore.core.limits.token_bucket import TokenBucket
 from piershore.core.refusal_reason import RefusalReason
 
 BURST_SECONDS = 1.0
@@ -27,8 +28,7 @@
 
 @dataclass
 class _Usage:
-    saved: float
-    filled_at: float
+    bucket: TokenBucket
     running: int = 0
 
 
@@ -58,11 +58,10 @@
             if usage.running >= allowed:
                 return LimitRefusal(RefusalReason.CONCURRENCY_LIMITED, 1.0)
         if limits.requests_per_second is not None:
-            if usage.saved < 1:
-                rate = limits.requests_per_second * self._share
-                wait = (1 - usage.saved) / rate
+            wait = usage.bucket.seconds_left(limits.requests_per_second * self._share)
+            if wait:
                 return LimitRefusal(RefusalReason.RATE_LIMITED, wait)
-            usage.saved -= 1
+            usage.bucket.take()
         usage.running += 1
         return None
 
@@ -72,11 +71,11 @@
 
     def _refill(self, account: str, limits: AccountLimits, now: float) -> _Usage:
         burst = self._burst(limits)
-        usage = self._usage.setdefault(account, _Usage(burst, now))
-        if limits.requests_per_second is not None:
-            gained = (now - usage.filled_at) * limits.requests_per_second * self._share
-            usage.saved = min(burst, usage.saved + gained)
-        usage.filled_at = now
+        if account not in self._usage:
+            self._usage[account] = _Usage(TokenBucket(burst, now))
+        usage = self._usage[account]
+        rate = limits.requests_per_second or 0.0
+        usage.bucket.refill(rate * self._share, burst, now)
         return usage
 
     def _burst(self, limits: AccountLimits) -> float:
--- a/src/piershore/core/ownership/claim.py
+++ b/src/piershore/core/ownership/claim.py
@@ -21,12 +21,14 @@
 class Answer:
     """The kept answer of a plain call: HTTP status and body.
 
-    `rest_seconds` is how long the service wants no calls, if its answer said so.
+    If its answer said so, `rest_seconds` is how long the service wants no calls, and
+    `rate_limit` how many it takes a second.
     """
 
     status: int
     body: bytes
     rest_seconds: float | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/piershore/core/refusal_reason.py
+++ b/src/piershore/core/refusal_reason.py
@@ -40,6 +40,7 @@
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_RESTING = "endpoint_resting"
+    ENDPOINT_LIMITED = "endpoint_limited"
     ENGINE_LOST = "engine_lost"
     QUARANTINED = "quarantined"
     AGENT_LOST = "agent_lost"
@@ -62,6 +63,7 @@
         RefusalReason.NO_OWNER,
         RefusalReason.ENDPOINT_UNREACHABLE,
         RefusalReason.ENDPOINT_RESTING,
+        RefusalReason.ENDPOINT_LIMITED,
         RefusalReason.ENGINE_LOST,
         RefusalReason.AGENT_LOST,
     }
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import httpx
@@ -21,6 +21,7 @@
     EngineStalledError,
     EngineUnknownGenerationError,
 )
+from piershore.http1.rate_limit import lowest_rate, RATE_LIMIT
 from piershore.http1.retry_after import longest_rest, RETRY_AFTER
 
 CALL_TIMEOUT_SECONDS = 2.0
@@ -34,6 +35,10 @@
     return longest_rest(response.headers.get_list(RETRY_AFTER))
 
 
+def _ignore(rate: float | None) -> None:
+    """Take no rates: nobody listens yet."""
+
+
 class HttpEngineClient(EngineClient):
     """Streams generations from one engine; `stall_timeout` is in seconds."""
 
@@ -45,6 +50,11 @@
             limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
             trust_env=False,
         )
+        self._on_rate: Callable[[float | None], None] = _ignore
+
+    def listen(self, on_rate: Callable[[float | None], None]) -> None:
+        """Let `on_rate` get the requests a second that each answer names, or None."""
+        self._on_rate = on_rate
 
     async def close(self) -> None:
         """Close the connections."""
@@ -108,6 +118,7 @@
             async with self._client.stream(
                 method, path, content=content, timeout=self._stream_timeout
             ) as response:
+                self._on_rate(lowest_rate(response.headers.get_list(RATE_LIMIT)))
                 if response.status_code == httpx.codes.NOT_FOUND:
                     raise EngineUnknownGenerationError("the engine lost it")
                 rest = _rest_asked(response)
--- a/src/piershore/endpoints/http_service_client.py
+++ b/src/piershore/endpoints/http_service_client.py
@@ -7,6 +7,7 @@
 from piershore.core.ownership.claim import Answer
 from piershore.core.ports import ServiceClient
 from piershore.endpoints.exceptions import CallNotSentError, CallUncertainError
+from piershore.http1.rate_limit import lowest_rate, RATE_LIMIT
 from piershore.http1.retry_after import longest_rest, RETRY_AFTER
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -42,4 +43,5 @@
         rest = None
         if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
             rest = longest_rest(response.headers.get_list(RETRY_AFTER))
-        return Answer(response.status_code, response.content, rest)
+        rate = lowest_rate(response.headers.get_list(RATE_LIMIT))
+        return Answer(response.status_code, response.content, rest, rate)
--- a/src/piershore/gateway/refusals.py
+++ b/src/piershore/gateway/refusals.py
@@ -10,6 +10,7 @@
 from piershore.gateway.exceptions import RequestRefusedError
 from piershore.wire.link_pb2 import Refused
 
+NOT_TAKING = (RefusalReason.ENDPOINT_RESTING, RefusalReason.ENDPOINT_LIMITED)
 RETRY_AFTER_SECONDS = 1.0
 """When to come back if the agent doesn't tell."""
 
@@ -20,7 +21,7 @@
     """Return what the caller is told, and note what concerns the endpoint itself."""
     reason = RefusalReason(frame.reason)
     retry_after = frame.retry_after_seconds or RETRY_AFTER_SECONDS
-    if reason is RefusalReason.ENDPOINT_RESTING:
+    if reason in NOT_TAKING:
         # It seems idle, so that all that follows would be sent there and refused.
         link.state.rest.note(retry_after, trio.current_time())
     return RequestRefusedError(
--- a/src/piershore/http1/rate_limit.py
+++ b/src/piershore/http1/rate_limit.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterable
 from math import isfinite
 
+RATE_LIMIT = "ratelimit-limit"
+"""Header by which an endpoint of the product's own interface names its rate."""
+
 
 def lowest_rate(values: Iterable[str]) -> float | None:
     """Return the lowest of the rates that are given, or None if none can be read.
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,7 +17,7 @@
 from quart_trio import QuartTrio
 
 from standins.engine_model import EngineModel, EngineSettings
-from standins.serving import parser, serve_app, Shedding
+from standins.serving import parser, RateNaming, serve_app, Shedding
 
 CHARACTERS_PER_TOKEN = 4
 IDLE_SECONDS = 0.005
@@ -58,6 +58,7 @@
         self._load: dict = self._load_now()
         self._told_events = 0
         self.shedding = Shedding()
+        self.naming = RateNaming()
         self.requests = 0
 
     def app(self) -> QuartTrio:
@@ -92,6 +93,7 @@
     async def generate(self) -> Response:
         """Start a generation and stream it."""
         self.requests += 1
+        self.naming.count()
         if (refusal := self.shedding.refusal()) is not None:
             return refusal
         body = orjson.loads(await request.get_data())
@@ -102,7 +104,7 @@
             tokens = len(prompt) // CHARACTERS_PER_TOKEN + 1
             length = min(body["max_tokens"], _length_of(prompt))
             self._model.submit(identity, prompt, tokens, length, body["priority"])
-        return self._stream(identity, 0)
+        return self.naming.name_in(self._stream(identity, 0))
 
     async def resume(self, identity: str) -> Response:
         """Stream a generation again from an index on."""
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 from quart import request, Response
 from quart_trio import QuartTrio
 
-from standins.serving import parser, serve_app, Shedding
+from standins.serving import parser, RateNaming, serve_app, Shedding
 
 
 class ServiceStandin:
@@ -20,6 +20,7 @@
         self._tags: Counter[str] = Counter()
         self._delay = 0.0
         self.shedding = Shedding()
+        self.naming = RateNaming()
         self.requests = 0
 
     def app(self) -> QuartTrio:
@@ -33,6 +34,7 @@
     async def call(self, kind: str) -> Response:
         """Execute a call: it counts before it answers."""
         self.requests += 1
+        self.naming.count()
         if (refusal := self.shedding.refusal()) is not None:
             return refusal
         arguments = orjson.loads(await request.get_data())
@@ -41,7 +43,8 @@
         self._tags[str(arguments.get("tag", ""))] += 1
         await trio.sleep(float(arguments.get("seconds", self._delay)))
         answer = {"kind": kind, "key": key, "arguments": arguments}
-        return Response(orjson.dumps(answer), content_type="application/json")
+        response = Response(orjson.dumps(answer), content_type="application/json")
+        return self.naming.name_in(response)
 
     async def executions(self) -> Response:
         """Return the executions by key and by tag."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -30,6 +30,24 @@
         return Response("", status=503, headers={"Retry-After": f"{self._rest:g}"})
 
 
+class RateNaming:
+    """The rate that a stand-in names in its answers, and when it got requests."""
+
+    def __init__(self) -> None:
+        self.rate: float | None = None
+        self.times: list[float] = []
+
+    def count(self) -> None:
+        """Count a request."""
+        self.times.append(trio.current_time())
+
+    def name_in(self, response: Response) -> Response:
+        """Name the rate in an answer."""
+        if self.rate is not None:
+            response.headers["RateLimit-Limit"] = f"{self.rate:g}"
+        return response
+
+
 def parser(description: str) -> ArgumentParser:
     """Return a parser with the options of every stand-in."""
     options = ArgumentParser(description=description)
