An answer that no caller gets excuses no request

Cause, by the logs: an engine under which the request had not begun answered it with bytes that are no events. They came to their end, so the answer counted as whole, and excused the request for 30 s at that gateway, which excused it everywhere when the others held it (request_held with is_held false, 0.08 s later); its caller was told 502. The same with an unsealed or encoded answer to a call.

A request is excused by what its caller gets, told where that is known.

Red beside it: an endpoint whose port still takes or closes connections for a moment after it crashed is taken for one that lives; listed.

--- a/devtools/bench/call_simulation.py
+++ b/devtools/bench/call_simulation.py
@@ -34,11 +34,11 @@
     PLACEMENT_POLICIES,
 )
 from piershore.core.fleet.rate_shares import RateShares
+from piershore.core.fleet.report_pace import report_interval
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.routes.current_configuration import CurrentConfiguration
 
 SERVICE = "desk"
-REPORT_SECONDS = 0.1
 REFUSING_SECONDS = 0.001
 """An endpoint that turns a call away does so at once."""
 IN_TRANSIT_SECONDS = 0.5
@@ -207,7 +207,7 @@
     def _report(self) -> None:
         if self._is_over:
             return
-        self._at(REPORT_SECONDS, self._report)
+        self._at(report_interval(len(self._gateways) - 1), self._report)
         for gateway in self._gateways:
             loads = gateway.loads.own_loads()
             told = gateway.limits.report(self._now)
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -63,6 +63,28 @@
     Given 1 gateway before 6 endpoints of the desk, up to 2 for each call
     When a caller sends a call 3 times while they close new connections, and once later
     Then the last one is served
+  # One answer cut short excused a request, and ten engines more crashed under it.
+  Scenario Outline: an answer that no caller gets excuses a request
+    Given 6 endpoints of <service> behind 1 gateway
+    When <service> answers a crashing request with "<answer>" once, and it comes 5 times more
+    Then at most 2 endpoints have crashed
+
+    Examples:
+      | service   | answer   |
+      | the model | unframed |
+      | the desk  | no seal  |
+      | the desk  | encoded  |
+
+  # Nobody was suspected of 11 crashes of 12, and the request was never held.
+  Scenario Outline: the port of an endpoint that crashes <does> connections for a moment
+    Given 6 endpoints of the model behind 1 gateway
+    When its endpoints' ports <do> connections for 0.15 s after a crash, and a request crashes them
+    Then at most 2 endpoints have crashed
+
+    Examples:
+      | does   | do    |
+      | closes | close |
+      | takes  | take  |
 
   Scenario: many ask for the same, and another request crashes the engines
     Then what has run well in the last 30 s is not held, whoever hears of the crashes first
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -43,6 +43,59 @@
     context.ingress._start_gateways = gateways
 
 
+SERVICES = {"the model": "model", "the desk": "desk"}
+KINDS = {"the model": "stream", "the desk": "once"}
+TIMES = 5
+CHECKED_SECONDS = 1.0
+"""By then a gateway knows whether an endpoint has crashed."""
+
+
+@given("{count:d} endpoints of {service} behind 1 gateway")
+def given_service(context, count, service):
+    context.ingress = IngressWorld()
+    context.ingress.add_endpoints(SERVICES[service], count)
+
+
+async def send_repeatedly(world, service):
+    kind = KINDS[service]
+    size = SMALL if kind == "stream" else ""
+    for _ in range(TIMES):
+        await world.call(kind, size=size, body=CRASHING_BODY)
+        await trio.sleep(CHECKED_SECONDS)
+
+
+@when(
+    '{service} answers a crashing request with "{answer}" once, and it comes 5 times more'
+)
+def answer_unusably(context, service, answer):
+    async def script(world):
+        for endpoint in world.endpoints:
+            endpoint.faults = [answer]
+        kind = KINDS[service]
+        size = SMALL if kind == "stream" else ""
+        reply = await world.call(kind, size=size, body=CRASHING_BODY)
+        assert reply.status == 502, vars(reply)
+        for endpoint in world.endpoints:
+            endpoint.faults.clear()
+        await send_repeatedly(world, service)
+
+    context.ingress.run(script)
+
+
+@when(
+    "its endpoints' ports {do} connections for {seconds:g} s after a crash, and a"
+    " request crashes them"
+)
+def crash_slowly(context, do, seconds):
+    async def script(world):
+        for endpoint in world.endpoints:
+            endpoint.lingers_seconds = seconds
+            endpoint.closes_lingering = do == "close"
+        await send_repeatedly(world, "the model")
+
+    context.ingress.run(script)
+
+
 async def send_crashing(context, number):
     reply = await context.ingress.call(
         "stream", size=SMALL, body=CRASHING_BODY, number=number
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from http import HTTPStatus
 
 import trio
 
@@ -123,6 +122,14 @@
                 reusable=self._is_whole and not self._ends_here(),
             )
 
+    def record_served(self) -> None:
+        """Note that the caller gets this answer: the request doesn't crash endpoints.
+
+        An answer that nobody gets, though it came to its end, tells nothing of that.
+        """
+        exchange = self._exchange
+        self._state.crash_watch.note_whole(exchange.identity, exchange.content)
+
     def _check_rest(self) -> None:
         """Send nothing if the endpoint has asked for rest while this connected."""
         now = trio.current_time()
@@ -170,8 +177,6 @@
             state.runs.leave(identity, run, trio.current_time())
         if self._is_broken:
             state.crash_watch.note_break(self.endpoint)
-        elif self._is_whole and self.answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            state.crash_watch.note_whole(run.request, run.content)
 
     def _ends_here(self) -> bool:
         if len(self._exchange.body) > SENT_AT_ONCE_BYTES:
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -214,6 +214,7 @@
         whole = WholeAnswer(attempt.endpoint, answer.status, headers, body)
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._state.note_success(identity)
+            attempt.record_served()
             return whole
         self._failed_answer = whole
         raise AttemptFailedError(
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -91,6 +91,8 @@
         finally:
             await attempt.close()
         judge_failing(self._state, attempt.endpoint)
+        if attempt.answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            attempt.record_served()
         headers = self._state.dialect.answer_headers(attempt.head)
         await exchange.connection.respond(attempt.answer.status, headers, body)
 
@@ -110,6 +112,7 @@
                 raise AttemptFailedError(outcome, f"{reason}{way.failure}")
         if not stream.exchange.connection.response_started:
             raise AttemptFailedError(AttemptOutcome.BROKEN_OFF, "no event came")
+        attempt.record_served()
         await stream.exchange.connection.finish()
 
     def _note_answered(self, stream: LiveStream, attempts: int) -> None:
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -95,7 +95,8 @@
     One that `tells_leaving` says in all its answers that it leaves, whatever its entry
     says. Until `sheds_until` it turns requests away, and asks for `rest` seconds with
     it if that is given; `rests` are those that it asked for. `rate_limit` is the value
-    that all its answers name as its rate; `named` are the times of those.
+    that all its answers name as its rate; `named` are the times of those. After a crash
+    its port takes connections for `lingers_seconds`, or closes them.
     """
 
     def __init__(
@@ -110,6 +111,8 @@
         self.crashing_body: bytes | None = CRASHING_BODY
         self.crashed_at: float | None = None
         self.closes_new = False
+        self.lingers_seconds = 0.0
+        self.closes_lingering = False
         self.connections = 0
         self.open_streams = 0
         self.reports = 0
@@ -259,6 +262,10 @@
         self.note_run(arrival)
         await trio.sleep(CRASH_SECONDS)
         self.crashed_at = trio.current_time()
+        if self.lingers_seconds:
+            self.closes_new = self.closes_lingering
+            await trio.aclose_forcefully(arrival.stream)
+            await trio.sleep(self.lingers_seconds)
         self.crash()
 
     def note_run(self, arrival: Arrival) -> None:
