An endpoint that has crashed is found out though its port lingers

Cause: after a break one look tells whether the endpoint is there. In the first moment after a crash its port may still take a connection, or take and close it; the look said 'lives' or 'unknown', what ran there was forgotten, and nobody looked again, though 0.25 s later the port refused connections.

Three looks, at once and 0.1 and 0.5 s later, as long as the endpoint doesn't say that it leaves; waits for the first end as before.

--- a/src/piershore/ingress/attempts/crash_watch.py
+++ b/src/piershore/ingress/attempts/crash_watch.py
@@ -18,6 +18,9 @@
 WAIT_SECONDS = 0.1
 """Longest wait for the answer whether an endpoint is there, before its request is sent
 on: an endpoint that crashed refuses connections within some ms."""
+CHECK_PAUSES_SECONDS = (0.0, 0.1, 0.4)
+"""Pauses before each look whether an endpoint is there: one that has crashed may take
+or close connections for a moment until its port is closed."""
 SWEEP_SECONDS = 2.0
 
 
@@ -103,13 +106,24 @@
 
     async def _check(self, endpoint: Endpoint) -> None:
         try:
-            is_there = await self._pool.is_there(endpoint.address)
+            await self._look(endpoint)
         finally:
             self._checks.pop(endpoint.identity).set()
-        if is_there is False:
-            self._note_crash(endpoint.identity)
-        elif is_there:
-            self._runs.clear(endpoint.identity)
+
+    async def _look(self, endpoint: Endpoint) -> None:
+        """Look some times whether an endpoint is there; the first look ends waits."""
+        identity, is_there = endpoint.identity, None
+        for pause in CHECK_PAUSES_SECONDS:
+            await trio.sleep(pause)
+            if self._directory.is_leaving(identity):
+                return
+            is_there = await self._pool.is_there(endpoint.address)
+            if is_there is False:
+                self._note_crash(identity)
+                return
+            self._checks[identity].set()
+        if is_there:
+            self._runs.clear(identity)
 
     def _note_crash(self, identity: str) -> None:
         self._crashed[identity] = trio.current_time() + REMEMBERED_SECONDS
