--- a/devtools/bench/rate_limit_experiment.py
+++ b/devtools/bench/rate_limit_experiment.py
@@ -20,20 +20,22 @@
 )
 from piershore.core.fleet.rate_shares import RateShares, Share
 
-SEEDS = range(4)
+SEEDS = range(2)
 OWNERS = 2
+LONG = CallSettings(ends=36.0, seconds=40.0)
+"""Many windows, so that their phases count for little."""
 LOADS = {
-    "6 gateways, 1 of 3 limited": CallSettings(rate_limit=2.4),
-    "24, 1 of 3": CallSettings(gateways=24, rate=60, rate_limit=1.8),
-    "68, 1 of 3": CallSettings(gateways=68, rate=100, rate_limit=1.8),
-    "410, 1 of 3": CallSettings(gateways=410, rate=100, rate_limit=20, seconds=16),
-    "6, all of 3 limited": CallSettings(asking=3, rate_limit=2.4),
-    "6, all of 3, just enough": CallSettings(asking=3, rate_limit=8),
-    "24, all of 3, just enough": CallSettings(
-        gateways=24, rate=60, asking=3, rate_limit=22
+    "6 gateways, 1 of 3 limited": replace(LONG, rate_limit=2.4),
+    "24, 1 of 3": replace(LONG, gateways=24, rate=60, rate_limit=1.8),
+    "68, 1 of 3": replace(LONG, gateways=68, rate=100, rate_limit=1.8),
+    "410, 1 of 3": replace(LONG, gateways=410, rate=300, rate_limit=20),
+    "6, all of 3 limited": replace(LONG, asking=3, rate_limit=2.4),
+    "6, all of 3, just enough": replace(LONG, asking=3, rate_limit=8),
+    "24, all of 3, just enough": replace(
+        LONG, gateways=24, rate=60, asking=3, rate_limit=22
     ),
-    "68, all of 3 limited": CallSettings(
-        gateways=68, rate=100, asking=3, rate_limit=20
+    "68, all of 3 limited": replace(
+        LONG, gateways=68, rate=100, asking=3, rate_limit=20
     ),
 }
 
--- a/src/piershore/core/fleet/endpoint_rate_limits.py
+++ b/src/piershore/core/fleet/endpoint_rate_limits.py
@@ -19,6 +19,7 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.rate_shares import RateShares, Share
 from piershore.core.fleet.sent_requests import SentRequests
+from piershore.core.limits.endpoint_rate import CROSSING_SECONDS, LOWEST_RATE
 
 UNLIMITED = inf
 """The rate of an endpoint that names none."""
@@ -27,16 +28,10 @@
 no span of that length holds more than the rate allows."""
 TRANSIT_SECONDS = 0.1
 """Requests may take this much longer or shorter to arrive than others."""
-LOWEST_RATE = 0.1
-"""Requests a second that are sent to an endpoint that takes fewer, or none: its answers
-tell when that is over."""
-CROSSING_SECONDS = 0.5
-"""Answers may overtake each other by this much: one without a rate ends a limit only
-if it comes so long after the last one that named it."""
 UNCONFIRMED_SECONDS = 10.0
 """A limit that no answer has named for so long is asked about again by one gateway."""
 NEXT_ASKER_SECONDS = 1.0
-"""The gateway of the next rank asks so much later: it hears of an answer before."""
+"""The gateway of the next rank asks so much later, unless it hears of an answer."""
 TOLD_SECONDS = 10.0
 """How long peers are told of an answer."""
 MOST_TOLD = 32
