A process that is told to stop again finishes what is under way

Cause: the receiver of signals closes with the first one, or when the tasks end, and puts the default handlers back, which end the process; the interpreter does the same with handlers of its own while it ends. Processes of the own interface waited for one signal and then drained with the default in force.

Later signals to stop are ignored from the close of the receiver on; one that comes before it opens is kept.

--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import trio
 from behave import given, then, when
 from support.world import GATEWAYS, MODEL, PLAIN_KIND, SERVICE
 
 from devtools.deployment import wait_until
+from devtools.soak.fleet import Fleet
 
 CALLS = 20
 LONG_CALL_SECONDS = 10
+STOPS = 5
+STOP_GAP_SECONDS = 0.2
+SHORTEST_GAP_SECONDS = 0.002
 
 
 @given("all is well")
@@ -175,6 +185,43 @@
     return total
 
 
+@when("{name} is told to stop again and again under load")
+def stop_again(context, name):
+    stop_under_load(context, name)
+    process = context.world.values["stopped"]
+    for _ in range(STOPS):
+        time.sleep(STOP_GAP_SECONDS)
+        if process.is_running:
+            process.terminate()
+
+
+async def end_gateway(folder):
+    """Return the exit code of a gateway that gets SIGTERM until it has ended."""
+    fleet = Fleet(Path(folder), 1, {"desk": 1})
+    try:
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            (gateway,) = fleet.gateways
+            while gateway.is_starting:
+                await trio.sleep(SHORTEST_GAP_SECONDS)
+            while gateway.is_running:
+                gateway.send_signal(signal.SIGTERM)
+                await trio.sleep(SHORTEST_GAP_SECONDS)
+            nursery.cancel_scope.cancel()
+        return await gateway.wait_end(1.0)
+    finally:
+        fleet.close()
+
+
+@then("it ends with 0 each of {times:d} times")
+def check_ends(context, times):
+    codes = []
+    for _ in range(times):
+        with tempfile.TemporaryDirectory() as folder:
+            codes.append(trio.run(end_gateway, folder))
+    assert codes == [0] * times, codes
+
+
 @then("all of them come whole and the process ends well")
 def check_load(context):
     world = context.world
--- a/src/piershore/agent/daemon.py
+++ b/src/piershore/agent/daemon.py
@@ -19,9 +19,9 @@
 from piershore.platform.exceptions import PlatformUnavailableError
 from piershore.platform.http_platform_store import HttpPlatformStore
 from piershore.settings.process_settings import AgentSettings
+from piershore.stop_signals import wait_for_stop
 from piershore.telemetry import metrics
 from piershore.telemetry.logs import state_changed
-from piershore.telemetry.signals import wait_for_stop
 from piershore.wire.config_batches import BatchReceiver
 from piershore.wire.frame_queue import FrameQueue
 from piershore.wire.link_pb2 import (
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -36,9 +36,9 @@
 from piershore.gateway.retries import Retries
 from piershore.platform.http_platform_store import HttpPlatformStore
 from piershore.settings.process_settings import GatewaySettings
+from piershore.stop_signals import wait_for_stop
 from piershore.telemetry import metrics
 from piershore.telemetry.logs import state_changed
-from piershore.telemetry.signals import wait_for_stop
 from piershore.wire.peer_server import PeerServer
 
 LONGEST_STREAM_SECONDS = 3_600.0
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -42,6 +42,7 @@
 from piershore.ingress.streams.silence_watch import SilenceWatch
 from piershore.ingress.streams.stream_forwarder import StreamForwarder
 from piershore.settings.box_settings import BoxSettings
+from piershore.stop_signals import open_stop_receiver
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import (
@@ -340,8 +341,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Take signals for the whole life: one that comes again must not cut it."""
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*watched) as signals:
+        with open_stop_receiver(signal.SIGHUP) as signals:
             task_status.started()
             async for number in signals:
                 if number != signal.SIGHUP:
