--- a/devtools/soak/fault_proxy.py
+++ b/devtools/soak/fault_proxy.py
@@ -126,5 +126,7 @@
     @staticmethod
     def _reset(stream: trio.SocketStream) -> None:
         socket = stream.socket
+        if socket.fileno() < 0:
+            return
         socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, NO_LINGER)
         socket.close()
