--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -45,6 +45,7 @@
 GENERATION = "core/streams/generation.py"
 QUARANTINE = "core/quarantine/quarantine.py"
 KEEPER = "agent/lease_keeper.py"
+LIMITS = "core/fleet/endpoint_rate_limits.py"
 RESTORER = "gateway/edit_restorer.py"
 STORE = "platform/http_platform_store.py"
 
@@ -436,6 +437,48 @@
         "for name in ():",
         "own_store_returns",
     ),
+    Mutant(
+        "a named rate isn't shared",
+        LIMITS,
+        "return RateQuota(share.part(quota.requests), quota.window)",
+        "return quota",
+        "endpoint_rate_limits",
+    ),
+    Mutant(
+        "peers aren't told of a named rate",
+        LIMITS,
+        "            self._latest[identity] = named\n            if",
+        "            if",
+        "endpoint_rate_limits",
+    ),
+    Mutant(
+        "the first answer without a rate ends a limit",
+        LIMITS,
+        "now - latest.at >= CROSSING_SECONDS",
+        "True",
+        "endpoint_rate_limits",
+    ),
+    Mutant(
+        "nobody asks whether a limit holds",
+        LIMITS,
+        "if self._may_ask(",
+        "if False and self._may_ask(",
+        "endpoint_rate_limits",
+    ),
+    Mutant(
+        "an attempt doesn't ask before it sends",
+        "ingress/attempts/endpoint_attempt.py",
+        "        self._check_limit()\n",
+        "",
+        "endpoint_rate_limits",
+    ),
+    Mutant(
+        "an agent keeps no rate",
+        "agent/refusals.py",
+        "self._rate.record_answer(rate, trio.current_time())",
+        "pass",
+        "own_rate_limits",
+    ),
     Mutant(
         "what is missing after a return was deleted",
         VIEW,
--- a/features/own_rate_limits.feature
+++ b/features/own_rate_limits.feature
@@ -1,7 +1,7 @@
 Feature: An endpoint of the product's own interface names the rate that it takes
 
   # 40 of 40 requests that came within 4 s were sent to a service that had named 2 a second.
-  Scenario Outline: an agent sends its <endpoint> more than the rate that it names
+  Scenario Outline: an agent sends <endpoint> more than the rate that it names
     When <endpoint> names 2 requests a second to its agent, and 40 come within 4 s
     Then it gets what it takes from its agent, and no more
     And the others are refused as unrun with endpoint_limited and a time to come back
