--- a/devtools/bench/__main__.py
+++ b/devtools/bench/__main__.py
@@ -5,13 +5,14 @@
 from argparse import ArgumentParser
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from statistics import median
 
 from tabulate import tabulate
 
+from devtools.bench.experiment import Figures, Job, Situation
 from devtools.bench.plot import plot
 from devtools.bench.simulation import RunResult, simulate
 from devtools.bench.workload import arrivals, Load, Mix, MIXES
@@ -31,18 +32,6 @@
 CALIBRATION_SECONDS = 300.0
 
 
-@dataclass(frozen=True)
-class Situation:
-    """What is special about a run; all but the first are at load 0.9."""
-
-    name: str
-    load: float
-    drift: float = 1.0
-    burst: float = 1.0
-    engines: int = 1
-    reclaim: bool = False
-
-
 SITUATIONS = (
     *(Situation(f"load {load}", load) for load in LOADS),
     Situation("drift x3", 0.9, drift=3.0),
@@ -51,33 +40,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Figures:
-    """One run in numbers; times in seconds, preemptions for 1,000 generations."""
-
-    stall_p50: float
-    stall_p99: float
-    stall_total: float
-    preemptions: float
-    gap_p99: float
-    gap_p999: float
-    first_token_p95: float
-    goodput: float
-    refusals: str
-
-
-@dataclass(frozen=True)
-class Job:
-    """One run to make."""
-
-    mix: Mix
-    policy: str
-    situation: Situation
-    capacity: float
-    seed: int
-    seconds: float
-
-
 def run(job: Job) -> Figures:
     """Make one run."""
     admission = replace(job.mix.admission, policy=job.policy)
--- a/devtools/bench/plot.py
+++ b/devtools/bench/plot.py
@@ -4,12 +4,10 @@
 
 from pathlib import Path
 from statistics import median
-from typing import TYPE_CHECKING
 
 import matplotlib
 
-if TYPE_CHECKING:
-    from devtools.bench.__main__ import Figures, Job
+from devtools.bench.experiment import Figures, Job
 
 matplotlib.use("Agg")
 
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -7,6 +7,7 @@
 import trio
 from behave import given, then, when
 from support.core_checks import fleet_of
+from support.gateway_states import known, state_of
 from support.stream_reading import Reading, SMALL_SIZE, wait_for_peers
 
 from devtools.bench.call_simulation import CallRun, CallSettings
@@ -93,14 +94,6 @@
     assert context.reached[1] == 0, context.reached
 
 
-def state_of(world, number=0):
-    return world.gateways[number][1]._state
-
-
-def known(world, standin, number=0):
-    return state_of(world, number).directory.get(standin.identity)
-
-
 async def wait_until(condition):
     """Wait for a condition, or until it is clear that it won't come."""
     with trio.move_on_after(SETTLE_SECONDS):
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -11,9 +11,10 @@
 import trio
 from behave import then, when
 from hypothesis import strategies as st
-from notice_steps import known, SEEDS, state_of
+from notice_steps import SEEDS
 from rest_steps import LARGE_SIZE, send, SERVICES, standins_of
 from support.core_checks import checked, fleet_of
+from support.gateway_states import known, state_of
 from support.placements import placement_over
 from support.stream_reading import Reading, wait_for_peers
 
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -11,8 +11,9 @@
 import orjson
 import trio
 from behave import then, when
-from notice_steps import known, play, SHORT, state_of
+from notice_steps import play, SHORT
 from support.core_checks import fleet_of
+from support.gateway_states import known, state_of
 from support.placements import placement_over
 from support.stream_reading import Reading
 
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -11,9 +11,20 @@
 import trio
 from behave import given, then, when
 from hypothesis import strategies as st
-from notice_steps import state_of
 from support.core_checks import checked, fleet_of
+from support.gateway_states import state_of
 from support.ingress_world import configuration, IngressWorld, route
+from support.store_returns import (
+    change_often,
+    come_back_from_before,
+    come_back_without,
+    identities,
+    known_at,
+    POLL_SECONDS,
+    SETTLE_SECONDS,
+    unlist,
+    wait_known,
+)
 from support.stream_reading import wait_for_peers
 
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
@@ -21,14 +32,12 @@
 from piershore.core.fleet.store_revision import LARGEST_ERA, StoreRevision
 from standins.published_endpoint import PublishedEndpoint
 
-SETTLE_SECONDS = 5.0
 SHORT_SECONDS = 1.0
 LATER_CALLS = 12
 KEPT_SECONDS = 3.0
 """A drain that was lost is kept for so long."""
 LAPSE_SECONDS = 3.6
 """Three heartbeats, after which the store drops an entry that nobody writes."""
-POLL_SECONDS = 0.02
 
 
 @given("2 gateways before 3 endpoints of the desk, {watching}")
@@ -52,62 +61,6 @@
     context.ingress.run(whole)
 
 
-def change_often(world, times):
-    """Let the store give out revisions that it will give out again."""
-    for number in range(times):
-        world.store.put("other", f"o-{number}", {})
-
-
-def known_at(world, number):
-    directory = state_of(world, number).directory
-    return {e.name for e in directory.of_service("desk")}
-
-
-async def wait_known(world, names, seconds=SETTLE_SECONDS):
-    """Wait until both gateways use these endpoints; tell what they use."""
-    with trio.move_on_after(seconds):
-        while any(known_at(world, number) != names for number in (0, 1)):
-            await trio.sleep(POLL_SECONDS)
-    return [known_at(world, number) for number in (0, 1)]
-
-
-def identities(world):
-    return {endpoint.identity for endpoint in world.endpoints}
-
-
-def unlist(world, endpoint):
-    world.store.remove("servers", endpoint.identity)
-
-
-async def come_back_without(world, endpoint, times=30):
-    """Come back from a copy of before an endpoint wrote its entry."""
-    unlist(world, endpoint)
-    copy = world.store.copy()
-    change_often(world, times)
-    world.list_endpoint(endpoint)
-    await wait_present(world)
-    world.store.come_back(copy)
-
-
-async def come_back_from_before(world, change, staying):
-    """Come back from a copy of before a change that leaves these endpoints in use."""
-    copy = world.store.copy()
-    change_often(world, 30)
-    change()
-    rest = {endpoint.identity for endpoint in staying}
-    assert await wait_known(world, rest) == [rest] * 2
-    world.store.come_back(copy)
-
-
-async def wait_present(world):
-    """Wait until both gateways' lists are those of the store's last revision."""
-    present = world.store.copy().revision
-    with trio.fail_after(SETTLE_SECONDS):
-        for number in (0, 1):
-            while state_of(world, number).directory.revision != present:
-                await trio.sleep(POLL_SECONDS)
-
-
 @when("the store comes back from a copy of 30 changes before, without an endpoint")
 def come_back(context):
     context.steps = [lambda world: come_back_without(world, world.endpoints[2])]
