One way to read what is in force for a service; a share works its part out

Cold starts, shares of rates, moves and the watch of outages each looked the service up in a configuration that may not be known yet. part_of_rate had one caller beside its test, which asks the share now, with the same assertions. Behaviour stays.

--- a/features/steps/cold_endpoint_steps.py
+++ b/features/steps/cold_endpoint_steps.py
@@ -14,7 +14,7 @@
 
 from piershore.core.fleet.cold_starts import ColdStarts, TRANSIT_SECONDS
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
-from piershore.core.fleet.rate_shares import part_of_rate, RateShares
+from piershore.core.fleet.rate_shares import RateShares, Share
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.core.routes.service_spec import ServiceSpec
@@ -28,7 +28,7 @@
 def check_parts(context):
     @checked(st.integers(0, 100), st.integers(1, 500))
     def check(rate, gateways):
-        parts = [part_of_rate(rate, gateways, rank) for rank in range(gateways)]
+        parts = [Share(rank, gateways).part(rate) for rank in range(gateways)]
         assert sum(parts) == rate
         assert max(parts) - min(parts) <= 1
 
--- a/src/piershore/core/fleet/cold_starts.py
+++ b/src/piershore/core/fleet/cold_starts.py
@@ -89,8 +89,7 @@
         return share.part(max(1, int(spec.cold_rate))) if share else 0
 
     def _spec(self, endpoint: Endpoint) -> ServiceSpec | None:
-        configuration = self._configuration.value
-        return configuration.services.get(endpoint.service) if configuration else None
+        return self._configuration.service(endpoint.service)
 
     def _note(self, identity: str, seconds: float, now: float) -> None:
         self._forget(now)
--- a/src/piershore/core/fleet/rate_shares.py
+++ b/src/piershore/core/fleet/rate_shares.py
@@ -15,14 +15,6 @@
 from piershore.core.routes.current_configuration import CurrentConfiguration
 
 
-def part_of_rate(requests: int, gateways: int, rank: int) -> int:
-    """Return the whole requests that the gateway of a rank may send.
-
-    The parts of all ranks add up to `requests`.
-    """
-    return requests // gateways + (rank < requests % gateways)
-
-
 @dataclass(frozen=True)
 class Share:
     """The place of this gateway among those that choose from an endpoint."""
@@ -31,8 +23,11 @@
     gateways: int
 
     def part(self, requests: int) -> int:
-        """Return this gateway's part of the requests."""
-        return part_of_rate(requests, self.gateways, self.rank)
+        """Return the whole requests that this gateway may send.
+
+        The parts of all ranks add up to `requests`.
+        """
+        return requests // self.gateways + (self.rank < requests % self.gateways)
 
 
 class RateShares:
@@ -73,9 +68,7 @@
 
     def _sharers(self, endpoint: Endpoint) -> list[str] | None:
         """Return the peers that choose from an endpoint; None if this one doesn't."""
-        configuration = self._configuration.value
-        services = configuration.services if configuration else {}
-        spec = services.get(endpoint.service)
+        spec = self._configuration.service(endpoint.service)
         if spec is None or spec.engine is None:
             return self._subsets.peers
         if endpoint not in self._subsets.own(endpoint.service):
--- a/src/piershore/core/routes/current_configuration.py
+++ b/src/piershore/core/routes/current_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from piershore.core.routes.client_limits import ClientLimits
+from piershore.core.routes.service_spec import ServiceSpec
 from piershore.core.routes.serving_configuration import ServingConfiguration
 
 
@@ -27,6 +28,10 @@
         """The limits in force."""
         return self._configuration.limits if self._configuration else ClientLimits()
 
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return what is in force for a service, or None if that isn't known."""
+        return self._configuration.services.get(name) if self._configuration else None
+
     def offer(self, configuration: ServingConfiguration) -> bool:
         """Put a version in force if it is newer; tell whether it is."""
         if configuration.version <= self.version:
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -125,8 +125,7 @@
             self._state.log.write_fault("MoveCoordinator", error)
 
     def _engine(self, service: str) -> EngineSpec | None:
-        configuration = self._state.configuration.value
-        spec = configuration.services.get(service) if configuration else None
+        spec = self._state.configuration.service(service)
         return spec.engine if spec else None
 
     async def _evacuate(
--- a/src/piershore/ingress/peers/outage_watch.py
+++ b/src/piershore/ingress/peers/outage_watch.py
@@ -61,11 +61,9 @@
         return self._endpoints.link.is_out and not self._peers.hears_store_reader()
 
     def _to_ask(self) -> Iterator[Endpoint]:
-        configuration = self._state.configuration.value
-        services = configuration.services if configuration else {}
         hosts = [self._host, *self._peers.living_hosts()]
         for endpoint in self._state.directory:
-            spec = services.get(endpoint.service)
+            spec = self._state.configuration.service(endpoint.service)
             if spec is None or spec.engine is None or not spec.engine.can_move:
                 continue
             if self._state.directory.is_leaving(endpoint.identity):
