Calls of both kinds are turned away by the same check

An agent asked for rest and for a permit, in this order, once for calls that may repeat and once for claimed keys. EndpointRate told the time to a permit in two ways. Behaviour stays.

--- a/src/piershore/agent/call_runner.py
+++ b/src/piershore/agent/call_runner.py
@@ -143,11 +143,7 @@
             self._refuse(waiter, RefusalReason.LEAVING, Outcome.NOT_RUN)
         elif self._running >= MOST_RUNNING:
             self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-        elif self._refusals.seconds_to_rest:
-            self._refusals.refuse_resting(waiter.link, waiter.request)
-        elif not self._refusals.take_permit():
-            self._refusals.refuse_limited(waiter.link, waiter.request)
-        else:
+        elif not self._refusals.turn_away(waiter.link, waiter.request):
             self._spawn(self._run_repeatable, waiter, call)
 
     def _is_non_repeatable(self, call: Call) -> bool:
@@ -176,12 +172,8 @@
             case RunKey() if self._running >= MOST_RUNNING:
                 self._owner.unclaim(key)
                 self._refuse(waiter, RefusalReason.QUEUE_FULL, Outcome.NOT_RUN)
-            case RunKey() if self._refusals.seconds_to_rest:
-                self._owner.unclaim(key)
-                self._refusals.refuse_resting(waiter.link, waiter.request)
-            case RunKey() if not self._refusals.take_permit():
+            case RunKey() if self._refusals.turn_away(waiter.link, waiter.request):
                 self._owner.unclaim(key)
-                self._refusals.refuse_limited(waiter.link, waiter.request)
             case RunKey():
                 self._waiters[key.text].append(waiter)
                 self._spawn(self._run_claimed, key, call)
--- a/src/piershore/agent/refusals.py
+++ b/src/piershore/agent/refusals.py
@@ -44,7 +44,7 @@
 
     def seconds_to_permit(self, waiting: int = 0) -> float:
         """Return when the rate allows one more request after some that wait."""
-        return self._rate.seconds_until(waiting, trio.current_time())
+        return self._rate.seconds_left(trio.current_time(), waiting)
 
     def refuse(
         self,
@@ -64,6 +64,16 @@
         )
         self._send(link, AgentFrame(refused=refused))
 
+    def turn_away(self, link: int, request: int) -> bool:
+        """Refuse a request unrun if the endpoint takes none now, else use a permit."""
+        if self.seconds_to_rest:
+            self.refuse_resting(link, request)
+            return True
+        if not self.take_permit():
+            self.refuse_limited(link, request)
+            return True
+        return False
+
     def refuse_resting(self, link: int, request: int) -> None:
         """Refuse a request unrun for as long as the endpoint asks for rest.
 
--- a/src/piershore/core/limits/endpoint_rate.py
+++ b/src/piershore/core/limits/endpoint_rate.py
@@ -42,18 +42,12 @@
             self._bucket.take()
         return True
 
-    def seconds_left(self, now: float) -> float:
-        """Return when the next request may be sent; 0 if that is now."""
+    def seconds_left(self, now: float, waiting: int = 0) -> float:
+        """Return when a request may be sent after some that wait; 0 if that is now."""
         if self._rate is None:
             return 0.0
         self._refill(now)
-        return self._bucket.seconds_left(self._rate)
-
-    def seconds_until(self, requests: int, now: float) -> float:
-        """Return when one more may be sent after some that wait."""
-        if self._rate is None:
-            return 0.0
-        return self.seconds_left(now) + requests / self._rate
+        return self._bucket.seconds_left(self._rate) + waiting / self._rate
 
     def _refill(self, now: float) -> None:
         burst = max(1.0, self._rate * BURST_SECONDS)
