A choice without limited endpoints looks for none

Each choice asked of all endpoints that it compared, for its log line, whether they are limited; with no limit known nothing is asked now. AskedRests.seconds_left had no caller left but a test, which asks left, with the same assertion. Behaviour stays.

--- a/src/piershore/core/fleet/asked_rests.py
+++ b/src/piershore/core/fleet/asked_rests.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
-from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.routing.rest import Rest
 
 
@@ -40,13 +37,6 @@
         rest = self._rests.get(identity)
         return rest.seconds_left(now) if rest else 0.0
 
-    def seconds_left(self, endpoints: Iterable[Endpoint], now: float) -> float | None:
-        """Return when the first of the endpoints has rested, if all of them rest."""
-        rests = [self._rests.get(endpoint.identity) for endpoint in endpoints]
-        if not rests or None in rests:
-            return None
-        return min(rest.seconds_left(now) for rest in rests) or None
-
     def forget_ended(self, now: float) -> None:
         """Drop the rests that are over."""
         ended = [i for i, rest in self._rests.items() if not rest.seconds_left(now)]
--- a/src/piershore/core/fleet/endpoint_rate_limits.py
+++ b/src/piershore/core/fleet/endpoint_rate_limits.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from math import inf
 
@@ -140,6 +140,11 @@
         """Tell whether this gateway may send one more request to an endpoint now."""
         return not self.seconds_until_free(endpoint, now)
 
+    def used_up(self, endpoints: Iterable[Endpoint], now: float) -> Iterator[str]:
+        """Yield those of the endpoints that may get nothing from this gateway now."""
+        if self._latest:
+            yield from (e.identity for e in endpoints if not self.may_send(e, now))
+
     def claim(self, endpoint: Endpoint, now: float) -> bool:
         """Count a request to an endpoint that is limited, if it may be sent."""
         if not self.is_limited(endpoint.identity):
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -213,13 +213,12 @@
         resting = [
             e.identity for e in compared if self._rests.is_resting(e.identity, now)
         ]
-        limited = [e.identity for e in compared if not self._limits.may_send(e, now)]
         return Choice(
             best,
             tuple(others),
             tuple(sorted(ejected)),
             tuple(sorted(resting)),
-            tuple(sorted(limited)),
+            tuple(sorted(self._limits.used_up(compared, now))),
             view_age,
         )
 
