--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -27,6 +27,9 @@
 """Gateways know of a crash so long after it."""
 LEAST_SERVED_SHARE = 0.25
 
+Place = tuple[str, int, str]
+"""A gateway, its life, and an endpoint."""
+
 
 def find_broken(fleet: Fleet, callers: Callers, troubles: Troubles) -> Iterator[str]:
     """Yield each promise that was broken, with its place."""
@@ -122,15 +125,21 @@
                     yield f"{standin.identity}: new work {late:.1f} s after it left"
 
 
+def _passed_on(calls: list[Call], header: str) -> dict[Place, float]:
+    """Return when each life of a gateway first passed on an endpoint's header."""
+    passed_on: dict[Place, float] = {}
+    for call in calls:
+        if call.is_whole and header in call.headers:
+            place = (call.gateway, call.life, call.headers["instance-id"])
+            passed_on[place] = min(call.ended_at, passed_on.get(place, call.ended_at))
+    return passed_on
+
+
 def _told_leaving(
     fleet: Fleet, calls: list[Call], known: dict[str, Call]
 ) -> Iterator[str]:
     """What a gateway has passed on with an endpoint's notice binds that gateway."""
-    told: dict[tuple[str, int, str], float] = {}
-    for call in calls:
-        if call.is_whole and LEAVES in call.headers:
-            place = (call.gateway, call.life, call.headers["instance-id"])
-            told[place] = min(call.ended_at, told.get(place, call.ended_at))
+    told = _passed_on(calls, LEAVES)
     disturbed = {g.name: g.undisturbed_since for g in fleet.gateways}
     for standin in fleet.standins():
         for arrival in standin.arrivals:
@@ -186,11 +195,7 @@
 
 def _rates(fleet: Fleet, calls: list[Call], known: dict[str, Call]) -> Iterator[str]:
     """Gateways that have passed a rate on send an endpoint no more than it takes."""
-    passed_on: dict[tuple[str, int, str], float] = {}
-    for call in calls:
-        if call.is_whole and RATE_LIMIT in call.headers:
-            place = (call.gateway, call.life, call.headers["instance-id"])
-            passed_on[place] = min(call.ended_at, passed_on.get(place, call.ended_at))
+    passed_on = _passed_on(calls, RATE_LIMIT)
     for endpoint in fleet.endpoints:
         for standin in (*endpoint.past, endpoint.standin):
             if not standin.named:
@@ -208,7 +213,7 @@
     fleet: Fleet,
     endpoint: SoakEndpoint,
     standin: PublishedEndpoint,
-    passed_on: dict[tuple[str, int, str], float],
+    passed_on: dict[Place, float],
     known: dict[str, Call],
 ) -> Iterator[float]:
     """Yield when requests came of undisturbed gateways that knew of the rate."""
