--- a/features/steps/own_rate_steps.py
+++ b/features/steps/own_rate_steps.py
@@ -5,22 +5,12 @@
 import trio
 from behave import then, when
 from hypothesis import strategies as st
-from own_rest_steps import LINK, OwnAgent, play
+from own_rest_steps import engine_sender, OwnAgent, play, service_sender
 from support.core_checks import checked
 
 from devtools.rate_window import allowed_requests, most_in_window, WINDOW_SECONDS
-from piershore.agent.call_runner import CallRunner
-from piershore.agent.endpoint_work import WorkContext
-from piershore.agent.generation_runner import GenerationRunner
-from piershore.core.admission.engine_queue import EngineQueue
-from piershore.core.configuration.config_view import ConfigView
-from piershore.core.configuration.objects import AdmissionSettings
 from piershore.core.limits.endpoint_rate import CROSSING_SECONDS, EndpointRate
 from piershore.core.outcome import Outcome
-from piershore.core.ownership.interval import Owner
-from piershore.endpoints.http_engine_client import HttpEngineClient
-from piershore.endpoints.http_service_client import HttpServiceClient
-from piershore.wire.link_pb2 import Call, Submit
 from standins.engine import EngineStandin
 from standins.engine_model import EngineSettings
 from standins.service import ServiceStandin
@@ -31,41 +21,6 @@
 LATER = 5
 
 
-def engine_sender(agent, nursery):
-    engine = HttpEngineClient(f"http://127.0.0.1:{agent.port}", 5.0)
-    queue = EngineQueue(AdmissionSettings())
-    runner = GenerationRunner(agent.settings, engine, queue, agent.send)
-    engine.listen(runner.record_rate)
-    nursery.start_soon(agent.standin.run)
-    nursery.start_soon(runner.run)
-
-    def send(number):
-        submit = Submit(request=number, prompt="length=3", max_tokens=3)
-        runner.submit(LINK, submit)
-
-    return send
-
-
-def service_sender(agent, nursery):
-    work = WorkContext(
-        owner=Owner("desk-1", "a"),
-        settings=agent.settings,
-        service=None,
-        store=None,
-        config=ConfigView(),
-        send=agent.send,
-        changed=lambda: None,
-    )
-    client = HttpServiceClient(f"http://127.0.0.1:{agent.port}")
-    runner = CallRunner(work, client)
-    runner._nursery = nursery
-
-    def send(number):
-        runner.call(LINK, Call(request=number, kind="look", body=b"{}"))
-
-    return send
-
-
 ENDPOINTS = {
     "a plain service": (ServiceStandin, service_sender),
     "an engine": (lambda: EngineStandin(EngineSettings(), 1.0), engine_sender),
--- a/features/steps/own_rest_steps.py
+++ b/features/steps/own_rest_steps.py
@@ -93,6 +93,41 @@
     trio.run(run)
 
 
+def engine_sender(agent, nursery):
+    engine = HttpEngineClient(f"http://127.0.0.1:{agent.port}", 5.0)
+    queue = EngineQueue(AdmissionSettings())
+    runner = GenerationRunner(agent.settings, engine, queue, agent.send)
+    engine.listen(runner.record_rate)
+    nursery.start_soon(agent.standin.run)
+    nursery.start_soon(runner.run)
+
+    def send(number):
+        submit = Submit(request=number, prompt="length=3", max_tokens=3)
+        runner.submit(LINK, submit)
+
+    return send
+
+
+def service_sender(agent, nursery):
+    work = WorkContext(
+        owner=Owner("desk-1", "a"),
+        settings=agent.settings,
+        service=None,
+        store=None,
+        config=ConfigView(),
+        send=agent.send,
+        changed=lambda: None,
+    )
+    client = HttpServiceClient(f"http://127.0.0.1:{agent.port}")
+    runner = CallRunner(work, client)
+    runner._nursery = nursery
+
+    def send(number):
+        runner.call(LINK, Call(request=number, kind="look", body=b"{}"))
+
+    return send
+
+
 async def send_around_rest(context, agent, send, served):
     """Send requests during a rest that the first one is told of, and one after it."""
     agent.standin.shedding.shed(SHED_SECONDS, REST_SECONDS)
@@ -114,16 +149,7 @@
 @when("an engine asks its agent for 1 s of rest under a generation, and more are sent")
 def rest_engine(context):
     async def script(agent, nursery):
-        engine = HttpEngineClient(f"http://127.0.0.1:{agent.port}", 5.0)
-        queue = EngineQueue(AdmissionSettings())
-        runner = GenerationRunner(agent.settings, engine, queue, agent.send)
-        nursery.start_soon(agent.standin.run)
-        nursery.start_soon(runner.run)
-
-        def send(number):
-            submit = Submit(request=number, prompt="length=3", max_tokens=3)
-            runner.submit(LINK, submit)
-
+        send = engine_sender(agent, nursery)
         await send_around_rest(context, agent, send, ("ended",))
 
     play(context, OwnAgent(EngineStandin(EngineSettings(), 1.0)), script)
@@ -132,22 +158,7 @@
 @when("a plain service asks its agent for 1 s of rest under a call, and more are sent")
 def rest_service(context):
     async def script(agent, nursery):
-        work = WorkContext(
-            owner=Owner("desk-1", "a"),
-            settings=agent.settings,
-            service=None,
-            store=None,
-            config=ConfigView(),
-            send=agent.send,
-            changed=lambda: None,
-        )
-        client = HttpServiceClient(f"http://127.0.0.1:{agent.port}")
-        runner = CallRunner(work, client)
-        runner._nursery = nursery
-
-        def send(number):
-            runner.call(LINK, Call(request=number, kind="look", body=b"{}"))
-
+        send = service_sender(agent, nursery)
         await send_around_rest(context, agent, send, ("answered",))
 
     play(context, OwnAgent(ServiceStandin()), script)
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -12,11 +12,11 @@
 from behave import then, when
 from hypothesis import strategies as st
 from notice_steps import SEEDS
-from rest_steps import LARGE_SIZE, send, SERVICES, standins_of
+from rest_steps import call_while, crash_under_stream, send, SERVICES, standins_of
 from support.core_checks import checked, fleet_of
 from support.gateway_states import known, state_of
 from support.placements import placement_over
-from support.stream_reading import Reading, wait_for_peers
+from support.stream_reading import wait_for_peers
 
 from devtools.bench.call_simulation import CallRun, CallSettings
 from devtools.rate_window import (
@@ -355,24 +355,7 @@
 
 @when("an endpoint turns out to be limited while a call to it connects")
 def limit_while_connecting(context):
-    async def script(world):
-        state = state_of(world)
-        take = state.pool.take
-        slow = []
-
-        async def take_slowly(endpoint, longest_idle):
-            connection = await take(endpoint, longest_idle)
-            if not slow:
-                slow.append(endpoint)
-                use_up(state, endpoint)
-            return connection
-
-        state.pool.take = take_slowly
-        context.reply = await world.call("once", request="abc")
-        context.resting = slow[0]
-        context.is_ejected = state.health.failure_rate(slow[0].identity) > 0
-
-    context.ingress.run(script)
+    call_while(context, use_up)
 
 
 def use_up(state, endpoint):
@@ -388,19 +371,10 @@
     " crashes"
 )
 def crash_before_limited(context):
-    async def script(world):
-        context.reading = Reading(world, 300, LARGE_SIZE)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(context.reading.read)
-            await context.reading.wait_events(120)
-            engine = context.reading.running_at()
-            backup = next(e for e in world.endpoints if e is not engine)
-            assert world.memory.copies, "the stream has no backup"
-            use_up(state_of(world), known(world, backup))
-            engine.crash()
-        context.backup = backup
+    def prepare(world, backup):
+        use_up(state_of(world), known(world, backup))
 
-    context.ingress.run(script)
+    crash_under_stream(context, prepare)
 
 
 @then("the limited engine gets nothing, and the stream ends not whole")
--- a/features/steps/rest_steps.py
+++ b/features/steps/rest_steps.py
@@ -107,7 +107,7 @@
     rests.note(endpoint.identity, 3.0, 10.0)
     rests.note(endpoint.identity, 1.0, 11.0)
     assert rests.is_resting(endpoint.identity, 12.9)
-    assert isclose(rests.seconds_left([endpoint], 12.0), 1.0)
+    assert isclose(rests.left(endpoint.identity, 12.0), 1.0)
     assert not rests.is_resting(endpoint.identity, 13.0)
     rests.note(endpoint.identity, 1.0, 13.5)
     rests.note(endpoint.identity, 3.0, 14.0)
@@ -195,8 +195,9 @@
     assert context.reply.status == 200, vars(context.reply)
 
 
-@when("an endpoint asks for rest while a call to it connects")
-def ask_while_connecting(context):
+def call_while(context, happens):
+    """Let something happen to the first endpoint while a call to it connects."""
+
     async def script(world):
         state = state_of(world)
         take = state.pool.take
@@ -206,7 +207,7 @@
             connection = await take(endpoint, longest_idle)
             if not slow:
                 slow.append(endpoint)
-                state.rests.note(endpoint.identity, 1.0, trio.current_time())
+                happens(state, endpoint)
             return connection
 
         state.pool.take = take_slowly
@@ -217,6 +218,14 @@
     context.ingress.run(script)
 
 
+@when("an endpoint asks for rest while a call to it connects")
+def ask_while_connecting(context):
+    def rest(state, endpoint):
+        state.rests.note(endpoint.identity, 1.0, trio.current_time())
+
+    call_while(context, rest)
+
+
 @then("the call is served elsewhere")
 def check_elsewhere(context):
     assert context.reply.status == 200, vars(context.reply)
@@ -252,27 +261,35 @@
     assert len(context.ingress.endpoints[0].arrivals) == 1
 
 
-@when(
-    "a caller reads a large stream, its backup has {rest:g} s to rest, and its engine"
-    " crashes"
-)
-def crash_before_resting(context, rest):
+def crash_under_stream(context, prepare):
+    """Crash the engine of a large stream after `prepare` is called with its backup."""
+
     async def script(world):
         context.reading = Reading(world, 300, LARGE_SIZE)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(context.reading.read)
             await context.reading.wait_events(120)
             engine = context.reading.running_at()
-            backup = next(e for e in world.endpoints if e is not engine)
+            context.backup = next(e for e in world.endpoints if e is not engine)
             assert world.memory.copies, "the stream has no backup"
-            let_rest(world, [backup], rest)
-            context.rest_ends = trio.current_time() + rest
+            prepare(world, context.backup)
             engine.crash()
-        context.backup = backup
 
     context.ingress.run(script)
 
 
+@when(
+    "a caller reads a large stream, its backup has {rest:g} s to rest, and its engine"
+    " crashes"
+)
+def crash_before_resting(context, rest):
+    def prepare(world, backup):
+        let_rest(world, [backup], rest)
+        context.rest_ends = trio.current_time() + rest
+
+    crash_under_stream(context, prepare)
+
+
 @then("the resting engine gets nothing within that time, and the stream ends {end}")
 def check_continued(context, end):
     assert all(a.at >= context.rest_ends for a in context.backup.arrivals)
