A rate of 0 tells callers when to come back

If all endpoints of a service take no requests at all, a gateway took itself for one before endpoints that rest: callers were told endpoints_resting, and, by reading, a gateway without a part in the one request of 10 s told them a time of infinity.

The rate by which places are given out is at least the one at which such endpoints are asked whether that is over, as for the choice itself; an unknown first place is one gap away. Red before: code endpoints_resting; after: endpoints_limited, within 30 s.

--- a/features/endpoint_rate_limits.feature
+++ b/features/endpoint_rate_limits.feature
@@ -74,6 +74,12 @@
       | the desk  |
       | the model |
 
+  # Callers were told that all endpoints rest, and no time where there is no part in 0.
+  Scenario: all endpoints take no requests at all, and a caller is told when to come back
+    Given 2 gateways before sound endpoints
+    When all endpoints of the desk name 0 requests a second, and a call comes to each gateway
+    Then each is refused with endpoints_limited, to come back within 30 s
+
   Scenario: a call waits for its connection when its endpoint names its rate
     Given 1 gateway before sound endpoints
     When an endpoint turns out to be limited while a call to it connects
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -338,6 +338,33 @@
     context.ingress.run(script)
 
 
+@when(
+    "all endpoints of the desk name 0 requests a second, and a call comes to each"
+    " gateway"
+)
+def take_nothing(context):
+    async def script(world):
+        await wait_for_peers(world)
+        for number in world.gateways:
+            state = state_of(world, number)
+            now = trio.current_time()
+            for standin in standins_of(world, "desk"):
+                endpoint = known(world, standin, number)
+                state.limits.record_answer(endpoint.identity, 0.0, now)
+                state.limits.claim(endpoint, now)
+        context.replies = [await world.call("once", number=n) for n in world.gateways]
+
+    context.ingress.run(script)
+
+
+@then("each is refused with {code}, to come back within {seconds:g} s")
+def check_come_back(context, code, seconds):
+    for reply in context.replies:
+        assert reply.status == 503, vars(reply)
+        assert f'"{code}"'.encode() in reply.body, reply.body
+        assert 0 < float(reply.headers["retry-after"]) <= seconds, reply.headers
+
+
 @then("some are served and the others refused within {seconds:g} s as unrun")
 def check_some_served(context, seconds):
     assert {reply.status for reply in context.replies} == {200, 503}
--- a/src/piershore/core/fleet/endpoint_rate_limits.py
+++ b/src/piershore/core/fleet/endpoint_rate_limits.py
@@ -179,7 +179,7 @@
         """Return this gateway's mean part of a limit, in requests a second."""
         share = self._shares.of(endpoint)
         gateways = share.gateways if share else len(self._shares)
-        return self.rate(endpoint.identity) / gateways
+        return max(self.rate(endpoint.identity), LOWEST_RATE) / gateways
 
     def part(self, endpoint: Endpoint) -> RateQuota | None:
         """Return this gateway's part of an endpoint's limit, if it has one."""
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -164,15 +164,12 @@
         endpoints = self._directory.of_service(service)
         return min((self.seconds_left(e, now) for e in endpoints), default=0) or None
 
-    def limited_rate(self, service: str, now: float) -> float:
-        """Return what this gateway may send a second to a service's endpoints that are
-        limited and don't rest.
-        """
+    def limited_rate(self, service: str) -> float:
+        """Return what this gateway may send a second to limited endpoints."""
         return sum(
             self._limits.own_rate(endpoint)
             for endpoint in self._directory.of_service(service)
             if self._limits.is_limited(endpoint.identity)
-            and not self._rests.is_resting(endpoint.identity, now)
         )
 
     def _able(
--- a/src/piershore/core/limits/return_schedule.py
+++ b/src/piershore/core/limits/return_schedule.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from math import isinf
+
 LONGEST_SECONDS = 30.0
 """Latest time that a caller is told: a rate rarely stays so low for longer."""
 
@@ -21,10 +23,11 @@
     def book(self, first: float, rate: float, now: float) -> float:
         """Return in how many seconds the next place is free that nobody was told of.
 
-        `first` is when the first place is free, and `rate` places a second follow.
+        `first` is when the first place is free, inf if that isn't known, and `rate`
+        places a second follow.
         """
-        gap = 1 / rate if rate > 0 else LONGEST_SECONDS
-        first = min(first, gap)
+        gap = 1 / rate
+        first = gap if isinf(first) else first
         place = min(max(now + first, self._last_place + gap), now + LONGEST_SECONDS)
         self._last_place = place
         return place - now
--- a/src/piershore/ingress/callers/final_refusal.py
+++ b/src/piershore/ingress/callers/final_refusal.py
@@ -48,7 +48,7 @@
     service = exchange.route.service_for(exchange.identity) or ""
     now = trio.current_time()
     left = state.placement.service_seconds_left(service, now)
-    rate = state.placement.limited_rate(service, now)
+    rate = state.placement.limited_rate(service)
     if left is not None and rate:
         return RequestRefusedError(
             status,
