--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -99,6 +99,14 @@
         self._membership_changed_at = float("-inf")
         self._apply_crash_reports: Callable[[tuple[CrashReport, ...]], None] = _ignore
         self._on_new_peer: Callable[[str], None] = _ignore
+        self._handlers: dict[bytes, Callable[[bytes], None]] = {}
+
+    def add_handler(self, prefix: bytes, apply: Callable[[bytes], None]) -> None:
+        """Set the callback for datagrams whose first byte is `prefix`.
+
+        It raises `InvalidReportError` if it can't decode one.
+        """
+        self._handlers[prefix] = apply
 
     def set_crash_handlers(
         self,
@@ -134,7 +142,10 @@
                 continue
 
     def _apply_datagram(self, data: bytes) -> None:
-        if holds_crash_reports(data):
+        handler = self._handlers.get(data[:1])
+        if handler is not None:
+            handler(data)
+        elif holds_crash_reports(data):
             self._apply_crash_reports(decode_reports(data))
         elif LoadUpdate.is_load_update(data):
             self._apply_load_update(LoadUpdate.decode(data))
