Numbers from outside: checked before they are used

A `cold_remaining_ms` of 1,024 bits made decode_endpoint raise OverflowError (isfinite of an integer that no float holds), as features/foreign_entries.feature showed once (KNOWN-RED). The error has no code, so it would have stopped the follower of the list.

The same holds for other numbers that processes, callers and operators write: - integers of the configuration beyond a float, NaN, infinities, negative ones, booleans and texts were taken as numbers or raised TypeError; - texts and negative numbers in peers' reports and load updates were accepted; - a length hint of 1e999 raised OverflowError, a deadline of "²" or of 5,000 digits ValueError; token counts could be negative or so large that peers would reject the reports of the gateway that accepted them; - the settings of gateways and agents accepted NaN, infinite and negative times, the settings file also infinite ones.

core/numbers.py checks them; each decoder raises its coded error. Integers may still be written as 2.0. An answer of the store with a number that JSON encoders can't write keeps its other entries.

--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 from support.core_checks import check_coded_errors, checked
+from support.endpoint_entries import VALID_ENTRY
 from support.ingress_world import IngressWorld
 from support.stream_reading import IN_FORCE_SECONDS
 
@@ -20,17 +21,6 @@
 from piershore.platform.exceptions import InvalidObjectError
 from standins import published_store
 
-VALID_ENTRY = {
-    "service": "desk",
-    "address": "127.0.0.1:9",
-    "zone": "ikeja",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "cold_remaining_ms": 0,
-    "sequence": 1,
-    "born": 1_700_000_000_000,
-}
 MISSING = object()
 SCALARS = (
     st.none()
--- a/src/piershore/core/configuration/checked.py
+++ b/src/piershore/core/configuration/checked.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field, fields, is_dataclass
 from typing import Any, get_args, get_type_hints
 
+from piershore.core.numbers import MAX_NUMBER
+
 CHECK = "check"
 
 Check = Callable[[Any], None]
@@ -66,9 +68,15 @@
 
 
 def positive(value: float) -> None:
-    """Reject a number that isn't above 0."""
-    if value <= 0:
-        raise ValueError("must be above 0")
+    """Reject a number that isn't above 0, or too large for any quantity."""
+    if not 0 < value <= MAX_NUMBER:
+        raise ValueError(f"must be above 0 and at most {MAX_NUMBER:g}")
+
+
+def not_negative(value: float) -> None:
+    """Reject a number below 0, or too large for any quantity."""
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"must lie between 0 and {MAX_NUMBER:g}")
 
 
 def share(value: float) -> None:
--- a/src/piershore/core/documents/chunks_reply.py
+++ b/src/piershore/core/documents/chunks_reply.py
@@ -13,6 +13,7 @@
 from piershore.core.documents.document import Document, DocumentChunk
 from piershore.core.documents.exceptions import InvalidChunksError
 from piershore.core.fleet.store_revision import StoreRevision
+from piershore.core.numbers import checked_integer
 
 TARGET_REPLY_BYTES = 131_072
 """Size of the chunks in one reply before compression, some 15 KB of routes after it:
@@ -47,7 +48,7 @@
             head, *lines = decompress(data).split(LINE_END)
             revision, digests = orjson.loads(head)
             return cls(
-                StoreRevision(revision),
+                StoreRevision(checked_integer(revision)),
                 tuple(map(str, digests)),
                 tuple(map(DocumentChunk.of, lines)),
             )
--- a/src/piershore/core/fleet/endpoint.py
+++ b/src/piershore/core/fleet/endpoint.py
@@ -6,6 +6,16 @@
 from enum import StrEnum
 from functools import cached_property
 
+MAX_PORT = 65_535
+
+
+def parse_port(text: str) -> int:
+    """Parse a port, also 0; raise ValueError if the text isn't one."""
+    is_decimal = text.isascii() and text.isdigit()
+    if not is_decimal or int(text) > MAX_PORT:
+        raise ValueError(f"{text!r} is not a port")
+    return int(text)
+
 
 class EndpointStage(StrEnum):
     """Whether an endpoint takes new work."""
@@ -30,7 +40,7 @@
         host, separator, port = text.rpartition(":")
         if not separator or not host:
             raise ValueError(f"{text!r} is not HOST:PORT")
-        return cls(host, int(port))
+        return cls(host, parse_port(port))
 
 
 @dataclass(frozen=True)
--- a/src/piershore/core/fleet/load_update.py
+++ b/src/piershore/core/fleet/load_update.py
@@ -8,6 +8,7 @@
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.peer_report import InvalidReportError
+from piershore.core.numbers import checked_integer
 
 LOAD_UPDATE_PREFIX = b"+"
 """First byte of a load update; reports start with a bracket."""
@@ -55,11 +56,11 @@
             host, incarnation, number, endpoint, *load = orjson.loads(
                 data[len(LOAD_UPDATE_PREFIX) :]
             )
-            requests, held, projected, pending_prompt = map(int, load)
+            requests, held, projected, pending_prompt = map(checked_integer, load)
             return cls(
                 str(host),
                 str(incarnation),
-                int(number),
+                checked_integer(number),
                 str(endpoint),
                 EndpointLoad(requests, held, projected, pending_prompt),
             )
--- a/src/piershore/core/fleet/peer_report.py
+++ b/src/piershore/core/fleet/peer_report.py
@@ -15,13 +15,12 @@
 from piershore.core.fleet.shared_failures import OutcomeCounts
 from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.fleet.store_silence import StoreLiveness
+from piershore.core.numbers import checked_integer, checked_number
 from piershore.errors import PiershoreError
 
 SCALAR_FIELD_COUNT = 12
 """Number of scalar fields at the start of a report."""
 STREAM_FLAG_COUNT = 2
-MAX_AMOUNT = 1e12
-"""Upper bound of numbers in a report: above any sum over generations and any time."""
 AGE_DIGITS = 3
 """Decimal places of the ages of answers; enough to order the answers."""
 SUM_DIGITS = 2
@@ -191,7 +190,7 @@
             members, loads, leaving, departed, outcomes = fields[SCALAR_FIELD_COUNT:-4]
             cold, drained, lengths, rate_limits = fields[-4:]
             host, data_hall, incarnation, *numbers = fields[:SCALAR_FIELD_COUNT]
-            number, version, revision, fingerprint = map(int, numbers[:4])
+            number, version, revision, fingerprint = map(checked_integer, numbers[:4])
             return cls(
                 str(host),
                 str(data_hall),
@@ -202,10 +201,10 @@
                 fingerprint,
                 bool(numbers[4]),
                 bool(numbers[5]),
-                StoreLiveness(float(numbers[6]), bool(numbers[7])),
-                float(numbers[8]),
+                StoreLiveness(checked_number(numbers[6]), bool(numbers[7])),
+                checked_number(numbers[8]),
                 tuple(map(str, members)),
-                {k: EndpointLoad(*map(int, v)) for k, v in loads.items()},
+                {k: EndpointLoad(*map(checked_integer, v)) for k, v in loads.items()},
                 {
                     k: tuple(map(_decode_stream, streams))
                     for k, streams in leaving.items()
@@ -213,10 +212,13 @@
                 tuple(
                     DepartureReport(str(i), *map(bool, flags)) for i, *flags in departed
                 ),
-                {k: OutcomeCounts(*map(int, v)) for k, v in outcomes.items()},
-                {k: _decode_amount(v) for k, v in cold.items()},
+                {
+                    k: OutcomeCounts(*map(checked_integer, v))
+                    for k, v in outcomes.items()
+                },
+                {k: checked_number(v) for k, v in cold.items()},
                 None if drained is None else _decode_drained(drained),
-                {k: LengthSums(*map(_decode_amount, v)) for k, v in lengths.items()},
+                {k: LengthSums(*map(checked_number, v)) for k, v in lengths.items()},
                 {k: _decode_rate_report(*v) for k, v in rate_limits.items()},
             )
         except (
@@ -233,14 +235,7 @@
     request, held_tokens, *flags = fields
     if len(flags) != STREAM_FLAG_COUNT:
         raise ValueError("a stream has the wrong number of flags")
-    return StreamReport(str(request), int(held_tokens), *map(bool, flags))
-
-
-def _decode_amount(value: object) -> float:
-    amount = float(value)
-    if not 0 <= amount < MAX_AMOUNT:
-        raise ValueError(f"{value!r} is not a valid amount")
-    return amount
+    return StreamReport(str(request), checked_integer(held_tokens), *map(bool, flags))
 
 
 def _encode_rate(rate: float) -> float | None:
@@ -249,7 +244,7 @@
 
 def _decode_rate_report(rate: object, age: object) -> RateReport:
     return RateReport(
-        UNLIMITED if rate is None else _decode_amount(rate), _decode_amount(age)
+        UNLIMITED if rate is None else checked_number(rate), checked_number(age)
     )
 
 
@@ -263,4 +258,6 @@
 
 def _decode_drained(fields: list) -> DrainedHalls:
     revision, data_halls = fields
-    return DrainedHalls(StoreRevision(revision), frozenset(map(str, data_halls)))
+    return DrainedHalls(
+        StoreRevision(checked_integer(revision)), frozenset(map(str, data_halls))
+    )
--- a/src/piershore/core/fleet/store_revision.py
+++ b/src/piershore/core/fleet/store_revision.py
@@ -6,6 +6,7 @@
 MAX_ERA = 2 ** (63 - NUMBER_BITS) - 1
 """Era and revision together fit a signed 64-bit integer, as codecs need. At 1,000
 changes a second the revision numbers of one era last for 34 years."""
+MAX_REVISION_NUMBER = 2**NUMBER_BITS - 1
 
 
 class StoreRevision(int):
--- a/src/piershore/core/ownership/slot_owner.py
+++ b/src/piershore/core/ownership/slot_owner.py
@@ -16,6 +16,12 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, replace
 
+from piershore.core.configuration.checked import (
+    check_fields,
+    checked,
+    not_negative,
+    positive,
+)
 from piershore.core.fleet.store_revision import era_of
 from piershore.core.hashing import stable_hash
 from piershore.core.outcome import Outcome
@@ -44,11 +50,14 @@
     is restored from an older copy: the only case in which safety depends on clocks.
     """
 
-    lease_length: int = 10_000
-    takeover_grace: int = 1_000
-    retention: int = 600_000
-    answers_kept: int = 10_000
-    clock_allowance: int = 5_000
+    lease_length: int = checked(positive, default=10_000)
+    takeover_grace: int = checked(not_negative, default=1_000)
+    retention: int = checked(not_negative, default=600_000)
+    answers_kept: int = checked(not_negative, default=10_000)
+    clock_allowance: int = checked(not_negative, default=5_000)
+
+    def __post_init__(self) -> None:
+        check_fields(self)
 
 
 class SlotOwner:
--- a/src/piershore/core/quarantine/crash_report.py
+++ b/src/piershore/core/quarantine/crash_report.py
@@ -8,6 +8,7 @@
 import orjson
 
 from piershore.core.fleet.peer_report import InvalidReportError
+from piershore.core.numbers import checked_integer
 
 PREFIX = b"!"
 """First byte of a datagram with crash reports; peer reports begin with a bracket, load
@@ -55,9 +56,9 @@
 
 
 def _report(content: object, crashed: object, cleared: object, probes: object):
-    if not isinstance(probes, int) or probes < 0:
-        raise ValueError("probes must be a count")
-    return CrashReport(_name(content), _names(crashed), _names(cleared), probes)
+    return CrashReport(
+        _name(content), _names(crashed), _names(cleared), checked_integer(probes)
+    )
 
 
 def _names(value: object) -> frozenset[str]:
--- a/src/piershore/ingress/peers/endpoint_document.py
+++ b/src/piershore/ingress/peers/endpoint_document.py
@@ -8,6 +8,7 @@
 from piershore.core.documents.splitting import join, split
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
+from piershore.core.numbers import checked_integer
 
 FIELD = "endpoints"
 
@@ -44,9 +45,9 @@
             service,
             Address.parse(address),
             data_hall,
-            slots,
+            checked_integer(slots),
             EndpointStage(stage),
-            born,
+            checked_integer(born),
         )
 
 
--- a/src/piershore/platform/box_settings_file.py
+++ b/src/piershore/platform/box_settings_file.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 from piershore.core.attempts.retry_budget import RetryLimits
-from piershore.core.fleet.endpoint import Address
+from piershore.core.fleet.endpoint import Address, parse_port
+from piershore.core.numbers import checked_number
 from piershore.platform.settings_lines import (
     CALLERS_ADDRESS,
     PATH_VARIABLE,
@@ -90,9 +91,9 @@
         if not value:
             return default
         try:
-            return float(value)
+            return checked_number(float(value))
         except ValueError:
-            self._add_finding(name, f"{value!r} is not a number")
+            self._add_finding(name, f"{value!r} is not a valid number")
             return default
 
     def milliseconds(self, name: str, default: float) -> float:
@@ -120,11 +121,12 @@
         return tuple(parsed)
 
     def ports(self, name: str) -> tuple[int, int]:
-        first, _, last = self.text(name).partition(",")
-        if first.isdigit() and last.isdigit():
-            return int(first), int(last)
-        self._add_finding(name, "is not FIRST,LAST")
-        return 0, 0
+        try:
+            first, last = map(parse_port, self.text(name).split(","))
+        except ValueError:
+            self._add_finding(name, "is not FIRST,LAST")
+            return 0, 0
+        return first, last
 
     def _add_finding(self, name: str, message: str) -> None:
         self.findings.append(_finding(self._file, name, message))
--- a/src/piershore/platform/endpoint_codec.py
+++ b/src/piershore/platform/endpoint_codec.py
@@ -8,13 +8,12 @@
 
 from collections.abc import Mapping
 from ipaddress import IPv4Address
-from math import isfinite
 
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
+from piershore.core.numbers import checked_number
 from piershore.platform.exceptions import InvalidObjectError
 
 STAGES = {"ready": EndpointStage.READY, "draining": EndpointStage.LEAVING}
-MAX_PORT = 65_535
 MAX_SLOTS = 100_000
 """Far more than the batch size of any engine."""
 MAX_SEQUENCE = 2**63
@@ -68,7 +67,7 @@
             IPv4Address(address.host)
         except ValueError as error:
             raise self._found(field, str(error)) from error
-        if not 0 < address.port <= MAX_PORT:
+        if not address.port:
             raise self._found(field, "has no valid port")
         return address
 
@@ -82,11 +81,10 @@
 
     def milliseconds(self, field: str) -> float:
         """Convert a duration in milliseconds to seconds."""
-        value = self._spec.get(field)
-        if type(value) not in (int, float) or not isfinite(value):
-            raise self._found(field, "is not a number")
-        if not 0 <= value <= MAX_COLD_MILLISECONDS:
-            raise self._found(field, "is not a plausible duration")
+        try:
+            value = checked_number(self._spec.get(field), MAX_COLD_MILLISECONDS)
+        except ValueError as error:
+            raise self._found(field, "is not a plausible duration") from error
         return value / 1_000
 
     def stage(self, field: str) -> EndpointStage:
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -104,9 +104,11 @@
     """
     if not isinstance(spec, Mapping):
         raise InvalidObjectError("the configuration is not an object")
-    return Document(
-        revision, tuple([chunk async for chunk in with_checkpoints(split(spec))])
-    )
+    try:
+        chunks = [chunk async for chunk in with_checkpoints(split(spec))]
+    except orjson.JSONEncodeError as error:
+        raise InvalidObjectError(f"the configuration is invalid: {error}") from error
+    return Document(revision, tuple(chunks))
 
 
 class StoredDrainFeed(_StoredFeed, DrainFeed):
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -8,6 +8,7 @@
 from piershore.core.fleet.endpoint_notice import EndpointNotice, NO_NOTICE
 from piershore.core.fleet.endpoint_rate_limits import UNLIMITED
 from piershore.core.fleet.generation_work import GenerationSize
+from piershore.core.numbers import checked_integer
 from piershore.http1.exceptions import BadRequestError
 from piershore.http1.message import (
     end_to_end_headers,
@@ -74,6 +75,9 @@
 
 MISDIRECTED = 421
 MAX_DEADLINE_MILLISECONDS = 10**9
+MAX_TOKENS = 10**9
+"""Far more than any engine's memory; the sums of all gateways' work stay below the
+bound of numbers in reports."""
 
 
 class PlatformDialect(RequestDialect):
@@ -183,12 +187,12 @@
 def _time_left(value: bytes | None) -> float | None:
     if value is None:
         return None
-    text = value.decode("latin-1").strip()
-    if not text.isdigit() or int(text) > MAX_DEADLINE_MILLISECONDS:
+    try:
+        return _count(value, MAX_DEADLINE_MILLISECONDS) / 1_000
+    except ValueError as error:
         raise BadRequestError(
             HTTPStatus.BAD_REQUEST, "invalid_deadline", "the deadline is no number"
-        )
-    return int(text) / 1_000
+        ) from error
 
 
 def _key(value: bytes | None) -> str | None:
@@ -203,11 +207,24 @@
     if counts is None:
         return None
     try:
-        prompt, max_tokens = (int(word) for word in counts.split(b","))
+        prompt, max_tokens = (_count(w, MAX_TOKENS) for w in counts.split(b","))
         hint = head.header(LENGTH_HINT)
-        hinted = None if hint is None else int(float(hint))
+        hinted = None if hint is None else _hinted_tokens(hint)
     except ValueError as error:
         raise BadRequestError(
             HTTPStatus.BAD_REQUEST, "invalid_token_counts", "token counts are faulty"
         ) from error
     return GenerationSize(prompt, max_tokens, hinted)
+
+
+def _count(text: bytes, maximum: int) -> int:
+    """Parse a count of at most `maximum`; raise ValueError."""
+    digits = text.strip()
+    if not digits.isdigit():
+        raise ValueError("not a decimal number")
+    return checked_integer(int(digits), maximum)
+
+
+def _hinted_tokens(text: bytes) -> int:
+    """Return a hint within the range of counts; raise ValueError if it isn't one."""
+    return int(min(max(0.0, float(text)), MAX_TOKENS))
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from math import isfinite
 from typing import Any
 from urllib.parse import quote
 
@@ -14,7 +15,7 @@
 
 from piershore.core.fleet.endpoint import Address
 from piershore.core.fleet.store_era import StoreEra
-from piershore.core.fleet.store_revision import StoreRevision
+from piershore.core.fleet.store_revision import MAX_REVISION_NUMBER, StoreRevision
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
@@ -36,6 +37,8 @@
 STALL_TIMEOUT_SECONDS = 1.5
 """An answer is abandoned if no bytes arrive for this long. Its total time is not
 limited: with such a limit, an object of 0.8 MB never arrived over a 5 Mbit/s link."""
+MAX_INTEGER_CHARACTERS = 19
+"""Characters of an integer that fits 64 bits, with or without a sign."""
 ANSWERING_STATUSES = frozenset(
     {
         HTTPStatus.OK,
@@ -304,18 +307,33 @@
 def _decode_json(data: bytes) -> Any:
     """Decode JSON, replacing bytes that are not valid UTF-8.
 
-    Only the string with such bytes is affected: one invalid entry, which any process
-    may write, must not make the whole list of endpoints unreadable.
+    Numbers that JSON can't represent, or that are too large, become texts, which no
+    decoder accepts as numbers. Only such values are affected: one invalid entry, which
+    any process may write, must not make the whole list of endpoints unreadable.
     """
     try:
         return orjson.loads(data)
     except orjson.JSONDecodeError:
         try:
-            return json.loads(data.decode("utf-8", "replace"))
+            return json.loads(
+                data.decode("utf-8", "replace"),
+                parse_int=_decode_integer,
+                parse_float=_decode_float,
+                parse_constant=str,
+            )
         except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError("the store's answer is not JSON") from error
 
 
+def _decode_integer(text: str) -> int | str:
+    return int(text) if len(text) <= MAX_INTEGER_CHARACTERS else text
+
+
+def _decode_float(text: str) -> float | str:
+    value = float(text)
+    return value if isfinite(value) else text
+
+
 def _entries(body: Mapping, field: str) -> list:
     entries = body.get(field)
     if not isinstance(entries, list):
@@ -324,11 +342,15 @@
 
 
 def _revision(value: Any) -> int:
-    if type(value) is not int:
+    if not _is_revision(value):
         raise PlatformUnavailableError("the store's answer has no revision")
     return value
 
 
+def _is_revision(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_REVISION_NUMBER
+
+
 def _object(item: Any) -> PlatformObject:
     """Decode an object; raise `PlatformUnavailableError` if it has no name."""
     for found in _objects((item,)):
@@ -343,7 +365,7 @@
         name = metadata.get("name") if isinstance(metadata, Mapping) else None
         if isinstance(name, str):
             revision = metadata.get("revision")
-            known = revision if type(revision) is int else 0
+            known = revision if _is_revision(revision) else 0
             yield PlatformObject(name, item.get("spec"), known)
 
 
--- a/src/piershore/platform/routing_codec.py
+++ b/src/piershore/platform/routing_codec.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import TypeVar
 
+from piershore.core.numbers import checked_integer, checked_number
 from piershore.core.routes.client_limits import ClientLimits
 from piershore.core.routes.partial_configuration import (
     merge_partial_configurations,
@@ -36,7 +37,7 @@
         version = fields.get("version")
         limits = fields.get("limits")
         return PartialConfiguration(
-            version=None if version is None else int(version),
+            version=None if version is None else checked_integer(version),
             routes=_decode_list(fields, "routes", _route),
             services=_decode_list(fields, "services", _service),
             accounts_by_key=dict(_accounts(fields.get("tenants") or ())),
@@ -74,10 +75,10 @@
         path_start=item["path_prefix"],
         kind=KINDS.get(item.get("kind"), RequestKind.ONCE),
         shares=tuple(_shares(item)),
-        timeout=float(item["timeout_ms"]) / 1_000,
-        target_latency=float(item.get("target_latency_ms") or 1_000) / 1_000,
-        priority=int(item.get("priority", DEFAULT_PRIORITY)),
-        max_attempts=max(1, int(item.get("max_attempts") or 1)),
+        timeout=checked_number(item["timeout_ms"]) / 1_000,
+        target_latency=checked_number(item.get("target_latency_ms") or 1_000) / 1_000,
+        priority=checked_integer(item.get("priority", DEFAULT_PRIORITY)),
+        max_attempts=max(1, checked_integer(item.get("max_attempts") or 1)),
         is_public=bool(item.get("public")),
         is_resumable=bool(item.get("stream_resume")),
     )
@@ -89,25 +90,25 @@
         yield ServiceShare(item["service"], 1.0)
         return
     for share in weighted:
-        yield ServiceShare(share["service"], float(share["weight"]))
+        yield ServiceShare(share["service"], checked_number(share["weight"]))
 
 
 def _service(item: Mapping) -> ServiceSpec:
-    engine = item.get("engine")
+    engine, cold_rate = item.get("engine"), item.get("cold_per_s")
     return ServiceSpec(
         name=item["name"],
         engine=_engine(engine) if engine else None,
-        cold_start_seconds=float(item.get("cold_start_s") or 0.0),
-        cold_rate=float(item["cold_per_s"]) if item.get("cold_per_s") else None,
+        cold_start_seconds=checked_number(item.get("cold_start_s") or 0.0),
+        cold_rate=checked_number(cold_rate) if cold_rate else None,
     )
 
 
 def _engine(item: Mapping) -> EngineSpec:
-    bits = float(item.get("link_mbps") or 1_000.0) * BITS_PER_MEGABIT
+    bits = checked_number(item.get("link_mbps") or 1_000.0) * BITS_PER_MEGABIT
     return EngineSpec(
-        slots=int(item["slots"]),
-        memory_tokens=int(item["kv_capacity_tokens"]),
-        token_bytes=float(item.get("kv_token_bytes") or 0),
+        slots=checked_integer(item["slots"]),
+        memory_tokens=checked_integer(item["kv_capacity_tokens"]),
+        token_bytes=checked_number(item.get("kv_token_bytes") or 0),
         link_bytes_per_second=bits / BITS_PER_BYTE,
         can_move=bool(item.get("moves")),
         can_back_up=bool(item.get("backups")),
@@ -118,7 +119,7 @@
     for tenant in tenants:
         priority = tenant.get("priority")
         account = AccountRef(
-            tenant["name"], None if priority is None else int(priority)
+            tenant["name"], None if priority is None else checked_integer(priority)
         )
         for key in tenant.get("api_keys") or ():
             yield key, account
@@ -127,12 +128,14 @@
 def _limits(item: Mapping) -> ClientLimits:
     default = ClientLimits()
     return ClientLimits(
-        header_bytes=int(item.get("max_header_bytes") or default.header_bytes),
-        body_bytes=int(item.get("max_body_bytes") or default.body_bytes),
+        header_bytes=checked_integer(
+            item.get("max_header_bytes") or default.header_bytes
+        ),
+        body_bytes=checked_integer(item.get("max_body_bytes") or default.body_bytes),
         header_timeout=_seconds(item.get("header_timeout_ms"), default.header_timeout),
         idle_timeout=_seconds(item.get("idle_timeout_ms"), default.idle_timeout),
     )
 
 
 def _seconds(milliseconds: float | None, default: float) -> float:
-    return float(milliseconds) / 1_000 if milliseconds else default
+    return checked_number(milliseconds) / 1_000 if milliseconds else default
--- a/src/piershore/settings/process_settings.py
+++ b/src/piershore/settings/process_settings.py
@@ -9,6 +9,7 @@
     address,
     check_fields,
     checked,
+    not_negative,
     positive,
     share,
 )
@@ -28,9 +29,12 @@
 class RequestSizeLimits:
     """Maximum sizes in callers' requests, in bytes."""
 
-    body_bytes: int = 1_024 * KIBIBYTE
-    header_bytes: int = 16 * KIBIBYTE
-    field_bytes: int = 512 * KIBIBYTE
+    body_bytes: int = checked(positive, default=1_024 * KIBIBYTE)
+    header_bytes: int = checked(positive, default=16 * KIBIBYTE)
+    field_bytes: int = checked(positive, default=512 * KIBIBYTE)
+
+    def __post_init__(self) -> None:
+        check_fields(self)
 
 
 @dataclass(frozen=True)
@@ -52,9 +56,9 @@
     retry_share: float = checked(share, default=0.1)
     endpoint_choice: str = "least_work_of_two"
     aperture: int = checked(positive, default=32)
-    request_timeout: float = 600.0
-    leave_notice: float = 1.0
-    box_list_period: float = 2.0
+    request_timeout: float = checked(positive, default=600.0)
+    leave_notice: float = checked(not_negative, default=1.0)
+    box_list_period: float = checked(positive, default=2.0)
     log_format: LogFormat = LogFormat.KEY_VALUE
 
     def __post_init__(self) -> None:
@@ -75,10 +79,10 @@
     endpoint_url: str
     metrics_listen: str | None = checked(address, default=None)
     advertise: str | None = checked(address, default=None)
-    retained_tokens: int = 65_536
-    resume_grace: float = 30.0
-    flush_interval: float = 0.01
-    stall_timeout: float = 5.0
+    retained_tokens: int = checked(not_negative, default=65_536)
+    resume_grace: float = checked(not_negative, default=30.0)
+    flush_interval: float = checked(not_negative, default=0.01)
+    stall_timeout: float = checked(positive, default=5.0)
     ownership: OwnershipSettings = field(default_factory=OwnershipSettings)
     log_format: LogFormat = LogFormat.KEY_VALUE
 
