Placement in time where a service's endpoints differ in speed

Cause: endpoints of one service differ by a factor of 2.7 in speed, and placement compared shares of memory and batch only: long streams at the slow third paused for longer than their route allows.

Change: each gateway learns an endpoint's own time per token from its streams' gaps, shares it with the peers that choose from the endpoint, and weighs the expected first part, the risk of a long pause and what a new prompt does to the streams that run there. The fleet experiment has engines that differ and have moments of slowness.

--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -11,7 +11,13 @@
 from tabulate import tabulate
 
 from devtools.bench.fleet_plot import plot_fleet
-from devtools.bench.fleet_settings import FleetSettings, SHIFTED_WORK
+from devtools.bench.fleet_settings import (
+    FleetSettings,
+    PAUSE_AIM_SECONDS,
+    SHIFTED_WORK,
+    UNEVEN,
+    UNEVEN_WORK,
+)
 from devtools.bench.fleet_simulation import FleetRun
 from devtools.bench.simulated_fleet import FleetStream
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
@@ -22,7 +28,6 @@
 SECONDS = 120.0
 FIRST_AIM_SECONDS = 1.8
 SHORT_AIM_SECONDS = 1.5
-PAUSE_AIM_SECONDS = 0.18
 FRESH = FleetSettings("projected_peak", SECONDS)
 STARTS_AN_ENGINE = 0.9
 """Generations a second at an engine of the users' large fleet: a third of what it could
@@ -92,6 +97,48 @@
         ("mean, waits", {"waits": True}),
     )
 }
+UNEVEN_FLEET = replace(
+    FRESH,
+    gateways=27,
+    engines=25,
+    rate=25.0,
+    report_interval=report_interval(26),
+    refuses=True,
+    waits=True,
+    work=UNEVEN_WORK,
+    speeds=UNEVEN,
+    event_tokens=4,
+)
+SITUATIONS |= {
+    f"{name}, {way}": replace(settings, learns_speeds=learns)
+    for name, settings in (
+        (
+            "uneven, 6 gateways, 9 engines",
+            replace(UNEVEN_FLEET, gateways=6, engines=9, rate=9.0, report_interval=0.1),
+        ),
+        ("uneven, 27 gateways, 25 engines", UNEVEN_FLEET),
+        (
+            "uneven, 27, 4 of 25 leave each 3.3 s",
+            replace(UNEVEN_FLEET, reclaim_every=0.82),
+        ),
+        (
+            "uneven, 27, views 1 s old",
+            replace(UNEVEN_FLEET, report_interval=2.0, tells_starts=False),
+        ),
+        ("uneven, 27, 1.4 times the load", replace(UNEVEN_FLEET, rate=35.0)),
+        (
+            "uneven, 68 gateways, 31 engines",
+            replace(
+                UNEVEN_FLEET,
+                gateways=68,
+                engines=31,
+                rate=31.0,
+                report_interval=report_interval(67),
+            ),
+        ),
+    )
+    for way, learns in (("speeds unknown", False), ("speeds learned", True))
+}
 LARGEST = many(410, 2_300, 4.0)
 MINUTES_LONG = {
     "410 gateways, 2300 engines": LARGEST,
--- a/devtools/bench/fleet_settings.py
+++ b/devtools/bench/fleet_settings.py
@@ -31,6 +31,8 @@
 prompts read piece by piece between the tokens of others."""
 NETWORK_SECONDS = 0.001
 FIRST_AIM_SECONDS = 1.8
+PAUSE_AIM_SECONDS = 0.18
+SPEED_REPORT_SECONDS = 0.25
 BACKUP_DELAY_SECONDS = 0.8
 """A backup is complete so long after the first token."""
 REPLACED_AFTER_SECONDS = 4.0
@@ -78,6 +80,34 @@
 """The same customer's some months on, with lengths as they were logged."""
 
 
+UNEVEN_WORK = WorkMix(
+    long_share=0.47,
+    long_median=744,
+    long_most=2_216,
+    length_spread=0.3,
+    memory_tokens=26_948,
+)
+"""Long reports and short verdicts of a customer whose engines differ in speed."""
+
+
+@dataclass(frozen=True)
+class EngineSpeeds:
+    """How engines of one fleet differ; times in seconds.
+
+    Engines have the `factors` in turn. Each is `slow_factor` times slower for moments
+    of about `slow_seconds`, which make up `slow_share` of the time.
+    """
+
+    factors: tuple[float, ...] = (1.0,)
+    slow_factor: float = 1.0
+    slow_share: float = 0.15
+    slow_seconds: float = 0.6
+
+
+EVEN = EngineSpeeds()
+UNEVEN = EngineSpeeds(factors=(0.6, 1.0, 1.6), slow_factor=2.5)
+
+
 @dataclass(frozen=True)
 class FleetSettings:
     """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
@@ -88,6 +118,8 @@
     `reclaim_every`, `reclaim_count` engines are told to leave and are gone after
     `notice`; a notice of 0 is a crash. A generation for which no engine has memory is
     refused at once if `refuses`, or after it has waited a moment if it also `waits`.
+    Engines differ by `speeds`, which gateways learn and share if `learns_speeds`; an
+    event of a stream has `event_tokens`.
     """
 
     policy: str
@@ -107,6 +139,9 @@
     reclaim_count: int = 1
     notice: float = 1.8
     callers_a_gateway: float = 0.0
+    speeds: EngineSpeeds = EVEN
+    learns_speeds: bool = False
+    event_tokens: int = 1
 
     def lasting(self, seconds: float) -> FleetSettings:
         """Return the same run for another time."""
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -16,11 +16,13 @@
     FleetSettings,
     GUESS_SPREAD,
     NETWORK_SECONDS,
+    PAUSE_AIM_SECONDS,
     PROMPT_MEDIAN,
     REPLACED_AFTER_SECONDS,
     SERVICE,
     SHORT_MEDIAN,
     SHORT_MOST,
+    SPEED_REPORT_SECONDS,
     STEPS,
 )
 from devtools.bench.simulated_fleet import (
@@ -31,6 +33,7 @@
 )
 from devtools.bench.virtual_time import VirtualTime
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
+from piershore.core.fleet.caller_aims import CallerAims
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.evacuation_plan import (
@@ -48,6 +51,8 @@
 from piershore.core.fleet.memory_wait import max_memory_wait_seconds, MemoryWait
 from piershore.core.fleet.report_timing import MIN_TRIGGERED_INTERVAL_SECONDS
 
+AIMS = CallerAims(FIRST_AIM_SECONDS, PAUSE_AIM_SECONDS)
+
 
 class FleetRun(VirtualTime):
     """One run; `streams` are all that arrived."""
@@ -79,6 +84,8 @@
         for place, gateway in enumerate(self._gateways):
             offset = settings.report_interval * place / len(self._gateways)
             self._at(offset, self._report_later, gateway)
+            if settings.learns_speeds:
+                self._at(SPEED_REPORT_SECONDS + offset, self._tell_speeds, gateway)
         self._at(self._random.expovariate(settings.rate), self._arrive)
         if settings.reclaim_every:
             self._at(settings.reclaim_every, self._reclaim)
@@ -90,7 +97,8 @@
         return self._now >= self._settings.seconds
 
     def _add_engine(self, number: int) -> None:
-        engine = SimulatedEngine(number, self._settings.work.steps)
+        settings = self._settings
+        engine = SimulatedEngine(number, settings.work.steps, settings.speeds)
         self._engines[engine.endpoint.identity] = engine
         for gateway in self._gateways:
             gateway.directory.put(engine.endpoint)
@@ -124,6 +132,29 @@
                 load,
             )
 
+    def _tell_speeds(self, gateway: SimulatedGateway) -> None:
+        """Tell peers of speeds by the product's own rules, as they become due."""
+        now = self._now
+        if not self._is_over:
+            self._at(SPEED_REPORT_SECONDS, self._tell_speeds, gateway)
+        for service in gateway.speeds.uneven_services(now):
+            for identity, time in list(gateway.speeds.own_times(service)):
+                endpoint = gateway.directory.get(identity)
+                if endpoint is None:
+                    continue
+                for host in list(gateway.subsets.sharing_peers(endpoint)):
+                    if not gateway.announcements.is_due(host, identity, time, now):
+                        continue
+                    gateway.announcements.record(host, identity, time, now)
+                    self._at(
+                        NETWORK_SECONDS,
+                        self._by_name[host].speeds.apply_report,
+                        gateway.name,
+                        identity,
+                        service,
+                        time,
+                    )
+
     def _told_of_starts(
         self, gateway: SimulatedGateway, endpoint: Endpoint
     ) -> Iterator[SimulatedGateway]:
@@ -164,7 +195,7 @@
     def _place(self, stream: FleetStream) -> None:
         gateway = stream.gateway
         choice = gateway.placement.for_generation(
-            SERVICE, stream.work, self._engine, self._now
+            SERVICE, stream.work, self._engine, self._now, aims=AIMS
         )
         if choice is None:
             self._lose(stream)
@@ -231,6 +262,7 @@
             self._engine,
             self._now,
             [stream.engine.endpoint.identity],
+            aims=AIMS,
         )
         if choice is None or not fits_backup(
             choice.load, stream.work, self._engine, room
@@ -245,7 +277,8 @@
             return
         engine.is_stepping = True
         step = engine.model.step()
-        self._at(step.duration, self._stepped, engine, step)
+        seconds = engine.step_seconds(step.duration, self._now)
+        self._at(seconds, self._stepped, engine, step)
 
     def _stepped(self, engine: SimulatedEngine, step) -> None:
         engine.is_stepping = False
@@ -264,14 +297,32 @@
         self._wake(engine)
 
     def _progress(self, stream: FleetStream) -> None:
+        stream.work.made_tokens += 1
+        if stream.work.made_tokens < min(stream.event_end, stream.length):
+            return
+        stream.event_end = stream.work.made_tokens + self._settings.event_tokens
         if stream.first_at is None:
             stream.first_at = self._now
             stream.work.has_begun = True
         else:
             pause = self._now - stream.last_at
             stream.longest_pause = max(stream.longest_pause, pause)
+            self._learn_speed(stream, pause)
         stream.last_at = self._now
-        stream.work.made_tokens += 1
+
+    def _learn_speed(self, stream: FleetStream, gap: float) -> None:
+        if not self._settings.learns_speeds:
+            return
+        identity = stream.engine.endpoint.identity
+        load = stream.gateway.loads.at(identity)
+        stream.gateway.speeds.record_gap(
+            identity,
+            SERVICE,
+            gap,
+            self._settings.event_tokens,
+            self._now,
+            beside_prompts=load.pending_prompt_tokens > 0,
+        )
 
     def _finish(self, stream: FleetStream) -> None:
         stream.is_whole = True
@@ -377,6 +428,7 @@
         del self._engines[identity]
         for gateway in self._gateways:
             gateway.directory.remove(identity, self._now, after_outage=False)
+            gateway.speeds.forget(identity)
             for stream in gateway.streams.values():
                 if stream.backup is engine:
                     self._drop_backup(stream)
--- a/devtools/bench/simulated_fleet.py
+++ b/devtools/bench/simulated_fleet.py
@@ -6,13 +6,20 @@
 from dataclasses import dataclass
 from random import Random
 
-from devtools.bench.fleet_settings import ENGINE, FleetSettings, HALLS, SERVICE
+from devtools.bench.fleet_settings import (
+    ENGINE,
+    EngineSpeeds,
+    FleetSettings,
+    HALLS,
+    SERVICE,
+)
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.data_hall_stalls import DataHallStalls
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
+from piershore.core.fleet.endpoint_speeds import EndpointSpeeds
 from piershore.core.fleet.evacuation_plan import StreamReport
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
@@ -22,6 +29,7 @@
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
 from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.requested_backoffs import RequestedBackoffs
+from piershore.core.fleet.speed_announcements import SpeedAnnouncements
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
@@ -59,6 +67,7 @@
     backup_work: BackupWork | None = None
     first_at: float | None = None
     last_at: float = 0.0
+    event_end: int = 1
     longest_pause: float = 0.0
     preemptions: int = 0
     moves: int = 0
@@ -71,7 +80,9 @@
 class SimulatedEngine:
     """An engine with the streams that it runs."""
 
-    def __init__(self, number: int, steps: EngineSettings) -> None:
+    def __init__(
+        self, number: int, steps: EngineSettings, speeds: EngineSpeeds
+    ) -> None:
         self.endpoint = Endpoint(
             f"i-{number}",
             SERVICE,
@@ -81,11 +92,28 @@
             EndpointStage.READY,
         )
         self.model = EngineModel(steps)
+        self.speed = speeds.factors[number % len(speeds.factors)]
+        self._speeds = speeds
+        self._random = Random(number)
+        self._slow_from = self._slow_until = 0.0
         self.streams: dict[str, FleetStream] = {}
         self.is_leaving = False
         self.is_gone = False
         self.is_stepping = False
 
+    def step_seconds(self, duration: float, now: float) -> float:
+        """Return how long a step takes that takes `duration` at the usual speed."""
+        speeds = self._speeds
+        if speeds.slow_factor == 1.0:
+            return duration / self.speed
+        if now >= self._slow_until:
+            pause = speeds.slow_seconds * (1 / speeds.slow_share - 1)
+            self._slow_from = now + self._random.expovariate(1 / pause)
+            seconds = self._random.expovariate(1 / speeds.slow_seconds)
+            self._slow_until = self._slow_from + seconds
+        factor = speeds.slow_factor if now >= self._slow_from else 1.0
+        return factor * duration / self.speed
+
     def submit(self, stream: FleetStream, held_tokens: int, length: int) -> None:
         """Run a generation, or what is left of it, from `held_tokens` of memory."""
         self.streams[stream.identity] = stream
@@ -105,6 +133,8 @@
         self.loads = FleetLoad()
         self.lengths = OutputLengths()
         self.streams: dict[str, FleetStream] = {}
+        self.speeds = EndpointSpeeds()
+        self.announcements = SpeedAnnouncements()
         self.placement = Placement(
             HALLS[number % len(HALLS)],
             self.directory,
@@ -117,7 +147,8 @@
             ColdStarts(shares, configuration),
             RequestedBackoffs(),
             EndpointRateLimits(shares),
-            frozenset() if settings.subsets else {Mechanism.SUBSETS},
+            frozenset() if settings.subsets else frozenset({Mechanism.SUBSETS}),
+            self.speeds,
         )
 
     def notes_at(self, engine: SimulatedEngine) -> Iterator[StreamReport]:
--- /dev/null
+++ b/src/piershore/core/fleet/endpoint_speed.py
@@ -0,0 +1,27 @@
+"""What a generation can expect of one endpoint of a service whose endpoints differ."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class EndpointSpeed:
+    """The endpoint's time per token, and its gaps.
+
+    `slowness` is its time per token relative to the median of its service, and
+    `pause_share` the share of its gaps that are longer than callers accept.
+    """
+
+    slowness: float = 1.0
+    token_seconds: float = 0.0
+    pause_share: float = 0.0
+    tokens_per_gap: float = 1.0
+
+    def gaps_in(self, tokens: float) -> float:
+        """Return the number of gaps in an output of this length."""
+        return tokens / self.tokens_per_gap
+
+    def pause_risk(self, gaps: float) -> float:
+        """Return the probability that one of several gaps is too long."""
+        return 1.0 - (1.0 - self.pause_share) ** gaps
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -7,6 +7,7 @@
 from heapq import nsmallest
 from random import Random
 
+from piershore.core.fleet.caller_aims import CallerAims, NO_AIMS
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.data_hall_stalls import DataHallStalls
 from piershore.core.fleet.endpoint import Endpoint
@@ -14,6 +15,7 @@
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
+from piershore.core.fleet.endpoint_speeds import EndpointSpeeds
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement_policy import PlacementPolicy
@@ -40,11 +42,15 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """An endpoint and the cost of choosing it."""
+    """An endpoint and the cost of choosing it.
+
+    `slowness` is its time per token relative to its service, 1.0 if not known.
+    """
 
     endpoint: Endpoint
     load: EndpointLoad
     cost: float
+    slowness: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -92,6 +98,7 @@
         backoffs: RequestedBackoffs,
         limits: EndpointRateLimits,
         disabled: frozenset[Mechanism] = frozenset(),
+        speeds: EndpointSpeeds | None = None,
     ) -> None:
         self._data_hall = data_hall
         self._directory = directory
@@ -104,6 +111,8 @@
         self._cold_starts = cold_starts
         self._backoffs = backoffs
         self._limits = limits
+        self._speeds = speeds or EndpointSpeeds()
+        self._uses_speeds = Mechanism.ENDPOINT_SPEEDS not in disabled
         self._uses_subsets = Mechanism.SUBSETS not in disabled
         self._counts_stalls = Mechanism.STALL_COST not in disabled
         self._ejects = Mechanism.EJECTION not in disabled
@@ -130,16 +139,25 @@
         excluded: Collection[str] = (),
         *,
         anywhere: bool = False,
+        aims: CallerAims = NO_AIMS,
     ) -> PlacementDecision | None:
         """Return the decision for a generation, or None without an endpoint.
 
         Choose from this gateway's subset, or from all endpoints if none of the subset
-        is healthy or if `anywhere` is set.
+        is healthy or if `anywhere` is set. `aims` count where endpoints differ.
         """
 
         def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
             return self._policy.cost(load, work, engine)
 
+        def uneven_cost(endpoint: Endpoint, load: EndpointLoad) -> float:
+            speed = self._speeds.speed(
+                endpoint.identity, service, aims.longest_pause, now
+            )
+            return self._policy.uneven_cost(load, work, engine, speed, aims)
+
+        if self._uses_speeds and self._speeds.of_service(service, now).are_uneven:
+            cost = uneven_cost
         endpoints = self._directory.of_service(service)
         if self._uses_subsets and not anywhere:
             subset = self._subsets.own(service)
@@ -248,7 +266,10 @@
             total += self._remote_cost
         if self._counts_stalls:
             total += self._stalls.cost(endpoint.data_hall)
-        return Candidate(endpoint, load, total)
+        slowness = 1.0
+        if self._uses_speeds:
+            slowness = self._speeds.slowness(endpoint.identity, endpoint.service)
+        return Candidate(endpoint, load, total, slowness)
 
     @staticmethod
     def _call_cost(endpoint: Endpoint, load: EndpointLoad) -> float:
--- a/src/piershore/core/fleet/placement_policy.py
+++ b/src/piershore/core/fleet/placement_policy.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
+from piershore.core.fleet.caller_aims import CallerAims
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.endpoint_speed import EndpointSpeed
 from piershore.core.fleet.generation_work import GenerationWork
+from piershore.core.fleet.time_cost import time_cost
 from piershore.core.routes.service_spec import EngineSpec
 
 PENDING_PROMPT_COST_TOKENS = 6_000.0
@@ -28,6 +31,17 @@
     ) -> float:
         """Return the cost of placing `work`: 0 on an empty engine, about 1 if full."""
 
+    def uneven_cost(
+        self,
+        load: EndpointLoad,
+        work: GenerationWork,
+        engine: EngineSpec,
+        speed: EndpointSpeed,
+        aims: CallerAims,
+    ) -> float:
+        """Return the cost of placing `work` where the engines differ in speed."""
+        return self.cost(load, work, engine)
+
     def sample(self, endpoints: Sequence[Endpoint], random: Random) -> list[Endpoint]:
         """Return the engines to compare."""
         return list(endpoints)
@@ -62,6 +76,26 @@
         pending_prompts = load.pending_prompt_tokens / PENDING_PROMPT_COST_TOKENS
         return memory + BATCH_COST * _batch_share(load, engine) + pending_prompts
 
+    def uneven_cost(
+        self,
+        load: EndpointLoad,
+        work: GenerationWork,
+        engine: EngineSpec,
+        speed: EndpointSpeed,
+        aims: CallerAims,
+    ) -> float:
+        """Return how full the engine would become in time, and the risk to be late."""
+        own_prompt = 0 if work.has_begun else work.size.prompt_tokens
+        return time_cost(
+            self.cost(load, work, engine),
+            own_prompt / PENDING_PROMPT_COST_TOKENS,
+            load,
+            work,
+            engine,
+            speed,
+            aims,
+        )
+
 
 @placement_policy("least_in_flight")
 class LeastInFlight(PlacementPolicy):
--- /dev/null
+++ b/src/piershore/core/fleet/speed_estimate.py
@@ -0,0 +1,129 @@
+"""What is known of the speed of one endpoint."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from statistics import median
+
+MAX_SAMPLES = 64
+MIN_SAMPLE_INTERVAL_SECONDS = 0.04
+"""Streams of one endpoint share its steps, so further gaps within this time add
+nothing; 64 samples at this distance cover several moments of slowness."""
+MIN_SAMPLES = 8
+MIN_SPAN_SECONDS = 0.8
+"""An estimate needs samples from more than a moment of slowness, which lasts 0.6 s."""
+FULL_SAMPLES = 16
+"""Samples from which on an estimate counts fully, and prevails over peers' reports."""
+OWN_TIME_QUANTILE = 0.2
+"""The share of gaps that are neither in a moment of slowness nor beside a prompt is at
+least this at an endpoint that still makes progress."""
+FRESH_SECONDS = 5.0
+"""Age up to which an estimate counts fully, several times that of a report."""
+HALF_LIFE_SECONDS = 10.0
+"""Older estimates lose half their weight in this time: an endpoint that was thought
+slow gets work again, and is learned again."""
+EXPIRY_SECONDS = 30.0
+"""Age from which on estimates and reports are dropped: their weight is then small."""
+
+
+@dataclass(frozen=True)
+class OwnTime:
+    """An endpoint's own seconds per token, and the samples that it is based on."""
+
+    token_seconds: float
+    samples: int
+    updated_at: float
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the estimate is recent enough to count fully."""
+        return now - self.updated_at < FRESH_SECONDS
+
+    def confidence(self, now: float) -> float:
+        """Return how far the estimate counts: 1 fully, 0 not at all."""
+        age = max(0.0, now - self.updated_at - FRESH_SECONDS)
+        return min(1.0, self.samples / FULL_SAMPLES) * 0.5 ** (age / HALF_LIFE_SECONDS)
+
+
+@dataclass(frozen=True)
+class _Sample:
+    token_seconds: float
+    beside_prompts: bool
+
+
+class SpeedEstimate:
+    """The own time of one endpoint: by own observation, and as peers report it."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self._samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
+        self._times: deque[float] = deque(maxlen=MAX_SAMPLES)
+        self._reports: dict[str, OwnTime] = {}
+        self._own: OwnTime | None = None
+        self._is_current = True
+
+    @property
+    def reporters(self) -> int:
+        """Number of peers whose reports are held."""
+        return len(self._reports)
+
+    @property
+    def own(self) -> OwnTime | None:
+        """The time that this gateway observed; None with too few samples."""
+        if not self._is_current:
+            self._own = self._estimate()
+            self._is_current = True
+        return self._own
+
+    def record(self, token_seconds: float, now: float, *, beside_prompts: bool) -> None:
+        """Record a gap between two chunks of a stream, divided by its tokens."""
+        if self._times and now - self._times[-1] < MIN_SAMPLE_INTERVAL_SECONDS:
+            return
+        self._samples.append(_Sample(token_seconds, beside_prompts))
+        self._times.append(now)
+        self._is_current = False
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether nothing was learned of the endpoint for a long time."""
+        latest = [time.updated_at for time in self._reports.values()]
+        latest += [self._times[-1]] if self._times else []
+        return now - max(latest, default=now) > EXPIRY_SECONDS
+
+    def apply_report(self, peer: str, reported: OwnTime) -> None:
+        """Replace what a peer reported."""
+        self._reports[peer] = reported
+
+    def merged(self, now: float) -> OwnTime | None:
+        """Return the best estimate: the own one, or the median with those of peers."""
+        own = self.own
+        if own and own.samples >= FULL_SAMPLES and own.is_fresh(now):
+            return own
+        known = list(self._recent(now))
+        if not known:
+            return None
+        return OwnTime(
+            median(one.token_seconds for one in known),
+            sum(one.samples for one in known),
+            max(one.updated_at for one in known),
+        )
+
+    def _recent(self, now: float) -> Iterator[OwnTime]:
+        if self.own is not None:
+            yield self.own
+        for peer, reported in list(self._reports.items()):
+            if now - reported.updated_at > EXPIRY_SECONDS:
+                del self._reports[peer]
+            else:
+                yield reported
+
+    def _estimate(self) -> OwnTime | None:
+        if self._times[-1] - self._times[0] < MIN_SPAN_SECONDS:
+            return None
+        values = sorted(s.token_seconds for s in self._samples if not s.beside_prompts)
+        if len(values) < MIN_SAMPLES:
+            values = sorted(sample.token_seconds for sample in self._samples)
+        if len(values) < MIN_SAMPLES:
+            return None
+        value = values[int(OWN_TIME_QUANTILE * len(values))]
+        return OwnTime(value, len(values), self._times[-1])
--- /dev/null
+++ b/src/piershore/core/fleet/speed_report.py
@@ -0,0 +1,64 @@
+"""The message that tells a peer how fast endpoints are that both choose from."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import orjson
+
+from piershore.core.fleet.peer_report import InvalidReportError
+
+SPEED_REPORT_PREFIX = b"~"
+"""First byte of a speed report."""
+MAX_REPORTED_SPEEDS = 64
+"""Endpoints in one report, so that it takes at most 3 KB."""
+MICROSECONDS = 1_000_000
+
+
+@dataclass(frozen=True)
+class ReportedSpeed:
+    """One endpoint's own seconds per token, and the samples it is based on."""
+
+    endpoint: str
+    token_seconds: float
+    samples: int
+
+
+@dataclass(frozen=True)
+class SpeedReport:
+    """Estimates of one gateway; `number` increases within an `incarnation`."""
+
+    host: str
+    incarnation: str
+    number: int
+    speeds: tuple[ReportedSpeed, ...]
+
+    def encode(self) -> bytes:
+        """Return the report as a datagram."""
+        speeds = [
+            [s.endpoint, round(s.token_seconds * MICROSECONDS), s.samples]
+            for s in self.speeds
+        ]
+        return SPEED_REPORT_PREFIX + orjson.dumps(
+            [self.host, self.incarnation, self.number, speeds]
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> SpeedReport:
+        """Decode a datagram; raise `InvalidReportError` if it isn't a speed report."""
+        try:
+            host, incarnation, number, speeds = orjson.loads(
+                data[len(SPEED_REPORT_PREFIX) :]
+            )
+            if len(speeds) > MAX_REPORTED_SPEEDS:
+                raise ValueError("too many endpoints")
+            decoded = tuple(_decode_speeds(speeds))
+            return cls(str(host), str(incarnation), int(number), decoded)
+        except (ValueError, TypeError, OverflowError) as error:
+            raise InvalidReportError(f"not a speed report: {error!r}") from error
+
+
+def _decode_speeds(speeds: list) -> Iterator[ReportedSpeed]:
+    for endpoint, microseconds, samples in speeds:
+        yield ReportedSpeed(str(endpoint), microseconds / MICROSECONDS, int(samples))
--- a/src/piershore/core/routes/route.py
+++ b/src/piershore/core/routes/route.py
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True)
 class Route:
-    """The services for requests of one host and path prefix; times in seconds."""
+    """The services for requests of one host and path prefix; times in seconds.
+
+    `longest_pause` between two parts of a stream still keeps it in time.
+    """
 
     name: str
     host: str
@@ -39,6 +42,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    longest_pause: float | None = None
 
     def service_for(self, request_id: str) -> str | None:
         """Return the service for a request, always the same for the same id.
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -60,6 +60,7 @@
             ejected=decision.ejected,
             resting=decision.resting,
             limited=decision.limited,
+            slowness=round(decision.best.slowness, COST_DECIMAL_PLACES),
         )
     )
 
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -31,6 +31,7 @@
 from piershore.ingress.peers.outage_prober import OutageProber
 from piershore.ingress.peers.peer_documents import PeerDocuments
 from piershore.ingress.peers.peer_link import PeerLink
+from piershore.ingress.peers.speed_reporter import SpeedReporter
 from piershore.ingress.ports import (
     ConfigurationFeed,
     DrainFeed,
@@ -157,6 +158,7 @@
         self._state.announce_failure = link.announce_failure
         load_updates = LoadUpdateSender(self._state, link)
         crash_reporter = CrashReporter(self._state, link)
+        speed_reporter = SpeedReporter(self._state, link)
         if self._state.is_enabled(Mechanism.SUBSETS):
             self._state.announce_load = load_updates.schedule_update
         self._state.seconds_until_accepted = link.seconds_until_accepted
@@ -184,6 +186,9 @@
                 crash_reporter.start(nursery)
                 nursery.start_soon(self._supervise, self._state.crash_detector.sweep)
                 nursery.start_soon(self._supervise, crash_reporter.run)
+                if self._state.is_enabled(Mechanism.ENDPOINT_SPEEDS):
+                    speed_reporter.start()
+                    nursery.start_soon(self._supervise, speed_reporter.run)
                 await self._start(nursery, link, load_updates, documents)
                 if self._state.is_enabled(Mechanism.OUTAGE_QUESTIONS):
                     nursery.start_soon(self._supervise, outage_prober.run)
@@ -319,6 +324,7 @@
             self._state.crash_detector.record_removal(endpoint)
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
+            self._state.speeds.forget(endpoint.identity)
             self._state.failures.forget(endpoint.identity)
             self._state.limits.forget(endpoint.identity)
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -17,6 +17,7 @@
 from piershore.core.fleet.endpoint_health import EndpointHealth
 from piershore.core.fleet.endpoint_paces import EndpointPaces
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
+from piershore.core.fleet.endpoint_speeds import EndpointSpeeds
 from piershore.core.fleet.fleet_load import FleetLoad
 from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.notice_handler import NoticeHandler
@@ -80,6 +81,7 @@
     health: EndpointHealth = field(default_factory=EndpointHealth)
     backoffs: RequestedBackoffs = field(default_factory=RequestedBackoffs)
     paces: EndpointPaces = field(default_factory=EndpointPaces)
+    speeds: EndpointSpeeds = field(default_factory=EndpointSpeeds)
     failures: SharedFailures = field(default_factory=SharedFailures)
     stalls: DataHallStalls = field(default_factory=DataHallStalls)
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
@@ -126,6 +128,7 @@
             self.backoffs,
             self.limits,
             self.policies.disabled,
+            self.speeds,
         )
 
     def is_enabled(self, mechanism: Mechanism) -> bool:
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
+from piershore.core.fleet.caller_aims import CallerAims
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import has_memory
@@ -24,6 +25,8 @@
     ) -> None:
         self._state = state
         self._exchange = exchange
+        route = exchange.route
+        self._aims = CallerAims(route.target_latency, route.longest_pause)
         self._backup_work = BackupWork(work)
         self._endpoint: Endpoint | None = None
         self._backup: Endpoint | None = None
@@ -67,13 +70,19 @@
         if spec is None or spec.engine is None:
             return placement.for_call(service, now, excluded)
         decision = placement.for_generation(
-            service, self.work, spec.engine, now, excluded
+            service, self.work, spec.engine, now, excluded, aims=self._aims
         )
         if decision is None or has_memory(decision.load, self.work, spec.engine):
             return decision
         # Don't refuse a request while an endpoint outside the subset has free memory.
         return placement.for_generation(
-            service, self.work, spec.engine, now, excluded, anywhere=True
+            service,
+            self.work,
+            spec.engine,
+            now,
+            excluded,
+            anywhere=True,
+            aims=self._aims,
         )
 
     def fits(self, decision: PlacementDecision) -> bool:
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.streams.delivered_events import MissingEventError
 from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
 from piershore.http1.exceptions import ExchangeBrokenError
@@ -16,6 +17,10 @@
 TOKENS_PER_EVENT = 4
 """Tokens assumed per event, as endpoints don't report them; used for estimates only."""
 
+MIN_WAIT_SHARE = 0.5
+"""Share of a gap that was spent on waiting for the endpoint: with less, the caller read
+slowly, and the gap tells nothing about the endpoint."""
+
 
 class StreamRelay:
     """Relays complete events as they arrive, each once and in order."""
@@ -23,6 +28,7 @@
     def __init__(self, state: GatewayState, stream: LiveStream) -> None:
         self._state = state
         self._stream = stream
+        self._waited = 0.0
 
     async def run(self, attempt: EndpointAttempt) -> str | None:
         """Relay all events; return None when complete, or why the stream broke."""
@@ -55,13 +61,14 @@
         stream = self._stream
         if stream.is_given_up:
             return None
-        stream.waiting_since = trio.current_time()
+        started = stream.waiting_since = trio.current_time()
         try:
             with trio.CancelScope() as stream.reading_scope:
                 return await anext(chunks, None)
             return None
         finally:
             stream.waiting_since = None
+            self._waited = trio.current_time() - started
 
     async def _relay(
         self, attempt: EndpointAttempt, events: Iterable[StreamEvent]
@@ -83,8 +90,24 @@
         self._state.paces.record_chunk(attempt.endpoint.identity, gap, now)
         if gap is not None:
             self._state.stalls.record_chunk(attempt.endpoint.data_hall, gap)
+            self._record_speed(attempt.endpoint, gap, count, now)
         stream.record_events(count, now, TOKENS_PER_EVENT)
 
+    def _record_speed(
+        self, endpoint: Endpoint, gap: float, count: int, now: float
+    ) -> None:
+        if self._waited < MIN_WAIT_SHARE * gap:
+            return
+        load = self._state.fleet_load.at(endpoint.identity)
+        self._state.speeds.record_gap(
+            endpoint.identity,
+            endpoint.service,
+            gap,
+            count * TOKENS_PER_EVENT,
+            now,
+            beside_prompts=load.pending_prompt_tokens > 0,
+        )
+
     async def _send(self, attempt: EndpointAttempt, data: bytes) -> None:
         connection = self._stream.exchange.connection
         if connection.response_started:
--- a/src/piershore/platform/routing_codec.py
+++ b/src/piershore/platform/routing_codec.py
@@ -19,6 +19,7 @@
 from piershore.platform.exceptions import InvalidObjectError
 
 Entry = TypeVar("Entry")
+Default = TypeVar("Default", float, None)
 
 KINDS = {
     "safe": RequestKind.REPEATABLE,
@@ -80,6 +81,7 @@
         max_attempts=max(1, int(item.get("max_attempts") or 1)),
         is_public=bool(item.get("public")),
         is_resumable=bool(item.get("stream_resume")),
+        longest_pause=_seconds(item.get("gap_aim_ms"), None),
     )
 
 
@@ -134,5 +136,5 @@
     )
 
 
-def _seconds(milliseconds: float | None, default: float) -> float:
+def _seconds(milliseconds: float | None, default: Default) -> float | Default:
     return float(milliseconds) / 1_000 if milliseconds else default
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -212,7 +212,8 @@
     those `resting` (they asked callers to back off) and those `limited` (this gateway
     has used up its quota of their rate limit). `view_age` is the age of the oldest peer
     report that the loads are based on. `expected_tokens` is the expected length of a
-    generation's output.
+    generation's output, `slowness` the endpoint's time per token relative to its
+    service.
     """
 
     request: str
@@ -234,6 +235,25 @@
     ejected: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
     limited: tuple[str, ...] = ()
+    slowness: float = 1.0
+
+
+@dataclass(frozen=True)
+class EndpointSpeedLearned(LogEvent):
+    """This gateway has a first estimate of an endpoint's speed, or one that differs.
+
+    `token_seconds` is its own time per token, from `samples` of this gateway, and
+    `slowness` relates it to the service, whose median is `usual_token_seconds`.
+    `reporters` is the number of peers that report on it too.
+    """
+
+    endpoint: str
+    service: str
+    token_seconds: float
+    samples: int
+    slowness: float
+    usual_token_seconds: float
+    reporters: int
 
 
 @dataclass(frozen=True)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -74,6 +74,23 @@
     "Datagrams sent to peers that share an endpoint, since a generation began there.",
     registry=REGISTRY,
 )
+SPEED_REPORTS = Counter(
+    "piershore_ingress_speed_reports_total",
+    "Datagrams sent to peers about the speeds of shared endpoints.",
+    registry=REGISTRY,
+)
+REJECTED_SPEEDS = Counter(
+    "piershore_ingress_rejected_speeds_total",
+    "Reported speeds that were dropped, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+ENDPOINT_SLOWNESS = Gauge(
+    "piershore_ingress_endpoint_slowness",
+    "Slowest and fastest endpoint's time per token, relative to its service.",
+    ["service", "extreme"],
+    registry=REGISTRY,
+)
 DOCUMENT_BYTES = Counter(
     "piershore_ingress_document_bytes_total",
     "Bytes read from peers, by document; compressed.",
--- a/src/piershore/telemetry/request_timeline.py
+++ b/src/piershore/telemetry/request_timeline.py
@@ -19,6 +19,7 @@
         "endpoint_ejected",
         "endpoint_left",
         "endpoint_limit_changed",
+        "endpoint_speed_learned",
         "endpoint_told",
         "process_started",
         "store_returned",
