--- a/features/endpoint_speeds.feature
+++ b/features/endpoint_speeds.feature
@@ -91,5 +91,8 @@
     Given a gateway that shares endpoints of 20, 12 and 8 ms
     Then a peer drops reports that are wrong in any way, and counts them by reason
 
+  Scenario: an operator lists the speeds that gateways learned
+    Then `beliefs --speeds` lists endpoints of 20 and 8 ms from logs of 2 gateways
+
   Scenario: speeds of endpoints in the largest fleet
     Then a report of 12 endpoints takes at most 600 bytes
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -7,6 +7,7 @@
 from statistics import mean
 from types import SimpleNamespace
 
+import orjson
 import trio
 from behave import given, then, when
 from support.core_checks import ENGINE, fleet_of
@@ -31,6 +32,8 @@
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.peers.speed_reporter import SpeedReporter
 from piershore.telemetry import ingress_metrics
+from piershore.telemetry.endpoint_speed_review import review_endpoint_speeds
+from piershore.telemetry.request_timeline import read_lines
 
 SEED = 27
 SERVICE = "model"
@@ -417,3 +420,28 @@
     )
     data = SpeedReport("10.250.250.250", "0123456789ab", 10**9, speeds).encode()
     assert len(data) <= most, len(data)
+
+
+def speed_line(box, endpoint, token_seconds):
+    fields = {"service": SERVICE, "token_seconds": token_seconds, "slowness": 1.0}
+    return orjson.dumps(
+        {
+            "time": "2026-01-01T00:00:00+00:00",
+            "box": box,
+            "event": "endpoint_speed_learned",
+            "endpoint": endpoint,
+            **fields,
+        }
+    )
+
+
+@then("`beliefs --speeds` lists endpoints of 20 and 8 ms from logs of 2 gateways")
+def check_listed(context):
+    texts = [
+        speed_line(box, endpoint, seconds)
+        for endpoint, seconds in (("i-0", 0.008), ("i-1", 0.02))
+        for box in ("front-1", "front-2")
+    ]
+    rows = review_endpoint_speeds(read_lines(texts))
+    found = [(row["endpoint"], row["token_ms"], row["gateways"]) for row in rows]
+    assert found == [("i-1", 20.0, 2), ("i-0", 8.0, 2)], found
--- a/src/piershore/commands/options.py
+++ b/src/piershore/commands/options.py
@@ -47,6 +47,9 @@
 LONGEST_PAUSE = flags.DEFINE_float(
     "longest_pause", 0.18, "pause in seconds above which a stream counts as late", 0.0
 )
+SPEEDS = flags.DEFINE_bool(
+    "speeds", False, "list endpoints and their estimated speeds instead of lengths"
+)
 UNDO = flags.DEFINE_bool("undo", False, "end the drain instead of starting it")
 
 FLAG_NAMES = (
@@ -62,4 +65,5 @@
     "without",
     "window",
     "longest_pause",
+    "speeds",
 )
