--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -314,14 +314,14 @@
         if not self._settings.learns_speeds:
             return
         identity = stream.engine.endpoint.identity
-        load = stream.gateway.loads.at(identity)
+        loads = stream.gateway.loads
         stream.gateway.speeds.record_gap(
             identity,
             SERVICE,
             gap,
             self._settings.event_tokens,
             self._now,
-            beside_prompts=load.pending_prompt_tokens > 0,
+            lambda: loads.at(identity).pending_prompt_tokens > 0,
         )
 
     def _finish(self, stream: FleetStream) -> None:
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -139,7 +139,7 @@
     for factor in gaps:
         gap = EVENT_TOKENS * factor * milliseconds / 1_000
         now += gap
-        speeds.record_gap(identity, SERVICE, gap, EVENT_TOKENS, now)
+        speeds.record_gap(identity, SERVICE, gap, EVENT_TOKENS, now, lambda: False)
     return now
 
 
--- a/src/piershore/core/fleet/endpoint_speeds.py
+++ b/src/piershore/core/fleet/endpoint_speeds.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from math import isfinite
 from statistics import median
@@ -76,21 +76,22 @@
         gap: float,
         tokens: int,
         now: float,
-        *,
-        beside_prompts: bool = False,
+        has_pending_prompts: Callable[[], bool],
     ) -> None:
         """Record a pause between two chunks of a stream; the later has `tokens`.
 
-        `beside_prompts` tells that the endpoint is known to have prompts to read.
+        `has_pending_prompts` tells whether the endpoint is known to read prompts
+        beside; it is called for those gaps only that an estimate can use.
         """
         token_seconds = gap / max(1, tokens)
         if not is_plausible(token_seconds):
             return
         estimate = self._estimate(identity, service)
-        estimate.record(token_seconds, now, beside_prompts=beside_prompts)
-        if estimate.own is not None:
+        estimate.record(token_seconds, now, has_pending_prompts)
+        own = estimate.own
+        if own is not None:
             spread = self._spreads.setdefault(service, GapSpread())
-            spread.record(gap / estimate.own.token_seconds, tokens)
+            spread.record(gap / own.token_seconds, tokens)
 
     def apply_report(
         self, peer: str, identity: str, service: str, reported: OwnTime
--- a/src/piershore/core/fleet/speed_estimate.py
+++ b/src/piershore/core/fleet/speed_estimate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from statistics import median
 
@@ -11,6 +11,8 @@
 MIN_SAMPLE_INTERVAL_SECONDS = 0.04
 """Streams of one endpoint share its steps, so of the gaps within this time only the
 shortest counts; 64 samples at this distance cover several moments of slowness."""
+SAMPLES_PER_UPDATE = 4
+"""New samples after which an estimate is computed again."""
 MIN_SAMPLES = 8
 MIN_SPAN_SECONDS = 0.8
 """An estimate needs samples from more than a moment of slowness, which lasts 0.6 s."""
@@ -46,7 +48,7 @@
         return min(1.0, self.samples / FULL_SAMPLES) * 0.5 ** (age / HALF_LIFE_SECONDS)
 
 
-@dataclass(frozen=True, order=True)
+@dataclass(frozen=True)
 class _Sample:
     token_seconds: float
     beside_prompts: bool
@@ -61,7 +63,7 @@
         self._times: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._reports: dict[str, OwnTime] = {}
         self._own: OwnTime | None = None
-        self._is_current = True
+        self._unused_samples = 0
 
     @property
     def reporters(self) -> int:
@@ -71,20 +73,27 @@
     @property
     def own(self) -> OwnTime | None:
         """The time that this gateway observed; None with too few samples."""
-        if not self._is_current:
+        needed = 1 if self._own is None else SAMPLES_PER_UPDATE
+        if self._unused_samples >= needed:
             self._own = self._estimate()
-            self._is_current = True
+            self._unused_samples = 0
         return self._own
 
-    def record(self, token_seconds: float, now: float, *, beside_prompts: bool) -> None:
+    def record(
+        self,
+        token_seconds: float,
+        now: float,
+        has_pending_prompts: Callable[[], bool],
+    ) -> None:
         """Record a gap between two chunks of a stream, divided by its tokens."""
-        sample = _Sample(token_seconds, beside_prompts)
-        self._is_current = False
         if self._times and now - self._times[-1] < MIN_SAMPLE_INTERVAL_SECONDS:
-            self._samples[-1] = min(self._samples[-1], sample)
+            last = self._samples[-1]
+            if token_seconds < last.token_seconds:
+                self._samples[-1] = _Sample(token_seconds, last.beside_prompts)
             return
-        self._samples.append(sample)
+        self._samples.append(_Sample(token_seconds, has_pending_prompts()))
         self._times.append(now)
+        self._unused_samples += 1
 
     def is_expired(self, now: float) -> bool:
         """Return whether nothing was learned of the endpoint for a long time."""
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -98,14 +98,18 @@
     ) -> None:
         if self._waited < MIN_WAIT_SHARE * gap:
             return
-        load = self._state.fleet_load.at(endpoint.identity)
+
+        def has_pending_prompts() -> bool:
+            load = self._state.fleet_load.at(endpoint.identity)
+            return load.pending_prompt_tokens > 0
+
         self._state.speeds.record_gap(
             endpoint.identity,
             endpoint.service,
             gap,
             count * TOKENS_PER_EVENT,
             now,
-            beside_prompts=load.pending_prompt_tokens > 0,
+            has_pending_prompts,
         )
 
     async def _send(self, attempt: EndpointAttempt, data: bytes) -> None:
