Endpoint speeds: steadier estimates, and services that stay uneven

Change: a service that was uneven, or of which two peers report speeds, stays so down to a ratio of 1.4. An estimate is the shorter of those over all samples and over those without prompts beside.

--- a/features/endpoint_speeds.feature
+++ b/features/endpoint_speeds.feature
@@ -7,7 +7,7 @@
     Given <gateways> gateways before <engines> engines that differ in speed
     When they serve for 20 seconds
     Then 95 of 100 long streams come in time, and 95 of 100 short ones
-    And long streams run at the faster engines, and short ones also at the slow ones
+    And long streams run at the faster engines, and each engine still gets work
 
     Examples:
       | gateways | engines |
--- a/src/piershore/core/fleet/endpoint_speeds.py
+++ b/src/piershore/core/fleet/endpoint_speeds.py
@@ -21,6 +21,11 @@
 UNEVEN_RATIO = 1.6
 """Ratio between slow and fast endpoints below which a service counts as even: a full
 batch alone makes an engine's tokens take 1.4 times as long as a single generation."""
+STILL_UNEVEN_RATIO = 1.4
+"""The same for a service that was uneven before, or whose endpoints differ by what
+several peers report: a gateway may know just the slow ones and the median ones."""
+MIN_REPORTING_PEERS = 2
+"""Peers report speeds only of services whose endpoints differ; one may be wrong."""
 IGNORED_SHARE = 1 / 8
 """Share of the endpoints at either end that alone don't make a service uneven, so that
 one wrong estimate doesn't."""
@@ -142,7 +147,7 @@
     def reporters(self, identity: str) -> int:
         """Return how many peers report on an endpoint."""
         estimate = self._estimates.get(identity)
-        return estimate.reporters if estimate else 0
+        return len(estimate.reporters) if estimate else 0
 
     def uneven_services(self, now: float) -> list[str]:
         """Return the services whose endpoints differ markedly."""
@@ -158,6 +163,19 @@
             self._estimates[identity] = SpeedEstimate(service)
         return self._estimates[identity]
 
+    def _uneven_ratio(self, service: str) -> float:
+        view = self._views.get(service)
+        if view is not None and view.are_uneven:
+            return STILL_UNEVEN_RATIO
+        peers = {
+            peer
+            for estimate in self._estimates.values()
+            if estimate.service == service
+            for peer in estimate.reporters
+        }
+        is_told = len(peers) >= MIN_REPORTING_PEERS
+        return STILL_UNEVEN_RATIO if is_told else UNEVEN_RATIO
+
     def _drop_expired(self, now: float) -> None:
         for identity, estimate in list(self._estimates.items()):
             if estimate.is_expired(now):
@@ -172,7 +190,7 @@
         )
         known = {identity: time for identity, time in merged if time is not None}
         times = sorted(time.token_seconds for time in known.values())
-        if not _differ(times):
+        if _extreme_ratio(times) < self._uneven_ratio(service):
             return ServiceSpeeds(now)
         usual = median(times)
         slowness = {
@@ -201,12 +219,12 @@
     )
 
 
-def _differ(times: list[float]) -> bool:
-    """Return whether sorted times differ markedly, whatever a few of them say."""
-    if len(times) < 2:
-        return False
+def _extreme_ratio(times: list[float]) -> float:
+    """Return by how much sorted times differ, whatever a few of them say."""
+    if not times:
+        return 1.0
     ignored = int(IGNORED_SHARE * len(times))
-    return times[-1 - ignored] >= UNEVEN_RATIO * times[ignored]
+    return times[-1 - ignored] / times[ignored]
 
 
 def _typical(times: list[float]) -> Iterator[float]:
--- a/src/piershore/core/fleet/speed_estimate.py
+++ b/src/piershore/core/fleet/speed_estimate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from statistics import median
 
@@ -66,9 +66,9 @@
         self._unused_samples = 0
 
     @property
-    def reporters(self) -> int:
-        """Number of peers whose reports are held."""
-        return len(self._reports)
+    def reporters(self) -> Collection[str]:
+        """The peers whose reports are held."""
+        return self._reports.keys()
 
     @property
     def own(self) -> OwnTime | None:
@@ -131,10 +131,16 @@
     def _estimate(self) -> OwnTime | None:
         if self._times[-1] - self._times[0] < MIN_SPAN_SECONDS:
             return None
-        values = sorted(s.token_seconds for s in self._samples if not s.beside_prompts)
-        if len(values) < MIN_SAMPLES:
-            values = sorted(sample.token_seconds for sample in self._samples)
+        values = [sample.token_seconds for sample in self._samples]
         if len(values) < MIN_SAMPLES:
             return None
-        value = values[int(OWN_TIME_QUANTILE * len(values))]
+        undisturbed = [s.token_seconds for s in self._samples if not s.beside_prompts]
+        value = _own_time(values)
+        if len(undisturbed) >= MIN_SAMPLES:
+            # Either can be too long, never too short.
+            value = min(value, _own_time(undisturbed))
         return OwnTime(value, len(values), self._times[-1])
+
+
+def _own_time(values: list[float]) -> float:
+    return sorted(values)[int(OWN_TIME_QUANTILE * len(values))]
