Slow readers: neither their endpoint's fault nor without a bound

- An engine cut off a stream whose caller didn't read: the break counted as a failure of the engine (failure rate 0.15 after one), and the caller's pauses as stalls of its data hall.
ReaderProgress tells from the times of sends and waits who held up whom; such a break is logged with `unread`.
- A caller that read nothing of a whole answer kept it, its connection and its request open without a limit.
It must now read each 64 KB within the idle limit of the configuration.
- The answer of a call was held whatever its size, and so was an event without an end.
Now 16 MB and 1 MB at most; more fails as an unusable answer.

The stand-in for endpoints learns to cut off what remains unread, to answer at length and to leave bodies unread.

--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -13,6 +13,9 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 16 * 1_024 * 1_024
+"""Maximum size of an answer that is held as a whole. Without a limit, one endless
+answer would take all the memory of a box, and with it all other requests."""
 MAX_FOREIGN_ANSWERS = 4
 """Number of answers to earlier requests after which the exchange fails."""
 
@@ -131,9 +134,19 @@
                 raise ExchangeBrokenError("the answer was cut short")
             yield bytes(event.data)
 
-    async def read_body(self, stall_timeout: float = inf) -> bytes:
-        """Read the whole body, with the same `stall_timeout` as `read_chunks`."""
-        return b"".join([chunk async for chunk in self.read_chunks(stall_timeout)])
+    async def read_body(self) -> bytes:
+        """Read the whole body.
+
+        Raise `ExchangeBrokenError` if it is cut short or has over `MAX_BODY_BYTES`.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in self.read_chunks():
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise ExchangeBrokenError(f"the answer has over {MAX_BODY_BYTES} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     def end_exchange(self) -> bool:
         """Prepare for another request; return False if the connection must close."""
--- a/src/piershore/http1/server_connection.py
+++ b/src/piershore/http1/server_connection.py
@@ -15,6 +15,8 @@
 RECEIVE_BYTES = 16_384
 MAX_PIPELINED_BYTES = 65_536
 """Maximum bytes of later requests that are read while one is served."""
+PIECE_BYTES = 65_536
+"""Bytes of an answer that a caller must accept within the idle timeout."""
 HEADER_SLACK_BYTES = 1_024
 """Added to the codec's limit, so that a head of exactly the limit is accepted."""
 
@@ -94,13 +96,17 @@
         )
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete answer."""
+        """Send a complete answer.
+
+        Raise `trio.BrokenResourceError` if the caller has closed the connection, or
+        reads none of `PIECE_BYTES` within the idle timeout.
+        """
         framed = [*headers, (b"content-length", str(len(body)).encode())]
         data = self._encode_head(status, framed)
         if body and self._connection.our_state is h11.SEND_BODY:
             data += self._connection.send(h11.Data(body))
         data += self._connection.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        await self._send_in_pieces(data)
 
     async def start_stream(self, status: int, headers: Headers, data: bytes) -> None:
         """Send the head and the first chunk of an answer whose length isn't known."""
@@ -239,6 +245,13 @@
             h11.Response(status_code=status, headers=headers, reason=_reason(status))
         )
 
+    async def _send_in_pieces(self, data: bytes) -> None:
+        for start in range(0, len(data), PIECE_BYTES):
+            with trio.move_on_after(self._limits().idle_timeout) as scope:
+                await self._stream.send_all(data[start : start + PIECE_BYTES])
+            if scope.cancelled_caught:
+                raise trio.BrokenResourceError("the caller doesn't read its answer")
+
     async def _send(self, event: h11.Event) -> None:
         await self._stream.send_all(self._connection.send(event))
 
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -11,6 +11,7 @@
 from piershore.core.fleet.evacuation_plan import StreamReport
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.streams.delivered_events import DeliveredEvents
+from piershore.core.streams.reader_progress import ReaderProgress
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.ports import MemoryCopy
 
@@ -59,6 +60,7 @@
     endpoint: Endpoint
     work: GenerationWork
     delivered: DeliveredEvents = field(default_factory=DeliveredEvents)
+    reader: ReaderProgress = field(default_factory=ReaderProgress)
     handover: Handover | None = None
     backup: Endpoint | None = None
     is_given_up: bool = False
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -150,8 +150,11 @@
     def _break_off(self, stream: LiveStream, reason: str) -> None:
         """End the stream in a way that shows its caller that it is incomplete."""
         exchange = stream.exchange
-        ingress_metrics.BROKEN_STREAMS.labels("endpoint_failed").inc()
-        record_endpoint_failure(self._state, stream.endpoint)
+        is_unread = stream.reader.has_caused_break(trio.current_time())
+        cause = "unread" if is_unread else "endpoint_failed"
+        ingress_metrics.BROKEN_STREAMS.labels(cause).inc()
+        if not is_unread:
+            record_endpoint_failure(self._state, stream.endpoint)
         self._state.log.write(
             StreamBrokenOff(
                 exchange.identity,
@@ -159,6 +162,7 @@
                 reason,
                 stream.delivered.last_number or 0,
                 exchange.age,
+                is_unread,
             ),
             is_failure=True,
         )
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -15,6 +15,8 @@
 
 TOKENS_PER_EVENT = 4
 """Tokens assumed per event, as endpoints don't report them; used for estimates only."""
+MAX_EVENT_BYTES = 1_024 * 1_024
+"""Maximum size of an event, which is held until it is complete."""
 
 
 class StreamRelay:
@@ -32,6 +34,8 @@
         try:
             while (chunk := await self._next_chunk(chunks)) is not None:
                 await self._relay(attempt, splitter.feed(chunk))
+                if len(splitter.remainder) > MAX_EVENT_BYTES:
+                    return f"an event has over {MAX_EVENT_BYTES} bytes"
         except ExchangeBrokenError as error:
             return error.message
         except MissingEventError as error:
@@ -61,6 +65,7 @@
                 return await anext(chunks, None)
             return None
         finally:
+            stream.reader.record_wait(trio.current_time() - stream.waiting_since)
             stream.waiting_since = None
 
     async def _relay(
@@ -74,12 +79,16 @@
         finally:
             if new_events:
                 self._record_events(attempt, len(new_events))
+                started = trio.current_time()
                 await self._send(attempt, b"".join(new_events))
+                now = trio.current_time()
+                self._stream.reader.record_send(now - started, now)
 
     def _record_events(self, attempt: EndpointAttempt, count: int) -> None:
         stream, now = self._stream, trio.current_time()
         is_first = stream.endpoint_first_event_at == float("inf")
-        gap = None if is_first else now - stream.last_event_at
+        is_own = not (is_first or stream.reader.is_gap_held_up)
+        gap = now - stream.last_event_at if is_own else None
         self._state.paces.record_chunk(attempt.endpoint.identity, gap, now)
         if gap is not None:
             self._state.stalls.record_chunk(attempt.endpoint.data_hall, gap)
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -333,13 +333,17 @@
 
 @dataclass(frozen=True)
 class StreamBrokenOff(LogEvent):
-    """A stream can't continue; the caller can tell that it is incomplete."""
+    """A stream can't continue; the caller can tell that it is incomplete.
+
+    `unread` is set if the endpoint cut it off since the caller didn't read.
+    """
 
     request: str
     endpoint: str
     reason: str
     last_event: int
     seconds: float
+    unread: bool = False
 
 
 @dataclass(frozen=True)
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -12,6 +12,9 @@
 import trio
 
 TOKENS_AN_EVENT = 4
+SEND_BUFFER = 16_384
+"""Bytes of an answer that the kernel holds for an endpoint, and doubles: few, so that
+what has left an endpoint is held by others."""
 PACE_SECONDS = 0.01
 BODY = b'{"from":"%s","request":"%s"}'
 CRASHING_BODY = b"crash whoever runs this"
@@ -96,7 +99,9 @@
     says. Until `sheds_until` it turns requests away, and asks for `rest` seconds with
     it if that is given; `rests` are those that it asked for. `rate_limit` is the value
     that all its answers name as its rate; `named` are the times of those. After a crash
-    its port takes connections for `lingers_seconds`, or closes them.
+    its port takes connections for `lingers_seconds`, or closes them. It cuts off a
+    stream that remains unread for `unread_seconds`. Unless it `reads_bodies`, it reads
+    no more of a request than its head.
     """
 
     def __init__(
@@ -132,6 +137,9 @@
         self.stop_answer_seconds = 0.0
         self.pace = PACE_SECONDS
         self.padding = b""
+        self.answer_bytes = 0
+        self.unread_seconds = float("inf")
+        self.reads_bodies = True
         self.silence: Silence | None = None
         self.made: dict[str, int] = {}
         self._memory = memory
@@ -182,6 +190,7 @@
 
     async def _serve_one(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_SNDBUF, SEND_BUFFER)
         if self.closes_new:
             await trio.aclose_forcefully(stream)
             return
@@ -219,6 +228,8 @@
                 connection.receive_data(await stream.receive_some(65_536))
             elif isinstance(event, h11.Request):
                 request = event
+                if not self.reads_bodies:
+                    await trio.sleep_forever()
                 if self.faults and self.faults[0] == "early":
                     return Arrival(stream, connection, request, b"")
             elif isinstance(event, h11.Data):
@@ -275,7 +286,8 @@
 
     def body(self, arrival: Arrival) -> bytes:
         """Return the answer's body."""
-        return BODY % (self.identity.encode(), arrival.identity.encode())
+        body = BODY % (self.identity.encode(), arrival.identity.encode())
+        return body.ljust(self.answer_bytes)
 
     def head(self, arrival: Arrival, *extra, seal: bool = True) -> list:
         """Return the headers of an answer."""
@@ -337,11 +349,18 @@
             self.made[arrival.identity] = number
             data += connection.send(h11.Data(event))
             if self.silence is not Silence.EVENTS_LOST:
-                await stream.send_all(data)
+                await self._send_in_time(stream, data)
                 data = b""
             await trio.sleep(self.pace)
         await stream.send_all(data + connection.send(h11.EndOfMessage()))
 
+    async def _send_in_time(self, stream, data: bytes) -> None:
+        """Cut the connection if the data remain unread for too long."""
+        with trio.move_on_after(self.unread_seconds) as scope:
+            await stream.send_all(data)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the answer remains unread")
+
     def _take_copy(self, name: str) -> bool:
         holder = self._memory.copies.get(name)
         if holder != self.listed_as() or name in self._memory.used:
