Store returns: a follower that learns of it tells the others

The followers of the configuration and of the endpoints had learned of the era at once.

A follower that observes a later era now tells the others, and those whose state is of an earlier one read again, once. It costs one call to the store for each follower and restore.

--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -292,6 +292,31 @@
     run_script(context, script)
 
 
+@when("the store is restored without a drain, and watches of drains stay open")
+def restore_with_open_watch(context):
+    async def script(world):
+        drained = world.endpoints[0]
+        drained.data_hall = "lekki"
+        world.list_endpoint(drained)
+        world.store.put("evacuations", "lekki", {})
+        remaining = identities(world) - {drained.identity}
+        assert await wait_for_endpoints(world, remaining) == [remaining] * 2
+        await trio.sleep(SHORT_SECONDS)
+        copy = world.store.copy()
+        copy.objects["evacuations"].clear()
+        world.store.come_back(copy, uncut_kind="evacuations")
+        context.everyone = identities(world)
+        context.known = await wait_for_endpoints(world, context.everyone)
+
+    run_script(context, script)
+
+
+@then("the drain has ended within {seconds:g} s")
+def check_drain_ended(context, seconds):
+    assert seconds == SETTLE_SECONDS
+    assert context.known == [context.everyone] * 2, context.known
+
+
 @then("no request was sent to the drained data hall")
 def check_drained(context):
     assert context.arrivals == 0, context.arrivals
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -45,6 +45,14 @@
     Then each gateway serves the route of the last configuration, and not the previous one
     And a newer configuration is in force at both within 4 s
 
+  # Regression: the store came back twice within 0.2 s. The watch of drains was opened
+  # between the two, at a revision that both copies have, and its answer told the new era
+  # only after 12 s, although other watches had told it at once.
+  Scenario: a watch stays open across a restore, and others are cut
+    Given 2 gateways in front of 3 desk endpoints, each watching the store
+    When the store is restored without a drain, and watches of drains stay open
+    Then the drain has ended within 5 s
+
   Scenario: a drained data hall stays drained while operators write it again
     Given 2 gateways in front of 3 desk endpoints, each watching the store
     When the store is restored from a copy without a drain, which is written again
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -23,6 +23,7 @@
 from piershore.ingress.followers.configuration_follower import ConfigurationFollower
 from piershore.ingress.followers.drain_follower import DrainFollower
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
+from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
@@ -117,6 +118,8 @@
         self._drains = DrainFollower(
             self._state, drain_feed, DRAIN_WATCH_SECONDS, self._on_drained
         )
+        for follower in self._followers:
+            follower.set_era_callback(self._on_new_era)
         self._endpoint_prober = endpoint_prober
         self._status = StatusService(self._is_ready)
         self._metrics_port = metrics_port
@@ -287,6 +290,14 @@
         ingress_metrics.DRAINED_DATA_HALLS.set(len(view.data_halls))
         self._state.announce()
 
+    @property
+    def _followers(self) -> tuple[StoreFollower, ...]:
+        return self._configuration, self._endpoints, self._drains
+
+    def _on_new_era(self, era: int) -> None:
+        for follower in self._followers:
+            follower.observe_era(era)
+
     def _announce_to_peers(self) -> None:
         self._state.announce()
 
--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -38,6 +38,10 @@
     return True
 
 
+def _ignore(era: int) -> None:
+    """Do nothing with a later era."""
+
+
 class StoreFollower(ABC):
     """Reads a state from the store once, and then follows its changes.
 
@@ -60,6 +64,8 @@
         self._cancel_scope: trio.CancelScope | None = None
         self._settled_at = float("-inf")
         self._should_watch: Callable[[], bool] = always
+        self._on_new_era: Callable[[int], None] = _ignore
+        self._expected_era = 0
         self.health = StoreHealth(
             f"store: {name}", state.random, state.log, lambda: feed.last_received_at
         )
@@ -85,6 +91,20 @@
         """Don't watch the store while `should_watch` returns false: others do."""
         self._should_watch = should_watch
 
+    def set_era_callback(self, on_new_era: Callable[[int], None]) -> None:
+        """Call `on_new_era` when this follower learns of a later era of the store."""
+        self._on_new_era = on_new_era
+
+    def observe_era(self, era: int) -> None:
+        """Read the whole state again if it was read in an earlier era.
+
+        A watch that was opened after the store had returned, at a revision that it also
+        has in the later era, tells that only with its answer.
+        """
+        self._expected_era = era
+        if self._revision is not None and self._revision.era < era:
+            self.restart()
+
     def restart(self) -> None:
         """Read the whole state again now, because a peer's differs."""
         self._revision = None
@@ -141,9 +161,14 @@
                 self._revision.number,
             )
             self._state.log.write(event, is_failure=True)
+            self._on_new_era(self._revision.era)
         ingress_metrics.STORE_ERA.set(self._revision.era)
 
     async def _step(self) -> None:
+        if self._revision is not None and self._revision.era < self._expected_era:
+            # The read was answered before the store returned. It is repeated only once:
+            # replicas of the store may lag.
+            self._revision, self._expected_era = None, 0
         try:
             if self._revision is None:
                 self.health.expect_answer(0.0)
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -119,7 +119,7 @@
         self._events: list[tuple[int, str, dict]] = []
         self._oldest = 0
         self._changed = trio.Event()
-        self._scopes: set[trio.CancelScope] = set()
+        self._scopes: dict[trio.CancelScope, str] = {}
         self._second = 0
         self._in_second = Counts()
         self._kept = self.copy()
@@ -150,16 +150,17 @@
         """Return a copy to come back from."""
         return StoreCopy(deepcopy(self._objects), self._revision)
 
-    def come_back(self, copy: StoreCopy) -> None:
+    def come_back(self, copy: StoreCopy, uncut_kind: str = "") -> None:
         """Come back from an older copy: what was written since is gone.
 
-        Revisions go back with it, and are given out again.
+        Revisions go back with it, and are given out again. Watches are cut, except for
+        those of `uncut_kind`.
         """
         self._objects = deepcopy(copy.objects)
         self._revision = self._oldest = copy.revision
         self._events.clear()
         self.era = (self.era or 0) + 1
-        self.cut_watches()
+        self.cut_watches(uncut_kind)
 
     def names(self, kind: str) -> set[str]:
         """Return the names of the objects of a kind."""
@@ -170,10 +171,11 @@
         self._oldest = self._revision
         self._events.clear()
 
-    def cut_watches(self) -> None:
-        """Close the connections of all watches that wait."""
-        for scope in list(self._scopes):
-            scope.cancel()
+    def cut_watches(self, uncut_kind: str = "") -> None:
+        """Close the connections of all watches that wait, but those of a kind."""
+        for scope, kind in list(self._scopes.items()):
+            if kind != uncut_kind:
+                scope.cancel()
 
     async def serve(
         self,
@@ -313,13 +315,13 @@
         since = int(query["watch"])
         self.counts.watches += 1
         with trio.CancelScope() as scope:
-            self._scopes.add(scope)
+            self._scopes[scope] = kind
             try:
                 with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000):
                     return await self._next_events(kind, since)
                 return HTTPStatus.OK, {"events": [], "at": self._revision}
             finally:
-                self._scopes.discard(scope)
+                del self._scopes[scope]
                 self.counts.watches -= 1
         raise trio.BrokenResourceError("the watch was cut")
 
