--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -21,6 +21,7 @@
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from devtools.soak.limiting_endpoints import LimitingEndpoints
+from devtools.soak.uneven_fleet import UnevenFleet
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead
@@ -70,6 +71,8 @@
         extras.append(AskingEndpoints(fleet, seed))
     if options.limiting:
         extras.append(LimitingEndpoints(fleet, seed))
+    if options.uneven:
+        extras.append(UnevenFleet(fleet, callers, seed))
     if options.drill:
         extras.append(Drill(fleet, troubles, seed))
     try:
@@ -94,7 +97,9 @@
 async def _run(
     fleet: Fleet,
     callers: Callers,
-    extras: list[CrashingCaller | AskingEndpoints | LimitingEndpoints | Drill],
+    extras: list[
+        CrashingCaller | AskingEndpoints | LimitingEndpoints | UnevenFleet | Drill
+    ],
     troubles: Troubles,
     seconds: float,
 ) -> None:
@@ -168,6 +173,11 @@
         action="store_true",
         help="the store comes back from older copies",
     )
+    parser.add_argument(
+        "--uneven",
+        action="store_true",
+        help="engines differ in speed, and some callers read slowly",
+    )
     return parser.parse_args()
 
 
--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -86,13 +86,18 @@
         except NotConnectedError:
             return None
 
-    async def call_once(self, gateway: Gateway, call: Call, body: bytes) -> None:
-        """Make one call on a connection of its own."""
+    async def call_once(
+        self, gateway: Gateway, call: Call, body: bytes, pause: float = 0.0
+    ) -> None:
+        """Make one call on a connection of its own.
+
+        After the first part of the answer nothing is read for `pause` seconds.
+        """
         connection = await self._connect(gateway)
         if connection is None:
             return
         with trio.move_on_after(DEADLINE_MS / 1_000 + 1):
-            await self._exchange(connection, call, inf, body)
+            await self._exchange(connection, call, inf, body, pause)
         await connection.close()
 
     def new_call(self, gateway: Gateway, kind: str, account: str) -> Call:
@@ -143,6 +148,7 @@
         call: Call,
         leaves_after: float,
         body: bytes,
+        pause: float = 0.0,
     ) -> bool:
         """Make one call; tell whether the connection may be used again."""
         try:
@@ -153,6 +159,9 @@
                 call.headers = {k.decode(): v.decode() for k, v in head.headers}
                 async for part in connection.read_chunks():
                     call.body += part
+                    if pause:
+                        await trio.sleep(pause)
+                        pause = 0.0
                 call.is_whole = True
         except ExchangeBrokenError:
             call.is_whole = False
