Descriptors: idle connections of callers can't take all of them

Callers keep connections, and a box may have few file descriptors. If callers' connections took all, a gateway that says it is ready accepted no new one, and reached no endpoint. Now they take three quarters of the process's limit at most; beyond it each new connection closes the one that was idle for longest, with a log line.

--- a/features/callers_gone.feature
+++ b/features/callers_gone.feature
@@ -18,6 +18,11 @@
     When 300 callers connect together and each sends a request
     Then all connections are accepted within 1 s, and all requests are answered
 
+  Scenario: idle connections take the descriptors of a gateway
+    Given a gateway before healthy endpoints
+    When 30 callers keep idle connections, and descriptors suffice for 20
+    Then all were served, and the 10 that were idle for longest are closed
+
   @not_run_means_not_run
   Scenario Outline: a request that can't be served: <reason>
     Given a gateway before healthy endpoints
--- a/features/steps/caller_gone_steps.py
+++ b/features/steps/caller_gone_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import trio
 from behave import given, then, when
 from support.ingress_world import IngressWorld
@@ -10,6 +12,7 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.message import RequestHead
+from piershore.ingress.callers import caller_service
 from standins.published_endpoint import Silence
 
 FULL = EndpointLoad(requests=9, held_tokens=33_000, projected_tokens=36_000)
@@ -145,6 +148,31 @@
     assert context.seconds < seconds, context.seconds
 
 
+@when("{count:d} callers keep idle connections, and descriptors suffice for {limit:d}")
+def keep_idle(context, count, limit):
+    async def script(world):
+        address = world.address()
+        connections = []
+        context.statuses = []
+        for _ in range(count):
+            connection = await ClientConnection.open(address.host, address.port, 1.0)
+            await connection.send(_with_length(world.head("once"), 2), b"{}")
+            context.statuses.append((await connection.read_head()).status)
+            await connection.read_body()
+            connections.append(connection)
+        await trio.sleep(SETTLE_SECONDS)
+        context.open = [not c._stream.socket.is_readable() for c in connections]
+
+    with patch.object(caller_service, "max_caller_connections", lambda: limit):
+        context.ingress.run(script)
+
+
+@then("all were served, and the {count:d} that were idle for longest are closed")
+def check_idle_closed(context, count):
+    assert set(context.statuses) == {200}
+    assert context.open == [False] * count + [True] * (len(context.open) - count)
+
+
 async def _remove_endpoints(world, daemon):
     for endpoint in world.endpoints:
         world.store.remove("servers", endpoint.identity)
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from math import inf
+from resource import getrlimit, RLIM_INFINITY, RLIMIT_NOFILE
 
 import trio
 
@@ -22,13 +24,23 @@
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import CallerRequest
 from piershore.ingress.streams.stream_forwarder import StreamForwarder
-from piershore.telemetry.events import CallerGone
+from piershore.telemetry.events import CallerGone, ConnectionsExhausted
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 """Sent as Retry-After by a gateway that has just started: reading the configuration
 takes a few milliseconds."""
 TASK_START_CHECKPOINTS = 2
 """Iterations of the event loop until a task that was just started has run once."""
+MAX_DESCRIPTOR_SHARE = 0.75
+"""Share of the process's file descriptors that callers' connections may take. Without a
+free descriptor, a gateway that is ready accepts no connection, and reaches no endpoint.
+"""
+
+
+def max_caller_connections() -> float:
+    """Return how many connections of callers may be open."""
+    limit, _ = getrlimit(RLIMIT_NOFILE)
+    return inf if limit == RLIM_INFINITY else MAX_DESCRIPTOR_SHARE * limit
 
 
 class CallerService:
@@ -40,7 +52,9 @@
         self._state = state
         self._calls = calls
         self._streams = streams
-        self._idle: set[trio.CancelScope] = set()
+        self._idle: dict[trio.CancelScope, None] = {}
+        self._open_count = 0
+        self._max_open = max_caller_connections()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress.
@@ -52,15 +66,29 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it closes."""
+        self._open_count += 1
+        if self._open_count > self._max_open:
+            self._close_longest_idle()
         connection = ServerConnection(stream, lambda: self._state.configuration.limits)
         try:
             await self._serve_requests(connection)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The caller has closed the connection, so no answer can be sent.
         finally:
+            self._open_count -= 1
             with trio.CancelScope(shield=True):
                 await connection.close()
 
+    def _close_longest_idle(self) -> None:
+        """Close an idle connection, so that new ones can be accepted."""
+        scope = next(iter(self._idle), None)
+        self._state.log.write(
+            ConnectionsExhausted(self._open_count, len(self._idle)), is_failure=True
+        )
+        if scope is not None:
+            del self._idle[scope]
+            scope.cancel()
+
     async def _serve_requests(self, connection: ServerConnection) -> None:
         arrived = trio.current_time()
         try:
@@ -85,11 +113,11 @@
     async def _wait_for_request(self, connection: ServerConnection) -> bool:
         """Wait for bytes on an idle connection; return False if it is to be closed."""
         with trio.CancelScope() as scope:
-            self._idle.add(scope)
+            self._idle[scope] = None
             try:
                 return await connection.wait_for_bytes()
             finally:
-                self._idle.discard(scope)
+                self._idle.pop(scope, None)
         return False
 
     async def _serve_one(
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -331,6 +331,17 @@
     place: str
 
 
+@dataclass(frozen=True)
+class ConnectionsExhausted(LogEvent):
+    """Callers have as many connections open as the process's descriptors allow.
+
+    The one that was idle for longest is closed, if any is idle.
+    """
+
+    open: int
+    idle: int
+
+
 @dataclass(frozen=True)
 class StreamBrokenOff(LogEvent):
     """A stream can't continue; the caller can tell that it is incomplete.
