Endpoint speeds: memory ranks first, and slow callers tell no speed

Cause: the cost of streams delayed beside a new prompt could reach twice the batch, far above the cost of an endpoint without memory: a generation went to a full endpoint, and waited or was refused, while a slow one had memory. And a gap after a blocked send started when the late event was read, so that the next one seemed to come early: endpoints of slow callers looked up to four times as fast. Change: an endpoint without memory costs more than any that has it, and a gap is recorded only if both of its chunks were awaited.

--- a/features/endpoint_speeds.feature
+++ b/features/endpoint_speeds.feature
@@ -85,8 +85,22 @@
     Given a slow engine that is empty, and a fast one in use
     Then a long generation goes to the fast engine, and a short one to the slow one
     And a long one goes to the slow engine when the fast one has no memory
+    And also when 10 streams at the slow engine would pause beside its prompt
     And without the mechanism all go to the slow engine
 
+  # The next event seemed to come early after each one that had waited for the caller.
+  Scenario Outline: an endpoint seems fast whose caller blocks <seconds> s at each <each>
+    Given a caller that blocks <seconds> s at each <each> events of 40 ms
+    When its stream of 150 events is relayed
+    Then at least <gaps> gaps are recorded for its endpoint, none below 40 ms
+
+    Examples:
+      | seconds | each | gaps |
+      | 0.0     | 1    | 140  |
+      | 0.06    | 2    | 0    |
+      | 0.11    | 3    | 0    |
+      | 0.15    | 5    | 20   |
+
   Scenario: a new incarnation of an endpoint
     Given endpoints that take 20, 12 and 8 ms for a token
     When the slow endpoint restarts
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -31,6 +31,7 @@
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.peers.speed_reporter import SpeedReporter
+from piershore.ingress.streams.stream_relay import StreamRelay
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.endpoint_speed_review import review_endpoint_speeds
 from piershore.telemetry.request_timeline import read_lines
@@ -312,6 +313,89 @@
     set_load(context, EndpointLoad(10, 16_000, 20_000, 0))
 
 
+@then("also when {streams:d} streams at the slow engine would pause beside its prompt")
+def check_full_beside_streams(context, streams):
+    slow = EndpointLoad(streams, streams * 1_200, streams * 1_500, 0)
+    full = EndpointLoad(12, 33_000, 38_000, 0)
+    context.loads.apply_report("peer", {"i-0": slow, "i-1": full}, 0.0)
+    assert chosen(context, LONG) == "i-0"
+    context.loads.apply_report("peer", {}, 0.0)
+    set_load(context, EndpointLoad(10, 16_000, 20_000, 0))
+
+
+@given("a caller that blocks {seconds:g} s at each {count:d} events of 40 ms")
+def given_blocking_caller(context, seconds, count):
+    context.sent, context.disabled = 0, frozenset()
+
+    async def send_chunk(data):
+        context.sent += 1
+        if context.sent % count == 0:
+            await trio.sleep(seconds)
+
+    context.connection = SimpleNamespace(response_started=True, send_chunk=send_chunk)
+    context.directory = EndpointDirectory()
+    (context.endpoint,) = fleet_of(1)
+    context.directory.put(context.endpoint)
+
+
+class RelayedStream:
+    """A stream that keeps the times which the relay reads."""
+
+    is_given_up, handover = False, None
+    endpoint_first_event_at = float("inf")
+
+    def __init__(self, connection):
+        self.exchange = SimpleNamespace(connection=connection)
+        self.delivered = SimpleNamespace(filter_new=list)
+
+    def record_events(self, count, now, tokens):
+        self.last_event_at = now
+        self.endpoint_first_event_at = min(now, self.endpoint_first_event_at)
+
+
+@when("its stream of {count:d} events is relayed")
+def relay_stream(context, count):
+    context.gaps = []
+    state = SimpleNamespace(
+        is_enabled=lambda mechanism: mechanism not in context.disabled,
+        directory=context.directory,
+        paces=SimpleNamespace(record_chunk=lambda *values: None),
+        stalls=SimpleNamespace(record_chunk=lambda *values: None),
+        speeds=SimpleNamespace(
+            record_gap=lambda identity, service, gap, *_: context.gaps.append(gap)
+        ),
+    )
+    sender, receiver = trio.open_memory_channel(count)
+
+    async def serve():
+        async with sender:
+            for number in range(count):
+                await trio.sleep(0.04)
+                await sender.send(b"id: %d\ndata: x\n\n" % number)
+
+    async def run():
+        attempt = SimpleNamespace(
+            endpoint=context.endpoint,
+            read_chunks=receiver.__aiter__,
+            close=receiver.aclose,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            await StreamRelay(state, RelayedStream(context.connection)).run(attempt)
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    assert context.sent
+
+
+@then(
+    "at least {count:d} gaps are recorded for its endpoint, none below "
+    "{milliseconds:d} ms"
+)
+def check_gaps(context, count, milliseconds):
+    assert len(context.gaps) >= count, len(context.gaps)
+    assert all(gap > milliseconds / 1_001 for gap in context.gaps), context.gaps
+
+
 @then("without the mechanism all go to the slow engine")
 def check_disabled(context):
     disabled = frozenset({Mechanism.ENDPOINT_SPEEDS})
--- a/src/piershore/core/fleet/placement_policy.py
+++ b/src/piershore/core/fleet/placement_policy.py
@@ -10,8 +10,10 @@
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.endpoint_speed import EndpointSpeed
+from piershore.core.fleet.endpoint_speeds import MAX_SLOWNESS
+from piershore.core.fleet.generation_admission import has_memory, MAX_PROJECTED_SHARE
 from piershore.core.fleet.generation_work import GenerationWork
-from piershore.core.fleet.time_cost import time_cost
+from piershore.core.fleet.time_cost import max_late_cost, time_cost
 from piershore.core.routes.service_spec import EngineSpec
 
 PENDING_PROMPT_COST_TOKENS = 6_000.0
@@ -84,9 +86,13 @@
         speed: EndpointSpeed,
         aims: CallerAims,
     ) -> float:
-        """Return how full the engine would become in time, and the risk to be late."""
+        """Return how full the engine would become in time, and the risk to be late.
+
+        An engine without memory ranks behind all that have it, as a late answer is
+        better than a refusal.
+        """
         own_prompt = 0 if work.has_begun else work.size.prompt_tokens
-        return time_cost(
+        cost = time_cost(
             self.cost(load, work, engine),
             own_prompt / PENDING_PROMPT_COST_TOKENS,
             load,
@@ -95,6 +101,9 @@
             speed,
             aims,
         )
+        if has_memory(load, work, engine):
+            return cost
+        return cost + _max_cost_with_memory(engine)
 
 
 @placement_policy("least_in_flight")
@@ -128,5 +137,12 @@
         return (load.held_tokens + work.held_tokens) / engine.memory_tokens
 
 
+def _max_cost_with_memory(engine: EngineSpec) -> float:
+    """Return the most that an engine with memory for a generation can cost."""
+    prompts = engine.memory_tokens / PENDING_PROMPT_COST_TOKENS
+    load_cost = MAX_PROJECTED_SHARE + BATCH_COST + prompts
+    return MAX_SLOWNESS * load_cost + max_late_cost(engine)
+
+
 def _batch_share(load: EndpointLoad, engine: EngineSpec) -> float:
     return (load.requests + 1) / engine.slots
--- a/src/piershore/core/fleet/time_cost.py
+++ b/src/piershore/core/fleet/time_cost.py
@@ -11,7 +11,6 @@
 from piershore.core.fleet.caller_aims import CallerAims
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.endpoint_speed import EndpointSpeed
-from piershore.core.fleet.generation_admission import has_memory
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.routes.service_spec import EngineSpec
 
@@ -25,9 +24,6 @@
 """Cost of a generation that ends late, in full loads of an endpoint: more than the
 difference between an empty endpoint and a full one, so that a full fast endpoint is
 preferred to an empty one at which the generation would be late."""
-NO_MEMORY_COST = 6.0
-"""Cost of an endpoint without memory for the generation: it exceeds any risk of being
-late, as a late answer is better than a refusal."""
 
 
 def time_cost(
@@ -48,10 +44,13 @@
         1.0 - speed.pause_risk(speed.gaps_in(work.remaining_tokens))
     )
     cost = speed.slowness * load_cost + (speed.slowness - 1.0) * prompt_cost
-    cost += LATE_COST * (lateness + delayed_streams(load, work, speed))
-    if not has_memory(load, work, engine):
-        cost += NO_MEMORY_COST
-    return cost
+    delayed = min(engine.slots, delayed_streams(load, work, speed))
+    return cost + LATE_COST * (lateness + delayed)
+
+
+def max_late_cost(engine: EngineSpec) -> float:
+    """Return the cost if a generation and a full batch beside it are late."""
+    return LATE_COST * (1 + engine.slots)
 
 
 def first_part_risk(
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -20,6 +20,8 @@
 MIN_WAIT_SHARE = 0.5
 """Share of a gap that was spent on waiting for the endpoint: with less, the caller read
 slowly, and the gap tells nothing about the endpoint."""
+MIN_WAIT_SECONDS = 0.001
+"""A shorter wait is for a chunk that had already arrived."""
 
 
 class StreamRelay:
@@ -29,6 +31,7 @@
         self._state = state
         self._stream = stream
         self._waited = 0.0
+        self._was_awaited = True
         self._unrecorded_gap: tuple[float, int, float] | None = None
 
     async def run(self, attempt: EndpointAttempt) -> str | None:
@@ -36,6 +39,7 @@
         splitter = EventSplitter()
         chunks = attempt.read_chunks()
         self._unrecorded_gap = None
+        self._was_awaited = True
         stream = self._stream
         try:
             while (chunk := await self._next_chunk(chunks)) is not None:
@@ -100,10 +104,13 @@
     ) -> None:
         """Record the gap before the last chunk, now that another one follows.
 
-        The last event of a stream has fewer tokens than the others.
+        The last event of a stream has fewer tokens than the others. Both chunks of a
+        gap must have been awaited: else it isn't known when they arrived.
         """
         before, self._unrecorded_gap = self._unrecorded_gap, None
-        if self._waited >= MIN_WAIT_SHARE * gap:
+        was_awaited = self._was_awaited
+        self._was_awaited = self._waited >= max(MIN_WAIT_SECONDS, MIN_WAIT_SHARE * gap)
+        if was_awaited and self._was_awaited:
             self._unrecorded_gap = gap, count, now
         if before is None:
             return
