Endpoint speeds: nothing is learned when disabled, and unknown is told as unknown

Change: gaps are recorded with the mechanism only, and of listed endpoints; the gauge returns to 1; 'slowness' of attempt_started is null if it isn't known or the endpoints don't differ. 'own_times' is 'observed_times', as 'own' also meant an endpoint's own time; the cost of even endpoints has a name of its own.

--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -138,7 +138,7 @@
         if not self._is_over:
             self._at(SPEED_REPORT_SECONDS, self._tell_speeds, gateway)
         for service in gateway.speeds.uneven_services(now):
-            for identity, time in list(gateway.speeds.own_times(service)):
+            for identity, time in list(gateway.speeds.observed_times(service)):
                 endpoint = gateway.directory.get(identity)
                 if endpoint is None:
                     continue
--- a/features/endpoint_speeds.feature
+++ b/features/endpoint_speeds.feature
@@ -27,15 +27,20 @@
     When they serve for 20 seconds, with speeds and without
     Then with speeds more streams come in time, and first tokens don't take longer
 
-  Scenario Outline: engines of one speed, slow at times by a factor of <slow>
+  Scenario Outline: engines of one speed, slow at times: <slow>, load <load>, seed <seed>
     Given 6 gateways before 9 engines of one speed, slow at times by a factor of <slow>
+    And <load> times their usual load, by seed <seed>
     When they serve for 20 seconds, with speeds and without
     Then every generation runs at the same engine at the same time
 
     Examples:
-      | slow |
-      | 1.0  |
-      | 2.5  |
+      | slow | load | seed |
+      | 1.0  | 1.0  | 27   |
+      | 2.5  | 1.0  | 27   |
+      | 2.5  | 1.0  | 28   |
+      | 1.0  | 1.5  | 28   |
+      | 2.5  | 1.5  | 27   |
+      | 2.5  | 1.5  | 28   |
 
   Scenario Outline: speeds in a fleet that has <situation>
     Given endpoints that take 20, 12 and 8 ms for a token
@@ -101,6 +106,17 @@
       | 0.11    | 3    | 0    |
       | 0.15    | 5    | 20   |
 
+  Scenario Outline: no speeds are learned <situation>
+    Given a caller that blocks 0 s at each 1 events of 40 ms
+    And <change>
+    When its stream of 150 events is relayed
+    Then no gaps are recorded for its endpoint
+
+    Examples:
+      | situation                         | change                    |
+      | without the mechanism             | the mechanism is disabled |
+      | of an endpoint that has been left | its endpoint has departed |
+
   Scenario: a new incarnation of an endpoint
     Given endpoints that take 20, 12 and 8 ms for a token
     When the slow endpoint restarts
@@ -138,6 +154,7 @@
     Then a peer takes it for 3 seconds old
     When it observes nothing for 6 seconds
     Then it sends no datagrams within 10 seconds, not even to a new peer
+    And its gauge tells endpoints of 1.67 and 0.67, and after 40 seconds of 1.0 and 1.0
 
   # Peers that were silent for minutes still counted as reporters.
   Scenario: peers report on an endpoint that this gateway observes, and then leave
@@ -147,6 +164,7 @@
 
   Scenario: an operator lists the speeds that gateways learned
     Then `beliefs --speeds` lists endpoints of 20 and 8 ms from logs of 2 gateways
+    And a generation counts as placed unknown only if the slowness wasn't known
 
   Scenario: speeds of endpoints in the largest fleet
     Then a report of 12 endpoints takes at most 600 bytes
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -67,6 +67,13 @@
     context.settings = replace(context.settings, speeds=speeds)
 
 
+@given("{load:g} times their usual load, by seed {seed:d}")
+def given_load(context, load, seed):
+    context.seed = seed
+    rate = load * context.settings.rate
+    context.settings = replace(context.settings, rate=rate)
+
+
 @given("a sixth of the engines is replaced every {seconds:g} s")
 def given_replacement(context, seconds):
     interval = 6 * seconds / context.settings.engines
@@ -85,7 +92,8 @@
     context.fleets = []
     for learns in (True, False):
         settings = replace(context.settings, learns_speeds=learns)
-        fleet = FleetRun(settings.lasting(float(seconds)), SEED)
+        seed = getattr(context, "seed", SEED)
+        fleet = FleetRun(settings.lasting(float(seconds)), seed)
         fleet.run()
         context.fleets.append(fleet)
 
@@ -134,12 +142,15 @@
 @then("every generation runs at the same engine at the same time")
 def check_equal(context):
     learned, unknown = (
-        [(s.engine.endpoint.identity, s.first_at, s.last_at) for s in fleet.streams]
+        [
+            (s.engine and s.engine.endpoint.identity, s.first_at, s.last_at)
+            for s in fleet.streams
+        ]
         for fleet in context.fleets
     )
     assert learned == unknown
     gateways = context.fleets[0]._gateways
-    assert any(list(g.speeds.own_times(SERVICE)) for g in gateways)
+    assert any(list(g.speeds.observed_times(SERVICE)) for g in gateways)
 
 
 def observe(
@@ -364,6 +375,16 @@
         self.endpoint_first_event_at = min(now, self.endpoint_first_event_at)
 
 
+@given("the mechanism is disabled")
+def disable(context):
+    context.disabled = frozenset({Mechanism.ENDPOINT_SPEEDS})
+
+
+@given("its endpoint has departed")
+def depart(context):
+    context.directory = EndpointDirectory()
+
+
 @when("its stream of {count:d} events is relayed")
 def relay_stream(context, count):
     context.gaps = []
@@ -398,6 +419,11 @@
     assert context.sent
 
 
+@then("no gaps are recorded for its endpoint")
+def check_no_gaps(context):
+    assert not context.gaps, context.gaps
+
+
 @then(
     "at least {count:d} gaps are recorded for its endpoint, none below "
     "{milliseconds:d} ms"
@@ -524,6 +550,26 @@
     assert abs(context.now - time.updated_at - age) < 0.5, context.now - time.updated_at
 
 
+@then(
+    "its gauge tells endpoints of {slow:g} and {fast:g}, and after {seconds:d} seconds "
+    "of {late_slow:g} and {late_fast:g}"
+)
+def check_gauge(context, slow, fast, seconds, late_slow, late_fast):
+    now = OBSERVED_SECONDS
+    speeds = observed_speeds((20, 12, 8))
+    _, reporter = gateway("self", (), context.directory, speeds)
+    for at, expected in ((now, [slow, fast]), (now + seconds, [late_slow, late_fast])):
+        trio.run(reporter._send_due, at)
+        found = [gauged(extreme) for extreme in ("slowest", "fastest")]
+        assert [round(value, 2) for value in found] == expected, found
+
+
+def gauged(extreme):
+    name = "piershore_ingress_endpoint_slowness"
+    labels = {"service": SERVICE, "extreme": extreme}
+    return ingress_metrics.REGISTRY.get_sample_value(name, labels)
+
+
 @when("it observes nothing for {seconds:d} seconds")
 def observe_nothing(context, seconds):
     context.now += seconds
@@ -660,3 +706,24 @@
     rows = review_endpoint_speeds(read_lines(texts))
     found = [(row["endpoint"], row["token_ms"], row["gateways"]) for row in rows]
     assert found == [("i-1", 20.0, 2), ("i-0", 8.0, 2)], found
+
+
+@then("a generation counts as placed unknown only if the slowness wasn't known")
+def check_placed_unknown(context):
+    attempts = [
+        orjson.dumps(
+            {
+                "time": "2026-01-01T00:00:00+00:00",
+                "box": "front-1",
+                "event": "attempt_started",
+                "endpoint": "i-0",
+                "expected_tokens": 100,
+                "slowness": slowness,
+            }
+        )
+        for slowness in (1.0, 1.0, None, 1.6)
+    ]
+    rows = review_endpoint_speeds(
+        read_lines([speed_line("front-1", "i-0", 0.012), *attempts])
+    )
+    assert [(r["generations"], r["placed_unknown"]) for r in rows] == [(4, 1)], rows
--- a/src/piershore/core/fleet/endpoint_speeds.py
+++ b/src/piershore/core/fleet/endpoint_speeds.py
@@ -44,7 +44,7 @@
     """The endpoints of a service at one time; `token_seconds` is their median.
 
     `slowness` is empty if the endpoints don't differ. `typical_slowness` is that of a
-    fast, a median and a slow endpoint, and `uncertain` are those endpoints whose own
+    fast, a median and a slow endpoint, and `uncertain` are those endpoints whose
     estimate counts little as yet.
     """
 
@@ -93,10 +93,10 @@
             return
         estimate = self._estimate(identity, service)
         estimate.record(token_seconds, now, has_pending_prompts)
-        own = estimate.own
-        if own is not None and not own.is_rough:
+        observed = estimate.observed
+        if observed is not None and not observed.is_rough:
             spread = self._spreads.setdefault(service, GapSpread())
-            spread.record(gap / own.token_seconds, tokens)
+            spread.record(gap / observed.token_seconds, tokens)
 
     def apply_report(
         self, peer: str, identity: str, service: str, reported: OwnTime
@@ -119,8 +119,12 @@
 
         1.0 if it is unknown, or if the endpoints of the service don't differ markedly.
         """
+        return self.known_slowness(identity, service) or 1.0
+
+    def known_slowness(self, identity: str, service: str) -> float | None:
+        """Return the same, or None if it isn't known or the endpoints don't differ."""
         view = self._views.get(service)
-        return view.slowness.get(identity, 1.0) if view else 1.0
+        return view.slowness.get(identity) if view else None
 
     def speed(
         self, identity: str, service: str, longest_pause: float | None, now: float
@@ -138,11 +142,11 @@
         )
         return EndpointSpeed(slowness, token_seconds, shares, spread.tokens_per_gap)
 
-    def own_times(self, service: str) -> Iterator[tuple[str, OwnTime]]:
+    def observed_times(self, service: str) -> Iterator[tuple[str, OwnTime]]:
         """Yield what this gateway observed itself, by endpoint identity."""
         for identity, estimate in self._estimates.items():
-            if estimate.service == service and estimate.own is not None:
-                yield identity, estimate.own
+            if estimate.service == service and estimate.observed is not None:
+                yield identity, estimate.observed
 
     def reporters(self, identity: str) -> int:
         """Return how many peers report on an endpoint."""
--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -44,13 +44,13 @@
 class Candidate:
     """An endpoint and the cost of choosing it.
 
-    `slowness` is its time per token relative to its service, 1.0 if not known.
+    `slowness` is its time per token relative to its service, None if not known.
     """
 
     endpoint: Endpoint
     load: EndpointLoad
     cost: float
-    slowness: float = 1.0
+    slowness: float | None = None
 
 
 @dataclass(frozen=True)
@@ -147,7 +147,7 @@
         is healthy or if `anywhere` is set. `aims` count where endpoints differ.
         """
 
-        def cost(endpoint: Endpoint, load: EndpointLoad) -> float:
+        def even_cost(endpoint: Endpoint, load: EndpointLoad) -> float:
             return self._policy.cost(load, work, engine)
 
         def uneven_cost(endpoint: Endpoint, load: EndpointLoad) -> float:
@@ -156,8 +156,10 @@
             )
             return self._policy.uneven_cost(load, work, engine, speed, aims)
 
-        if self._uses_speeds and self._speeds.of_service(service, now).are_uneven:
-            cost = uneven_cost
+        is_uneven = (
+            self._uses_speeds and self._speeds.of_service(service, now).are_uneven
+        )
+        cost = uneven_cost if is_uneven else even_cost
         endpoints = self._directory.of_service(service)
         if self._uses_subsets and not anywhere:
             subset = self._subsets.own(service)
@@ -266,9 +268,9 @@
             total += self._remote_cost
         if self._counts_stalls:
             total += self._stalls.cost(endpoint.data_hall)
-        slowness = 1.0
+        slowness = None
         if self._uses_speeds:
-            slowness = self._speeds.slowness(endpoint.identity, endpoint.service)
+            slowness = self._speeds.known_slowness(endpoint.identity, endpoint.service)
         return Candidate(endpoint, load, total, slowness)
 
     @staticmethod
--- a/src/piershore/core/fleet/speed_estimate.py
+++ b/src/piershore/core/fleet/speed_estimate.py
@@ -50,7 +50,7 @@
         return now - self.updated_at < FRESH_SECONDS
 
     def prevails(self, now: float) -> bool:
-        """Return whether a gateway's own estimate is better than those of peers."""
+        """Return whether what a gateway observed is better than those of peers."""
         is_full = self.samples >= FULL_SAMPLES and not self.is_rough
         return is_full and self.is_fresh(now)
 
@@ -63,18 +63,18 @@
 @dataclass(frozen=True)
 class _Sample:
     token_seconds: float
-    beside_prompts: bool
+    has_pending_prompts: bool
 
 
 class SpeedEstimate:
-    """The own time of one endpoint: by own observation, and as peers report it."""
+    """The own time of one endpoint, as this gateway observed and peers report it."""
 
     def __init__(self, service: str) -> None:
         self.service = service
         self._samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
         self._times: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._reports: dict[str, OwnTime] = {}
-        self._own: OwnTime | None = None
+        self._observed: OwnTime | None = None
         self._unused_samples = 0
 
     @property
@@ -83,13 +83,13 @@
         return self._reports.keys()
 
     @property
-    def own(self) -> OwnTime | None:
+    def observed(self) -> OwnTime | None:
         """The time that this gateway observed; None with too few samples."""
-        needed = 1 if self._own is None else SAMPLES_PER_UPDATE
+        needed = 1 if self._observed is None else SAMPLES_PER_UPDATE
         if self._unused_samples >= needed:
-            self._own = self._estimate()
+            self._observed = self._estimate()
             self._unused_samples = 0
-        return self._own
+        return self._observed
 
     def record(
         self,
@@ -101,7 +101,7 @@
         if self._times and now - self._times[-1] < MIN_SAMPLE_INTERVAL_SECONDS:
             last = self._samples[-1]
             if token_seconds < last.token_seconds:
-                self._samples[-1] = _Sample(token_seconds, last.beside_prompts)
+                self._samples[-1] = _Sample(token_seconds, last.has_pending_prompts)
             return
         self._samples.append(_Sample(token_seconds, has_pending_prompts()))
         self._times.append(now)
@@ -124,13 +124,13 @@
         self._reports[peer] = reported
 
     def merged(self, now: float) -> OwnTime | None:
-        """Return the best estimate: the own one, or the median with those of peers."""
-        own = self.own
-        if own and own.prevails(now):
-            return own
+        """Return what was observed, or its median with what peers report."""
+        observed = self.observed
+        if observed and observed.prevails(now):
+            return observed
         known = list(self._reports.values())
-        if own is not None:
-            known.append(own)
+        if observed is not None:
+            known.append(observed)
         if not known:
             return None
         return OwnTime(
@@ -143,7 +143,9 @@
     def _estimate(self) -> OwnTime | None:
         if self._times[-1] - self._times[0] < MIN_SPAN_SECONDS:
             return None
-        undisturbed = [s.token_seconds for s in self._samples if not s.beside_prompts]
+        undisturbed = [
+            s.token_seconds for s in self._samples if not s.has_pending_prompts
+        ]
         if len(self._samples) < MIN_SAMPLES:
             return None
         value = _low_quantile(sample.token_seconds for sample in self._samples)
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -60,11 +60,15 @@
             ejected=decision.ejected,
             resting=decision.resting,
             limited=decision.limited,
-            slowness=round(decision.best.slowness, COST_DECIMAL_PLACES),
+            slowness=_rounded(decision.best.slowness),
         )
     )
 
 
+def _rounded(slowness: float | None) -> float | None:
+    return None if slowness is None else round(slowness, COST_DECIMAL_PLACES)
+
+
 def record_failed_attempt(
     state: GatewayState,
     exchange: Exchange,
--- a/src/piershore/ingress/peers/speed_reporter.py
+++ b/src/piershore/ingress/peers/speed_reporter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import trio
 
@@ -34,6 +34,7 @@
         self._link = link
         self._announcements = SpeedAnnouncements()
         self._logged: dict[str, OwnTime] = {}
+        self._uneven: set[str] = set()
         self._last_numbers: dict[str, tuple[str, int]] = {}
 
     def start(self) -> None:
@@ -102,22 +103,31 @@
                 await self._send(host, speeds[start : start + MAX_REPORTED_SPEEDS])
 
     def _reportable(self, now: float) -> Iterator[tuple[Endpoint, OwnTime]]:
-        """Yield own estimates at services whose endpoints differ."""
+        """Yield what was observed at services whose endpoints differ."""
         speeds, directory = self._state.speeds, self._state.directory
         departed = [i for i in self._logged if directory.get(i) is None]
         self._announcements.forget(departed)
         for identity in departed:
             del self._logged[identity]
-        for service in speeds.uneven_services(now):
-            slowness = speeds.of_service(service, now).slowness.values()
-            gauge = ingress_metrics.ENDPOINT_SLOWNESS
-            gauge.labels(service, "slowest").set(max(slowness))
-            gauge.labels(service, "fastest").set(min(slowness))
-            for identity, time in list(speeds.own_times(service)):
+        uneven = speeds.uneven_services(now)
+        self._update_gauges(uneven, now)
+        for service in uneven:
+            for identity, time in list(speeds.observed_times(service)):
                 endpoint = directory.get(identity)
                 if endpoint is not None:
                     yield endpoint, time
 
+    def _update_gauges(self, uneven: Collection[str], now: float) -> None:
+        gauge = ingress_metrics.ENDPOINT_SLOWNESS
+        for service in self._uneven.difference(uneven):
+            gauge.labels(service, "slowest").set(1.0)
+            gauge.labels(service, "fastest").set(1.0)
+        for service in uneven:
+            slowness = self._state.speeds.of_service(service, now).slowness.values()
+            gauge.labels(service, "slowest").set(max(slowness))
+            gauge.labels(service, "fastest").set(min(slowness))
+        self._uneven = set(uneven)
+
     def _log_if_notable(self, endpoint: Endpoint, time: OwnTime, now: float) -> None:
         identity, speeds = endpoint.identity, self._state.speeds
         before = self._logged.get(identity)
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -7,6 +7,7 @@
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.mechanism import Mechanism
 from piershore.core.streams.delivered_events import MissingEventError
 from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
 from piershore.http1.exceptions import ExchangeBrokenError
@@ -32,6 +33,7 @@
         self._stream = stream
         self._waited = 0.0
         self._was_awaited = True
+        self._learns_speeds = state.is_enabled(Mechanism.ENDPOINT_SPEEDS)
         self._unrecorded_gap: tuple[float, int, float] | None = None
 
     async def run(self, attempt: EndpointAttempt) -> str | None:
@@ -96,7 +98,8 @@
         self._state.paces.record_chunk(attempt.endpoint.identity, gap, now)
         if gap is not None:
             self._state.stalls.record_chunk(attempt.endpoint.data_hall, gap)
-            self._record_speed(attempt.endpoint, gap, count, now)
+            if self._learns_speeds:
+                self._record_speed(attempt.endpoint, gap, count, now)
         stream.record_events(count, now, TOKENS_PER_EVENT)
 
     def _record_speed(
@@ -112,7 +115,7 @@
         self._was_awaited = self._waited >= max(MIN_WAIT_SECONDS, MIN_WAIT_SHARE * gap)
         if was_awaited and self._was_awaited:
             self._unrecorded_gap = gap, count, now
-        if before is None:
+        if before is None or self._state.directory.get(endpoint.identity) is None:
             return
         gap, count, now = before
 
--- a/src/piershore/telemetry/endpoint_speed_review.py
+++ b/src/piershore/telemetry/endpoint_speed_review.py
@@ -22,7 +22,7 @@
             learned[endpoint].append(line)
         elif line.event == "attempt_started" and line.fields.get("expected_tokens"):
             generations[endpoint] += 1
-            unknown[endpoint] += line.fields.get("slowness", 1.0) == 1.0
+            unknown[endpoint] += line.fields.get("slowness") is None
     rows = [
         _row(endpoint, events, generations[endpoint], unknown[endpoint])
         for endpoint, events in learned.items()
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -213,7 +213,7 @@
     has used up its quota of their rate limit). `view_age` is the age of the oldest peer
     report that the loads are based on. `expected_tokens` is the expected length of a
     generation's output, `slowness` the endpoint's time per token relative to its
-    service.
+    service, None if it isn't known or the endpoints don't differ.
     """
 
     request: str
@@ -235,7 +235,7 @@
     ejected: tuple[str, ...] = ()
     resting: tuple[str, ...] = ()
     limited: tuple[str, ...] = ()
-    slowness: float = 1.0
+    slowness: float | None = None
 
 
 @dataclass(frozen=True)
