Ordered waiting: generations get memory in an order over all gateways

Cause: those that wait for memory check at random, whoever checks first starts, and a refused caller is told a time that nobody keeps.

Change: a queue with an order (priority, callers that returned when told, those in time, arrival), reported to peers; refusals at once with a time at which memory is projected and reserved. Not measured yet.

--- a/src/piershore/core/fleet/generation_admission.py
+++ b/src/piershore/core/fleet/generation_admission.py
@@ -35,6 +35,14 @@
     )
 
 
+def fits_without_preemption(
+    load: EndpointLoad, work: GenerationWork, engine: EngineSpec
+) -> bool:
+    """Return whether an engine has memory for a short generation beside the others."""
+    needed = work.held_tokens + work.remaining_tokens
+    return load.held_tokens + needed <= engine.memory_tokens
+
+
 def retry_after_seconds(load: EndpointLoad) -> float:
     """Return the estimated seconds until some of an engine's generations have ended."""
     remaining = load.projected_tokens - load.held_tokens
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -31,6 +31,7 @@
 from piershore.ingress.peers.outage_prober import OutageProber
 from piershore.ingress.peers.peer_documents import PeerDocuments
 from piershore.ingress.peers.peer_link import PeerLink
+from piershore.ingress.peers.waiting_reporter import WaitingReporter
 from piershore.ingress.ports import (
     ConfigurationFeed,
     DrainFeed,
@@ -157,6 +158,9 @@
         self._state.announce_failure = link.announce_failure
         load_updates = LoadUpdateSender(self._state, link)
         crash_reporter = CrashReporter(self._state, link)
+        waiting_reporter = WaitingReporter(self._state, link)
+        if self._state.is_enabled(Mechanism.ORDERED_WAITING):
+            self._state.announce_waiting = waiting_reporter.schedule_report
         if self._state.is_enabled(Mechanism.SUBSETS):
             self._state.announce_load = load_updates.schedule_update
         self._state.seconds_until_accepted = link.seconds_until_accepted
@@ -184,6 +188,9 @@
                 crash_reporter.start(nursery)
                 nursery.start_soon(self._supervise, self._state.crash_detector.sweep)
                 nursery.start_soon(self._supervise, crash_reporter.run)
+                if self._state.is_enabled(Mechanism.ORDERED_WAITING):
+                    waiting_reporter.start()
+                    nursery.start_soon(self._supervise, waiting_reporter.run)
                 await self._start(nursery, link, load_updates, documents)
                 if self._state.is_enabled(Mechanism.OUTAGE_QUESTIONS):
                     nursery.start_soon(self._supervise, outage_prober.run)
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -33,6 +33,8 @@
 from piershore.core.quarantine.endpoint_runs import EndpointRuns
 from piershore.core.quarantine.quarantine import Quarantine
 from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.waiting.memory_scope import MemoryScope
+from piershore.core.waiting.waiting_queue import WaitingQueue
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.attempts.crash_detector import CrashDetector
 from piershore.ingress.attempts.endpoint_notices import EndpointNotices
@@ -63,6 +65,7 @@
 
     `announce` soon reports the configuration to all peers, `announce_failure` a failed
     attempt, and `announce_load` new work at an endpoint to the peers that share it.
+    `announce_waiting` reports soon to peers what waits for memory here.
     `seconds_until_accepted` returns in how many seconds another gateway accepts a
     request that this one refuses because it leaves. `leaving_since` is when the process
     was told to stop, `stops_at` when it ends at the latest.
@@ -94,6 +97,7 @@
     announce: Callable[[], None] = _announce_nothing
     announce_failure: Callable[[], None] = _announce_nothing
     announce_load: Callable[[Endpoint], None] = _announce_no_load
+    announce_waiting: Callable[[], None] = _announce_nothing
     seconds_until_accepted: Callable[[], float] = _immediate_retry_seconds
     _retry_budgets: dict[str, RetryBudget] = field(default_factory=dict)
     _retry_schedules: dict[str, RetrySchedule] = field(default_factory=dict)
@@ -112,6 +116,12 @@
             notice_handler, self.limits, self.limit_monitor, self.dialect, self.log
         )
         self.pool.set_head_callback(self.notices.receive_head)
+        self.memory_scope = MemoryScope(self.directory, self.subsets)
+        self.waiting = WaitingQueue(
+            self.host,
+            keeps_promises=self.is_enabled(Mechanism.RETURN_TIMES),
+            shared=self.memory_scope.share,
+        )
         self.cold_starts = ColdStarts(shares, self.configuration)
         self.placement = Placement(
             self.data_hall,
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -26,6 +26,7 @@
 from piershore.ingress.callers.final_refusal import final_refusal
 from piershore.ingress.exceptions import AttemptFailedError, RequestRefusedError
 from piershore.ingress.gateway_state import GatewayState
+from piershore.ingress.streams.ordered_wait import OrderedWait
 from piershore.ingress.streams.stream_placement import StreamPlacement
 from piershore.telemetry import ingress_metrics
 
@@ -83,6 +84,8 @@
 
         None means that there is no endpoint, or that none accepts work in time.
         """
+        if OrderedWait.applies(self._state, self._placement, service):
+            return await self._choose_in_order(service, tried)
         wait = MemoryWait(self._state.random)
         deadline = self._exchange.arrived
         if self._state.is_enabled(Mechanism.WAITING):
@@ -97,6 +100,17 @@
                 return decision
             await trio.sleep(pause)
 
+    async def _choose_in_order(
+        self, service: str, tried: list[str]
+    ) -> PlacementDecision | None:
+        wait = OrderedWait(self._state, self._exchange, self._placement)
+        result = await wait.choose(service, tried)
+        if result.refusal is None:
+            return result.decision
+        if any(not outcome.proves_not_run for outcome in self._outcomes):
+            raise self.refusal()
+        raise result.refusal
+
     def _seconds_until_available(self, service: str) -> float | None:
         now = trio.current_time()
         return self._state.placement.seconds_until_any_available(service, now)
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+import trio
+
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.fleet_load import BackupWork
-from piershore.core.fleet.generation_admission import has_memory
+from piershore.core.fleet.generation_admission import (
+    fits_without_preemption,
+    has_memory,
+)
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import PlacementDecision
 from piershore.core.mechanism import Mechanism
+from piershore.core.routes.service_spec import EngineSpec
+from piershore.core.waiting.memory_forecast import MemoryForecast
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
@@ -37,8 +46,12 @@
     def place(self, endpoint: Endpoint | None) -> None:
         """Count the work at this endpoint only; at none if it is None."""
         load = self._state.fleet_load
-        if self._endpoint is not None:
-            load.remove(self._endpoint.identity, self.work)
+        left = self._endpoint
+        if left is not None:
+            load.remove(left.identity, self.work)
+            if self._state.waiting.has_waiting(left.service, trio.current_time()):
+                # Those who wait at peers learn at once of the memory that is free.
+                self._state.announce_load(left)
         if endpoint is not None:
             load.add(endpoint.identity, self.work)
             self._state.announce_load(endpoint)
@@ -70,10 +83,60 @@
             service, self.work, spec.engine, now, excluded
         )
         if decision is None or has_memory(decision.load, self.work, spec.engine):
-            return decision
+            return self._prefer_room(decision)
         # Don't refuse a request while an endpoint outside the subset has free memory.
-        return placement.for_generation(
-            service, self.work, spec.engine, now, excluded, anywhere=True
+        return self._prefer_room(
+            placement.for_generation(
+                service, self.work, spec.engine, now, excluded, anywhere=True
+            )
+        )
+
+    def _prefer_room(
+        self, decision: PlacementDecision | None
+    ) -> PlacementDecision | None:
+        """Return the next best endpoint that has memory, if the best has none."""
+        if decision is None or self.has_room(decision):
+            return decision
+        if not self._state.is_enabled(Mechanism.ORDERED_WAITING):
+            return decision
+        for other in decision.others:
+            candidate = replace(
+                decision,
+                best=other,
+                others=tuple(
+                    c for c in (decision.best, *decision.others) if c is not other
+                ),
+            )
+            if self.has_room(candidate):
+                return candidate
+        return decision
+
+    def engine(self, service: str) -> EngineSpec | None:
+        """Return the engines of a service, or None if it has none."""
+        spec = self._exchange.configuration.services.get(service)
+        return spec.engine if spec else None
+
+    def has_room(self, decision: PlacementDecision) -> bool:
+        """Return whether the generation fits beside the others at the endpoint."""
+        engine = self.engine(decision.endpoint.service)
+        if engine is None:
+            return True
+        if self.work.is_long:
+            return has_memory(decision.load, self.work, engine)
+        return fits_without_preemption(decision.load, self.work, engine)
+
+    def forecast(self, service: str, now: float) -> MemoryForecast:
+        """Return the memory that the service's engines have for the generation."""
+        state = self._state
+        loads = (
+            state.fleet_load.at(endpoint.identity)
+            for endpoint in state.memory_scope.endpoints(service)
+            if not state.placement.seconds_until_available(endpoint, now)
+            and not state.health.is_ejected(endpoint.identity, now)
+        )
+        tokens = self.work.held_tokens + self.work.remaining_tokens
+        return MemoryForecast(
+            loads, self.engine(service), self.work.held_tokens, tokens
         )
 
     def fits(self, decision: PlacementDecision) -> bool:
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -283,6 +283,29 @@
     content: str
 
 
+@dataclass(frozen=True)
+class MemoryWaitEnded(LogEvent):
+    """A generation that waited for memory, or whose caller returned, went on.
+
+    `result` is `started`, `refused` or `caller_gone`, after `seconds`. At the last
+    check, memory was projected for it in `projected` seconds: `tokens_before` were
+    needed by others before it in the order of its service, `reserved_tokens` by callers
+    told to return by then, and engines had `free_tokens`. `has_returned` is whether its
+    caller came back when told.
+    """
+
+    request: str
+    service: str
+    priority: int
+    result: str
+    seconds: float
+    projected: float
+    tokens_before: int
+    reserved_tokens: int
+    free_tokens: int
+    has_returned: bool
+
+
 @dataclass(frozen=True)
 class RequestRefused(LogEvent):
     """The gateway refused a request itself, with this status and code."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -147,6 +147,27 @@
     ["service"],
     registry=REGISTRY,
 )
+MEMORY_WAITS = Counter(
+    "piershore_ingress_memory_waits_total",
+    "Generations that waited for memory, by how the wait ended.",
+    ["result"],
+    registry=REGISTRY,
+)
+WAITING_GENERATIONS = Gauge(
+    "piershore_ingress_waiting_generations",
+    "Generations that wait for memory at this gateway.",
+    registry=REGISTRY,
+)
+RETURN_PROMISES = Gauge(
+    "piershore_ingress_return_promises",
+    "Return times of refused callers that this gateway knows, its peers' included.",
+    registry=REGISTRY,
+)
+WAITING_REPORTS = Counter(
+    "piershore_ingress_waiting_reports_total",
+    "Datagrams sent to peers about what waits here.",
+    registry=REGISTRY,
+)
 PEERS = Gauge("piershore_ingress_peers", "Peers heard of late.", registry=REGISTRY)
 IN_FLIGHT = Gauge(
     "piershore_ingress_in_flight", "Requests under way.", registry=REGISTRY
