--- a/devtools/bench/fleet_settings.py
+++ b/devtools/bench/fleet_settings.py
@@ -31,6 +31,8 @@
 prompts read piece by piece between the tokens of others."""
 NETWORK_SECONDS = 0.001
 FIRST_AIM_SECONDS = 1.8
+SHORT_AIM_SECONDS, SHORT_DEADLINE_SECONDS = 1.5, 6.0
+SHORT_PRIORITY, LONG_PRIORITY = 0, 2
 BACKUP_DELAY_SECONDS = 0.8
 """A backup is complete so long after the first token."""
 REPLACED_AFTER_SECONDS = 4.0
@@ -88,6 +90,11 @@
     `reclaim_every`, `reclaim_count` engines are told to leave and are gone after
     `notice`; a notice of 0 is a crash. A generation for which no engine has memory is
     refused at once if `refuses`, or after it has waited a moment if it also `waits`.
+    If it `orders`, generations wait in the product's order, and with `returns` memory
+    is reserved for refused callers. Those without memory in their gateway's subset look
+    `anywhere`. Short ones are more urgent if `prioritized`. Long ones arrive from a
+    time to another one at a multiple of their rate (`long_burst`); their first token is
+    due in `first_aim`.
     """
 
     policy: str
@@ -107,6 +114,13 @@
     reclaim_count: int = 1
     notice: float = 1.8
     callers_a_gateway: float = 0.0
+    anywhere: bool = False
+    prioritized: bool = False
+    orders: bool = False
+    returns: bool = True
+    first_aim: float = FIRST_AIM_SECONDS
+    deadline: float = 40.0
+    long_burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
 
     def lasting(self, seconds: float) -> FleetSettings:
         """Return the same run for another time."""
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 from itertools import count
 from random import Random
 
@@ -15,16 +16,19 @@
     FIRST_AIM_SECONDS,
     FleetSettings,
     GUESS_SPREAD,
+    LONG_PRIORITY,
     NETWORK_SECONDS,
     PROMPT_MEDIAN,
     REPLACED_AFTER_SECONDS,
     SERVICE,
     SHORT_MEDIAN,
     SHORT_MOST,
+    SHORT_PRIORITY,
     STEPS,
 )
 from devtools.bench.simulated_fleet import (
     FleetStream,
+    new_waiter,
     Placing,
     SimulatedEngine,
     SimulatedGateway,
@@ -40,6 +44,7 @@
 )
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import (
+    fits_without_preemption,
     has_memory,
     retry_after_seconds,
 )
@@ -47,6 +52,13 @@
 from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.memory_wait import max_memory_wait_seconds, MemoryWait
 from piershore.core.fleet.report_timing import MIN_TRIGGERED_INTERVAL_SECONDS
+from piershore.core.waiting.expected_times import whole_seconds
+from piershore.core.waiting.memory_forecast import MemoryForecast
+from piershore.core.waiting.preferred_room import prefer_room
+from piershore.core.waiting.waiting_decision import WaitingAction
+from piershore.core.waiting.waiting_queue import RETURN_SHARE
+from piershore.core.waiting.waiting_report import WaitingReport
+from piershore.ingress.peers.waiting_reporter import REPEAT_INTERVAL_SECONDS
 
 
 class FleetRun(VirtualTime):
@@ -136,17 +148,29 @@
     def _arrive(self) -> None:
         if self._is_over:
             return
-        self._at(self._random.expovariate(self._settings.rate), self._arrive)
+        self._at(self._random.expovariate(self._rate), self._arrive)
         gateway = self._random.choice(self._callers or self._gateways)
         stream = self._new_stream(gateway)
         self.streams.append(stream)
         gateway.streams[stream.identity] = stream
         self._place(stream)
 
+    @property
+    def _burst(self) -> float:
+        begin, end, factor = self._settings.long_burst
+        return factor if begin <= self._now < end else 1.0
+
+    @property
+    def _rate(self) -> float:
+        """Generations a second now."""
+        more_long = self._settings.work.long_share * (self._burst - 1)
+        return self._settings.rate * (1 + more_long)
+
     def _new_stream(self, gateway: SimulatedGateway) -> FleetStream:
         """Return a long review or a short check, as the users' callers send them."""
         random, mix = self._random, self._settings.work
-        is_long = random.random() < mix.long_share
+        share = mix.long_share * self._burst / (self._rate / self._settings.rate)
+        is_long = random.random() < share
         median, most = SHORT_MEDIAN, SHORT_MOST
         if is_long:
             median, most = mix.long_median, mix.long_most
@@ -159,7 +183,10 @@
         work = GenerationWork(size, estimate, self._expectation)
         identity = f"s-{len(self.streams)}"
         wait = MemoryWait(random)
-        return FleetStream(identity, gateway, work, length, self._now, wait)
+        stream = FleetStream(identity, gateway, work, length, self._now, wait)
+        if self._settings.prioritized and not is_long:
+            stream.priority = SHORT_PRIORITY
+        return stream
 
     def _place(self, stream: FleetStream) -> None:
         gateway = stream.gateway
@@ -169,6 +196,16 @@
         if choice is None:
             self._lose(stream)
             return
+        if self._settings.anywhere and not has_memory(
+            choice.load, stream.work, self._engine
+        ):
+            choice = gateway.placement.for_generation(
+                SERVICE, stream.work, self._engine, self._now, anywhere=True
+            )
+        if self._settings.orders:
+            choice = prefer_room(choice, lambda load: self._has_room(stream.work, load))
+        if self._settings.orders and not self._takes_turn(stream, choice.load):
+            return
         if self._settings.refuses and not self._takes_room(stream, choice.load):
             return
         engine = self._engines[choice.endpoint.identity]
@@ -192,19 +229,89 @@
             self._at(pause, self._place, stream)
             return False
         if not has_room:
-            self._refuse(stream, load)
+            seconds = retry_after_seconds(load) * self._random.uniform(0.75, 1.25)
+            self._refuse(stream, seconds)
         return has_room
 
-    def _refuse(self, stream: FleetStream, load: EndpointLoad) -> None:
-        """Send the caller away; it comes back once."""
+    def _takes_turn(self, stream: FleetStream, load: EndpointLoad) -> bool:
+        """Tell whether it is the stream's turn; else it waits, or is refused."""
+        gateway, work, now = stream.gateway, stream.work, self._now
+        if stream.waiter is None:
+            stream.waiter = new_waiter(stream, load, self._settings)
+        loads = map(gateway.loads.at, self._staying_identities(gateway))
+        forecast = MemoryForecast(
+            loads,
+            self._engine,
+            work.held_tokens,
+            stream.waiter.tokens,
+            self._usual_seconds(stream, load),
+        )
+        decision = gateway.waiting.decide(
+            stream.waiter, forecast, now, fits=self._has_room(work, load)
+        )
+        may_start = decision.action is WaitingAction.START
+        pause = stream.wait.next_pause(has_memory=may_start)
+        if may_start and pause is None:
+            gateway.waiting.leave(stream.waiter)
+            return True
+        if decision.action is WaitingAction.REFUSE:
+            seconds = gateway.waiting.promise(stream.waiter, decision, now)
+            gateway.waiting.leave(stream.waiter)
+            self._refuse(stream, seconds)
+        else:
+            self._at(pause, self._place, stream)
+        self._report_waiting(gateway)
+        return False
+
+    def _has_room(self, work: GenerationWork, load: EndpointLoad) -> bool:
+        fits = has_memory if work.is_long else fits_without_preemption
+        return fits(load, work, self._engine)
+
+    def _usual_seconds(self, stream: FleetStream, load: EndpointLoad) -> float:
+        size = replace(stream.work.size, hinted_tokens=None)
+        kind = str(stream.priority == LONG_PRIORITY)
+        estimate = stream.gateway.lengths.estimate(kind, size, self._now)
+        return whole_seconds(load, GenerationWork(size, estimate))
+
+    @staticmethod
+    def _staying_identities(gateway: SimulatedGateway) -> Iterator[str]:
+        for endpoint in gateway.directory.of_service(SERVICE):
+            yield endpoint.identity
+
+    def _report_waiting(self, gateway: SimulatedGateway) -> None:
+        if not gateway.reports_waiting:
+            gateway.reports_waiting = True
+            self._at(MIN_TRIGGERED_INTERVAL_SECONDS, self._send_waiting, gateway)
+
+    def _send_waiting(self, gateway: SimulatedGateway) -> None:
+        """Tell the peers what waits, again and again until nothing does."""
+        self.messages += 1
+        report = gateway.waiting.report("life", self.messages, self._now)
+        for peer in self._gateways:
+            if peer is not gateway:
+                self._at(NETWORK_SECONDS, self._apply_waiting, peer, report)
+        gateway.reports_waiting = not report.is_empty
+        if gateway.reports_waiting:
+            self._at(REPEAT_INTERVAL_SECONDS, self._send_waiting, gateway)
+
+    def _apply_waiting(self, peer: SimulatedGateway, report: WaitingReport) -> None:
+        peer.waiting.apply_report(report, self._now)
+
+    def _refuse(self, stream: FleetStream, seconds: float) -> None:
+        """Send the caller away; it comes back once, through any gateway."""
         stream.refusals += 1
         if stream.refusals > 1:
             self._forget(stream)
             return
-        seconds = retry_after_seconds(load) * self._random.uniform(0.75, 1.25)
+        deadline = stream.arrived_at + self._settings.deadline
+        seconds = min(seconds, RETURN_SHARE * (deadline - self._now))
         stream.came_back_after += self._now + seconds - stream.arrived_at
         stream.arrived_at = self._now + seconds
-        stream.wait = MemoryWait(self._random)
+        stream.wait, stream.waiter = MemoryWait(self._random), None
+        if self._settings.orders:
+            stream.gateway.streams.pop(stream.identity)
+            stream.gateway = self._random.choice(self._callers or self._gateways)
+            stream.gateway.streams[stream.identity] = stream
         self._at(seconds, self._place, stream)
 
     def _run_at(
--- a/devtools/bench/simulated_fleet.py
+++ b/devtools/bench/simulated_fleet.py
@@ -6,12 +6,21 @@
 from dataclasses import dataclass
 from random import Random
 
-from devtools.bench.fleet_settings import ENGINE, FleetSettings, HALLS, SERVICE
+from devtools.bench.fleet_settings import (
+    ENGINE,
+    FleetSettings,
+    HALLS,
+    LONG_PRIORITY,
+    SERVICE,
+    SHORT_AIM_SECONDS,
+    SHORT_DEADLINE_SECONDS,
+)
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.data_hall_stalls import DataHallStalls
 from piershore.core.fleet.endpoint import Address, Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.fleet.endpoint_health import EndpointHealth
+from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.evacuation_plan import StreamReport
 from piershore.core.fleet.fleet_load import BackupWork, FleetLoad
@@ -25,6 +34,9 @@
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
+from piershore.core.waiting.expected_times import first_part_seconds, whole_seconds
+from piershore.core.waiting.waiter import Waiter
+from piershore.core.waiting.waiting_queue import WaitingQueue
 from standins.engine_model import EngineModel, EngineSettings
 
 
@@ -54,6 +66,7 @@
     length: int
     arrived_at: float
     wait: MemoryWait
+    priority: int = LONG_PRIORITY
     engine: SimulatedEngine | None = None
     backup: SimulatedEngine | None = None
     backup_work: BackupWork | None = None
@@ -64,6 +77,7 @@
     moves: int = 0
     refusals: int = 0
     came_back_after: float = 0.0
+    waiter: Waiter | None = None
     is_whole: bool = False
     is_lost: bool = False
 
@@ -89,7 +103,10 @@
     def submit(self, stream: FleetStream, held_tokens: int, length: int) -> None:
         """Run a generation, or what is left of it, from `held_tokens` of memory."""
         self.streams[stream.identity] = stream
-        self.model.submit(stream.identity, stream.identity, held_tokens, length, 1)
+        # The model's more urgent ones have the larger number.
+        self.model.submit(
+            stream.identity, stream.identity, held_tokens, length, -stream.priority
+        )
 
 
 class SimulatedGateway:
@@ -105,6 +122,8 @@
         self.loads = FleetLoad()
         self.lengths = OutputLengths()
         self.streams: dict[str, FleetStream] = {}
+        self.waiting = WaitingQueue(self.name, keeps_promises=settings.returns)
+        self.reports_waiting = False
         self.placement = Placement(
             HALLS[number % len(HALLS)],
             self.directory,
@@ -135,3 +154,26 @@
 def gateway_name(number: int) -> str:
     """Return the name of a gateway, by which all order them."""
     return f"gateway-{number}"
+
+
+def new_waiter(
+    stream: FleetStream, load: EndpointLoad, settings: FleetSettings
+) -> Waiter:
+    """Return what a gateway knows of a stream that needs memory."""
+    work, arrived = stream.work, stream.arrived_at
+    aim = settings.first_aim if work.is_long else SHORT_AIM_SECONDS
+    deadline = arrived + (settings.deadline if work.is_long else SHORT_DEADLINE_SECONDS)
+    return Waiter(
+        identity=stream.identity,
+        content=stream.identity,
+        service=SERVICE,
+        priority=stream.priority,
+        prompt_tokens=work.held_tokens,
+        tokens=work.held_tokens + work.remaining_tokens,
+        is_light=not work.is_long,
+        arrived=arrived,
+        start_until=arrived + aim - first_part_seconds(load, work),
+        complete_until=deadline - whole_seconds(load, work),
+        deadline=deadline,
+        target_latency=aim,
+    )
--- a/src/piershore/core/waiting/memory_forecast.py
+++ b/src/piershore/core/waiting/memory_forecast.py
@@ -1,7 +1,8 @@
 """How much memory a service's engines have for generations, now and later.
 
-Derived from the load alone: an engine frees what it holds at the pace at which its
-generations are expected to end.
+Derived from the load alone: in the time that one generation takes from its start to
+its end, an engine frees as much as it holds. Expected remainders aren't used: those of
+generations that run for long are underestimated, and short ones end at once.
 """
 
 from __future__ import annotations
@@ -9,10 +10,9 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import accumulate
-from math import inf
+from itertools import accumulate, pairwise
+from math import floor, inf
 
-from piershore.core.attempts.leaving import TOKEN_SECONDS
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.generation_admission import (
     MAX_HELD_SHARE,
@@ -20,31 +20,45 @@
 )
 from piershore.core.routes.service_spec import EngineSpec
 
-MIN_REMAINING_SECONDS = 0.5
-"""Minimum of the mean time until an engine's generations end: they aren't expected to
-end together at once, whatever their estimates say."""
+MIN_GENERATION_SECONDS = 0.1
+"""Minimum of the time that a generation is expected to take."""
+FREED_SHARE = 0.5
+"""Part of the freed memory that counts: the rest goes to more urgent generations and to
+those of engines that leave. A caller that returns too early waits in vain, while one
+that returns too late is still in time."""
+MEAN_MISSING_PART = 0.5
+"""Part of a whole place that is missing on average until the next one is free."""
 
 
 @dataclass(frozen=True)
 class EngineMemory:
-    """Free memory of one engine in tokens, below 0 if it is too full."""
+    """Memory of one engine in tokens: free now for whole generations, and later.
 
-    free: float
+    It has more from `grows_at` on, in seconds from now.
+    """
+
+    whole: float
+    grows_at: float
     freed_per_second: float
 
-    @property
-    def available_at(self) -> float:
-        """In how many seconds the first token of memory is free."""
-        if self.free >= 0:
-            return 0.0
-        return -self.free / self.freed_per_second if self.freed_per_second else inf
+    @classmethod
+    def of(cls, places: float, size: int, rate: float) -> EngineMemory:
+        """Return the memory of an engine that has this many free places of a size.
+
+        A place may be in part free, and less than 0 are if the engine is too full. On
+        average half a place more must become free until it is whole.
+        """
+        whole = max(0, floor(places))
+        missing = size * (whole + MEAN_MISSING_PART - places)
+        return cls(size * whole, max(0.0, missing) / rate if rate else inf, rate)
 
 
 class MemoryForecast:
     """Memory of some engines for generations of one size; times are seconds from now.
 
-    While an engine is full, whatever ends is replaced, so that memory is freed at a
-    constant rate.
+    Such a generation holds `prompt_tokens` at its start and `tokens` at its end, in
+    `seconds`. While an engine is full, whatever ends is replaced, so that memory is
+    freed at a constant rate.
     """
 
     def __init__(
@@ -53,42 +67,36 @@
         engine: EngineSpec,
         prompt_tokens: int,
         tokens: int,
+        seconds: float,
     ) -> None:
-        self._size = max(1, tokens)
-        prompt = max(1, prompt_tokens)
+        size = max(1, tokens)
+        seconds = max(MIN_GENERATION_SECONDS, seconds)
         engines = [
-            EngineMemory(
-                self._size * _free_places(load, engine, prompt, self._size),
-                freed_per_second(load),
+            EngineMemory.of(
+                _free_places(load, engine, max(1, prompt_tokens), size),
+                size,
+                FREED_SHARE * max(0, load.held_tokens) / seconds,
             )
             for load in loads
         ]
-        self.free_tokens = self._size * sum(
-            int(memory.free // self._size) for memory in engines if memory.free > 0
-        )
+        self.free_tokens = round(sum(memory.whole for memory in engines))
         """Memory that is free now for whole generations of this size."""
-        self._start_with(engines)
+        self._add_up(engines)
 
-    def _start_with(self, engines: list[EngineMemory]) -> None:
-        """Prepare the piecewise linear sum of what engines have free."""
-        ordered = sorted(
-            (memory for memory in engines if memory.available_at < inf),
-            key=lambda memory: memory.available_at,
+    def _add_up(self, engines: list[EngineMemory]) -> None:
+        """Prepare the piecewise linear sum of what engines will have free."""
+        growing = sorted(
+            (memory for memory in engines if memory.grows_at < inf),
+            key=lambda memory: memory.grows_at,
         )
-        self._times = [memory.available_at for memory in ordered]
-        self._rates = list(accumulate(m.freed_per_second for m in ordered))
-        free_now = sum(max(0.0, memory.free) for memory in ordered)
-        self._totals: list[float] = []
-        total, rate, before = free_now, 0.0, 0.0
-        for at, next_rate in zip(self._times, self._rates, strict=True):
-            total += rate * (at - before)
-            self._totals.append(total)
-            rate, before = next_rate, at
+        self._times = [0.0, *(memory.grows_at for memory in growing)]
+        self._rates = [0.0, *accumulate(m.freed_per_second for m in growing)]
+        self._totals = [float(self.free_tokens)]
+        for (before, at), rate in zip(pairwise(self._times), self._rates, strict=False):
+            self._totals.append(self._totals[-1] + rate * (at - before))
 
     def seconds_until(self, tokens: float) -> float:
         """Return when this much memory has been free, or inf if never."""
-        if not self._totals:
-            return inf
         if tokens <= self._totals[0]:
             return 0.0
         last = bisect_right(self._totals, tokens) - 1
@@ -96,15 +104,6 @@
         return self._times[last] + (tokens - self._totals[last]) / rate if rate else inf
 
 
-def freed_per_second(load: EndpointLoad) -> float:
-    """Return the tokens of memory that an engine frees per second."""
-    if not load.requests:
-        return 0.0
-    remaining = (load.projected_tokens - load.held_tokens) / load.requests
-    seconds = max(MIN_REMAINING_SECONDS, TOKEN_SECONDS * remaining)
-    return max(0, load.projected_tokens) / seconds
-
-
 def _free_places(
     load: EndpointLoad, engine: EngineSpec, prompt: int, tokens: int
 ) -> float:
--- a/src/piershore/core/waiting/waiter.py
+++ b/src/piershore/core/waiting/waiter.py
@@ -8,6 +8,9 @@
 MAX_PASSED_OVER_SHARE = 0.5
 """Share of the time that a generation may wait after which more urgent ones no longer
 go before it: the less urgent still start in time when the more urgent keep coming."""
+MAX_WAIT_TARGETS = 2.0
+"""Number of target latencies after which a generation that is late goes first: a caller
+that hears nothing for longer may give up."""
 LAST_CALL_SECONDS = 3.0
 """A generation that must start within this time to end by its deadline goes first:
 engines free memory several times in it."""
@@ -61,17 +64,21 @@
 
     def rank(self, now: float, *, has_returned: bool, host: str) -> Rank:
         """Return the place in the order at this time."""
+        is_overdue = self._is_overdue(now)
         return Rank(
-            0 if self._is_overdue(now) else self.priority,
+            0 if is_overdue else self.priority,
             not has_returned,
-            not self.is_in_time(now),
+            not (self.is_in_time(now) or is_overdue),
             self.arrived,
             host,
             self.identity,
         )
 
     def _is_overdue(self, now: float) -> bool:
-        patience = MAX_PASSED_OVER_SHARE * (self.start_until - self.arrived)
-        is_passed_over = self.is_in_time(now) and now - self.arrived > patience > 0
-        seconds_left = self.complete_until - now
-        return is_passed_over or 0 <= seconds_left < LAST_CALL_SECONDS
+        waited = now - self.arrived
+        if self.is_in_time(now):
+            patience = MAX_PASSED_OVER_SHARE * (self.start_until - self.arrived)
+            return waited > patience
+        if waited > MAX_WAIT_TARGETS * self.target_latency:
+            return True
+        return 0 <= self.complete_until - now < LAST_CALL_SECONDS
--- a/src/piershore/ingress/streams/ordered_wait.py
+++ b/src/piershore/ingress/streams/ordered_wait.py
@@ -90,7 +90,7 @@
             self._waiter = self._new_waiter(decision)
         self._last = self._state.waiting.decide(
             self._waiter,
-            self._placement.forecast(decision.endpoint.service, now),
+            self._placement.forecast(decision, now),
             now,
             fits=self._placement.has_room(decision),
         )
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 
 import trio
 
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import (
     fits_without_preemption,
@@ -17,7 +19,9 @@
 from piershore.core.fleet.placement import PlacementDecision
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
+from piershore.core.waiting.expected_times import whole_seconds
 from piershore.core.waiting.memory_forecast import MemoryForecast
+from piershore.core.waiting.preferred_room import prefer_room
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
@@ -95,21 +99,9 @@
         self, decision: PlacementDecision | None
     ) -> PlacementDecision | None:
         """Return the next best endpoint that has memory, if the best has none."""
-        if decision is None or self.has_room(decision):
+        if decision is None or not self._state.is_enabled(Mechanism.ORDERED_WAITING):
             return decision
-        if not self._state.is_enabled(Mechanism.ORDERED_WAITING):
-            return decision
-        for other in decision.others:
-            candidate = replace(
-                decision,
-                best=other,
-                others=tuple(
-                    c for c in (decision.best, *decision.others) if c is not other
-                ),
-            )
-            if self.has_room(candidate):
-                return candidate
-        return decision
+        return prefer_room(decision, partial(self._has_room, decision.endpoint.service))
 
     def engine(self, service: str) -> EngineSpec | None:
         """Return the engines of a service, or None if it has none."""
@@ -118,16 +110,18 @@
 
     def has_room(self, decision: PlacementDecision) -> bool:
         """Return whether the generation fits beside the others at the endpoint."""
-        engine = self.engine(decision.endpoint.service)
+        return self._has_room(decision.endpoint.service, decision.load)
+
+    def _has_room(self, service: str, load: EndpointLoad) -> bool:
+        engine = self.engine(service)
         if engine is None:
             return True
-        if self.work.is_long:
-            return has_memory(decision.load, self.work, engine)
-        return fits_without_preemption(decision.load, self.work, engine)
+        fits = has_memory if self.work.is_long else fits_without_preemption
+        return fits(load, self.work, engine)
 
-    def forecast(self, service: str, now: float) -> MemoryForecast:
+    def forecast(self, decision: PlacementDecision, now: float) -> MemoryForecast:
         """Return the memory that the service's engines have for the generation."""
-        state = self._state
+        state, service = self._state, decision.endpoint.service
         loads = (
             state.fleet_load.at(endpoint.identity)
             for endpoint in state.memory_scope.endpoints(service)
@@ -136,9 +130,20 @@
         )
         tokens = self.work.held_tokens + self.work.remaining_tokens
         return MemoryForecast(
-            loads, self.engine(service), self.work.held_tokens, tokens
+            loads,
+            self.engine(service),
+            self.work.held_tokens,
+            tokens,
+            self._usual_seconds(decision.load),
         )
 
+    def _usual_seconds(self, load: EndpointLoad) -> float:
+        """Return how long the route's generations take from start to end."""
+        route, size = self._exchange.route.name, self.work.size
+        unknown = replace(size, hinted_tokens=None)
+        estimate = self._state.lengths.estimate(route, unknown, trio.current_time())
+        return whole_seconds(load, GenerationWork(size, estimate))
+
     def fits(self, decision: PlacementDecision) -> bool:
         """Return whether the chosen endpoint has memory for the generation."""
         if not self._state.is_enabled(Mechanism.ADMISSION):
