--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -43,9 +43,9 @@
 REFUSAL_SHARE = 0.125
 """Share of its target latency within which a generation may be refused after all: a
 caller that has waited longer gets its answer sooner by waiting on."""
-RESERVED_AHEAD_SECONDS = 1.0
+RESERVED_AHEAD_SECONDS = 0.5
 """Promised memory counts as taken so long before its time: engines free memory in
-pieces, and a view is up to a second old."""
+pieces, and callers come a few tenths of a second early."""
 RETURN_SHARE = 1 / 3
 """Share of its remaining time after which a caller returns at the latest, whatever it
 was told."""
