--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -73,6 +73,7 @@
         self._numbers = count(settings.engines)
         self.streams: list[FleetStream] = []
         self.placings: list[Placing] = []
+        self.refused_after: list[float] = []
         self._engines: dict[str, SimulatedEngine] = {}
         self._gateways = [
             SimulatedGateway(number, settings, seed)
@@ -300,6 +301,7 @@
     def _refuse(self, stream: FleetStream, seconds: float) -> None:
         """Send the caller away; it comes back once, through any gateway."""
         stream.refusals += 1
+        self.refused_after.append(self._now - stream.arrived_at)
         if stream.refusals > 1:
             self._forget(stream)
             return
--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -304,7 +304,7 @@
                     min(rank.level, MAX_LEVEL),
                     rank.is_newcomer,
                     rank.is_late,
-                    round(min(now - waiter.arrived, MAX_SECONDS), TIME_DIGITS),
+                    _reported_seconds(now - waiter.arrived),
                     waiter.tokens,
                 )
                 for rank, waiter in first
@@ -330,8 +330,8 @@
                 promise.service,
                 min(promise.priority, MAX_LEVEL),
                 promise.tokens,
-                round(max(0.0, promise.opens - now), TIME_DIGITS),
-                round(promise.lapses - now, TIME_DIGITS),
+                _reported_seconds(promise.opens - now),
+                _reported_seconds(promise.lapses - now),
             )
 
 
@@ -340,6 +340,10 @@
     return max(0.0, RETURN_SHARE * (waiter.deadline - now))
 
 
+def _reported_seconds(seconds: float) -> float:
+    return round(min(max(0.0, seconds), MAX_SECONDS), TIME_DIGITS)
+
+
 def _bounded_retry_after(seconds: float) -> float:
     if seconds == inf:
         return UNKNOWN_RETRY_AFTER_SECONDS
