--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -44,8 +44,8 @@
 )
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import (
-    fits_without_preemption,
     has_memory,
+    has_memory_in_order,
     retry_after_seconds,
 )
 from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
@@ -265,8 +265,7 @@
         return False
 
     def _has_room(self, work: GenerationWork, load: EndpointLoad) -> bool:
-        fits = has_memory if work.is_long else fits_without_preemption
-        return fits(load, work, self._engine)
+        return has_memory_in_order(load, work, self._engine)
 
     def _usual_seconds(self, stream: FleetStream, load: EndpointLoad) -> float:
         size = replace(stream.work.size, hinted_tokens=None)
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -29,9 +29,9 @@
 FIRST_AIM, DEADLINE = 4.0, 39.0
 PROMPT, TOKENS, SECONDS = 3_000, 3_750, 9.0
 EMPTY = EndpointLoad()
-FULL_ENGINE = EndpointLoad(8, 31_000, 34_000)
+FULL_ENGINE = EndpointLoad(8, 27_600, 34_000)
 FULL = (FULL_ENGINE,) * 10
-ROOM_FOR_ONE = (EndpointLoad(7, 26_000, 30_000), *FULL[1:])
+ROOM_FOR_ONE = (EndpointLoad(7, 23_000, 30_000), *FULL[1:])
 HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
 
@@ -362,7 +362,7 @@
         assert 0.0 <= view.seconds_until(tokens) <= view.seconds_until(tokens + 1_000)
 
     assert forecast().seconds_until(1) == inf
-    assert forecast(EMPTY).free_tokens == 10 * TOKENS
+    assert forecast(EMPTY).free_tokens == 9 * TOKENS
 
 
 async def wait_for_memory(world):
--- a/src/piershore/core/fleet/generation_admission.py
+++ b/src/piershore/core/fleet/generation_admission.py
@@ -14,6 +14,9 @@
 MAX_HELD_SHARE = 0.9
 """Share of the memory that may be in use now, including the new prompt: beyond it the
 engine queues the prompt or preempts other generations."""
+MAX_HELD_SHARE_IN_ORDER = 0.8
+"""The same where generations wait in an order: those that are more urgent, and what the
+running ones produce, find memory without preempting any, while the next one waits."""
 MAX_PROJECTED_SHARE = 1.25
 """Share of the memory that may be projected at the expected ends: it is above 1 since
 generations don't all end at the same time."""
@@ -23,19 +26,36 @@
 """Bounds of the time until a retry: engines are replaced after about 4 s."""
 
 
-def has_memory(load: EndpointLoad, work: GenerationWork, engine: EngineSpec) -> bool:
+def has_memory(
+    load: EndpointLoad,
+    work: GenerationWork,
+    engine: EngineSpec,
+    max_held_share: float = MAX_HELD_SHARE,
+) -> bool:
     """Return whether an engine with this load has memory for one more generation."""
     if not work.is_long:
         return True
     held = load.held_tokens + work.held_tokens
     projected = load.projected_tokens + work.held_tokens + work.remaining_tokens
     return (
-        held <= MAX_HELD_SHARE * engine.memory_tokens
+        held <= max_held_share * engine.memory_tokens
         and projected <= MAX_PROJECTED_SHARE * engine.memory_tokens
     )
 
 
-def fits_without_preemption(
+def has_memory_in_order(
+    load: EndpointLoad, work: GenerationWork, engine: EngineSpec
+) -> bool:
+    """Return whether an engine has memory for a generation that may wait its turn.
+
+    A short one fits if it preempts no other.
+    """
+    if work.is_long:
+        return has_memory(load, work, engine, MAX_HELD_SHARE_IN_ORDER)
+    return _fits_without_preemption(load, work, engine)
+
+
+def _fits_without_preemption(
     load: EndpointLoad, work: GenerationWork, engine: EngineSpec
 ) -> bool:
     """Return whether an engine has memory for a short generation beside the others."""
--- a/src/piershore/core/waiting/memory_forecast.py
+++ b/src/piershore/core/waiting/memory_forecast.py
@@ -15,7 +15,7 @@
 
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.generation_admission import (
-    MAX_HELD_SHARE,
+    MAX_HELD_SHARE_IN_ORDER,
     MAX_PROJECTED_SHARE,
 )
 from piershore.core.routes.service_spec import EngineSpec
@@ -42,15 +42,27 @@
     freed_per_second: float
 
     @classmethod
-    def of(cls, places: float, size: int, rate: float) -> EngineMemory:
-        """Return the memory of an engine that has this many free places of a size.
+    def of(
+        cls,
+        load: EndpointLoad,
+        engine: EngineSpec,
+        prompt: int,
+        size: int,
+        seconds: float,
+    ) -> EngineMemory:
+        """Return the memory for generations of this size, by `has_memory_in_order`.
 
-        A place may be in part free, and less than 0 are if the engine is too full. On
-        average half a place more must become free until it is whole.
+        A place may be in part free. On average half a place more must become free until
+        the next one is whole.
         """
-        whole = max(0, floor(places))
-        missing = size * (whole + MEAN_MISSING_PART - places)
-        return cls(size * whole, max(0.0, missing) / rate if rate else inf, rate)
+        held = MAX_HELD_SHARE_IN_ORDER * engine.memory_tokens - load.held_tokens
+        projected = MAX_PROJECTED_SHARE * engine.memory_tokens - load.projected_tokens
+        places = max(0.0, min(held / prompt, projected / size))
+        excess = max(0.0, -held, -projected)
+        whole = floor(places)
+        missing = excess + size * max(0.0, whole + MEAN_MISSING_PART - places)
+        rate = FREED_SHARE * max(0, load.held_tokens) / seconds
+        return cls(size * whole, missing / rate if rate else inf, rate)
 
 
 class MemoryForecast:
@@ -72,11 +84,7 @@
         size = max(1, tokens)
         seconds = max(MIN_GENERATION_SECONDS, seconds)
         engines = [
-            EngineMemory.of(
-                _free_places(load, engine, max(1, prompt_tokens), size),
-                size,
-                FREED_SHARE * max(0, load.held_tokens) / seconds,
-            )
+            EngineMemory.of(load, engine, max(1, prompt_tokens), size, seconds)
             for load in loads
         ]
         self.free_tokens = round(sum(memory.whole for memory in engines))
@@ -102,12 +110,3 @@
         last = bisect_right(self._totals, tokens) - 1
         rate = self._rates[last]
         return self._times[last] + (tokens - self._totals[last]) / rate if rate else inf
-
-
-def _free_places(
-    load: EndpointLoad, engine: EngineSpec, prompt: int, tokens: int
-) -> float:
-    """Return how many generations fit, by the bounds of `has_memory`."""
-    held = MAX_HELD_SHARE * engine.memory_tokens - load.held_tokens
-    projected = MAX_PROJECTED_SHARE * engine.memory_tokens - load.projected_tokens
-    return min(held / prompt, projected / tokens)
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -12,8 +12,8 @@
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.fleet_load import BackupWork
 from piershore.core.fleet.generation_admission import (
-    fits_without_preemption,
     has_memory,
+    has_memory_in_order,
 )
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import PlacementDecision
@@ -83,11 +83,11 @@
         placement = self._state.placement
         if spec is None or spec.engine is None:
             return placement.for_call(service, now, excluded)
-        decision = placement.for_generation(
-            service, self.work, spec.engine, now, excluded
+        decision = self._prefer_room(
+            placement.for_generation(service, self.work, spec.engine, now, excluded)
         )
-        if decision is None or has_memory(decision.load, self.work, spec.engine):
-            return self._prefer_room(decision)
+        if decision is None or self.has_room(decision):
+            return decision
         # Don't refuse a request while an endpoint outside the subset has free memory.
         return self._prefer_room(
             placement.for_generation(
@@ -116,8 +116,9 @@
         engine = self.engine(service)
         if engine is None:
             return True
-        fits = has_memory if self.work.is_long else fits_without_preemption
-        return fits(load, self.work, engine)
+        if self._state.is_enabled(Mechanism.ORDERED_WAITING):
+            return has_memory_in_order(load, self.work, engine)
+        return has_memory(load, self.work, engine)
 
     def forecast(self, decision: PlacementDecision, now: float) -> MemoryForecast:
         """Return the memory that the service's engines have for the generation."""
