--- a/features/ordered_waiting.feature
+++ b/features/ordered_waiting.feature
@@ -43,6 +43,9 @@
   Scenario: A gateway fails while generations wait there
     Then its last report holds nobody up for more than 0.8 s
 
+  Scenario: A peer whose view lacks the memory that is free
+    Then a generation leaves it to those before it for 0.4 s, and longer while they start
+
   Scenario: Reports that aren't valid
     Then decoding a waiting report raises only errors with a code
     And a report keeps its content when it is sent, and has at most 4 KB
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -21,7 +21,7 @@
 from piershore.core.waiting.peer_waiting import REPORT_EXPIRY_SECONDS
 from piershore.core.waiting.waiter import Waiter
 from piershore.core.waiting.waiting_decision import WaitingAction
-from piershore.core.waiting.waiting_queue import WaitingQueue
+from piershore.core.waiting.waiting_queue import MAX_YIELD_SECONDS, WaitingQueue
 from piershore.core.waiting.waiting_report import WAITING_PREFIX, WaitingReport
 
 SERVICE = "model"
@@ -312,6 +312,26 @@
     assert found.action is START
 
 
+@then(
+    "a generation leaves it to those before it for {seconds:g} s, and longer while they "
+    "start"
+)
+def check_yield(context, seconds):
+    assert seconds == MAX_YIELD_SECONDS
+    for is_moving, last in ((False, START), (True, WAIT)):
+        queue, peer = (WaitingQueue(host) for host in HOSTS[:2])
+        others = [waiter(f"w{number}", 0.0, 0) for number in range(3)]
+        for other in others:
+            decide(peer, other, 0.0, FULL)
+        one, found = waiter("one", 0.5), []
+        for now in (0.5, 0.7, 0.91):
+            exchange_reports([queue, peer], now)
+            found.append(decide(queue, one, now, ROOM_FOR_ONE).action)
+            if is_moving:
+                peer.leave(others.pop())
+        assert found == [WAIT, WAIT, last], found
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
     lambda inner: (
--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -18,9 +18,10 @@
 from heapq import nsmallest
 from math import inf
 
+from piershore.core.bounded_mapping import put_newest
 from piershore.core.waiting.memory_forecast import MemoryForecast
 from piershore.core.waiting.peer_waiting import PeerWaiting, tokens_before
-from piershore.core.waiting.promise_ledger import PromiseLedger
+from piershore.core.waiting.promise_ledger import MAX_PROMISES, PromiseLedger
 from piershore.core.waiting.return_promise import LAPSE_SECONDS, ReturnPromise
 from piershore.core.waiting.start_projection import Reservation, seconds_until_start
 from piershore.core.waiting.waiter import Rank, Waiter
@@ -85,8 +86,8 @@
         self._keeps_promises = keeps_promises
         self._shared = shared
         self._waiters: dict[str, Waiter] = {}
-        self._returned: set[str] = set()
-        self._yields_since: dict[str, float] = {}
+        self._returned: dict[str, float] = {}
+        self._yields: dict[str, tuple[float, float]] = {}
         self._services: dict[str, float] = {}
         self._own_promises: dict[str, float] = {}
         self.promises = PromiseLedger()
@@ -108,8 +109,7 @@
     def leave(self, waiter: Waiter) -> None:
         """Drop a generation that starts, was refused or whose caller has left."""
         self._waiters.pop(waiter.identity, None)
-        self._returned.discard(waiter.identity)
-        self._yields_since.pop(waiter.identity, None)
+        self._yields.pop(waiter.identity, None)
 
     def decide(
         self, waiter: Waiter, forecast: MemoryForecast, now: float, *, fits: bool
@@ -190,7 +190,7 @@
             return
         promise = self.promises.find(waiter.content)
         if promise is not None and now >= promise.first_return:
-            self._returned.add(waiter.identity)
+            put_newest(self._returned, waiter.identity, now, MAX_PROMISES)
             self.promises.use(waiter.content, now)
 
     def _decide_light(
@@ -212,10 +212,10 @@
             WaitingAction.START, 0.0, before, due, forecast.free_tokens, has_returned
         )
         has_turn = self._has_turn(waiter, forecast, before, reservations)
-        if fits and (has_turn or self._has_yielded(waiter, due, now)):
+        if fits and (has_turn or self._has_yielded(waiter, before, due, now)):
             return inputs
         if not fits:
-            self._yields_since.pop(waiter.identity, None)
+            self._yields.pop(waiter.identity, None)
         seconds = seconds_until_start(forecast, waiter.tokens, before, reservations)
         inputs = replace(inputs, seconds=seconds)
         if self._should_wait(waiter, now, seconds, has_returned=has_returned):
@@ -238,9 +238,12 @@
             return False
         return not seconds_until_start(forecast, waiter.tokens, before, near)
 
-    def _has_yielded(self, waiter: Waiter, due: int, now: float) -> bool:
-        """Return whether memory has been left to others that haven't used it."""
-        since = self._yields_since.setdefault(waiter.identity, now)
+    def _has_yielded(self, waiter: Waiter, before: float, due: int, now: float) -> bool:
+        """Return whether memory has been left to others, none of which has used it."""
+        since, at_first = self._yields.get(waiter.identity, (now, before))
+        if before < at_first:
+            since = now
+        self._yields[waiter.identity] = since, before
         return not due and now - since >= MAX_YIELD_SECONDS
 
     def _should_wait(
