--- a/features/ordered_waiting.feature
+++ b/features/ordered_waiting.feature
@@ -35,7 +35,8 @@
       | 6.5     | kept waiting, if there is no room |
 
   Scenario: A returning caller's memory
-    Then newcomers leave it free just before its time, and use it when it has lapsed
+    Then its promise is reported when it is made, and again 1 s before its time
+    And newcomers leave it free just before its time, and use it when it has lapsed
 
   Scenario: Peers' reports are lost, repeated, reordered and old
     Then no generation starts without memory, and no valid promise is forgotten
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -248,6 +248,15 @@
     assert abs(queue.promise(again, found, seconds) - (6.0 - seconds)) < 1e-6
 
 
+@then("its promise is reported when it is made, and again 1 s before its time")
+def check_promise_reports(context):
+    (queue, _), _ = refused_queues(6.0)
+    reported = [bool(queue.report("life", 9, now).promises) for now in (0.9, 3.0, 5.1)]
+    assert reported == [True, False, True]
+    assert abs(queue.seconds_until_report(3.0) - 2.0) < 1e-6
+    assert queue.seconds_until_report(5.1) == inf
+
+
 @then("newcomers leave it free just before its time, and use it when it has lapsed")
 def check_reserved(context):
     for now, action in ((1.0, START), (5.9, WAIT), (6.5, WAIT), (7.1, START)):
--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -184,6 +184,12 @@
             ],
         )
 
+    def seconds_until_report(self, now: float) -> float:
+        """Return when a promise is due for being reported again; inf if none is."""
+        promises = map(self.promises.find, self._own_promises)
+        times = (promise.opens - REPEATED_SECONDS for promise in promises if promise)
+        return min((at - now for at in times if at > now), default=inf)
+
     def _recognize(self, waiter: Waiter, now: float) -> None:
         """Note that a caller has returned at about the time that it was told."""
         if waiter.identity in self._returned:
--- a/src/piershore/ingress/peers/waiting_reporter.py
+++ b/src/piershore/ingress/peers/waiting_reporter.py
@@ -41,12 +41,17 @@
     async def run(self) -> None:
         """Send reports until cancelled, the last one when nothing waits any more."""
         while True:
-            await self._wake.wait()
-            self._wake = trio.Event()
+            await self._wait(
+                self._state.waiting.seconds_until_report(trio.current_time())
+            )
             while await self._send():
-                with trio.move_on_after(REPEAT_INTERVAL_SECONDS):
-                    await self._wake.wait()
-                self._wake = trio.Event()
+                await self._wait(REPEAT_INTERVAL_SECONDS)
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait until a report is scheduled, or at most this long."""
+        with trio.move_on_after(seconds):
+            await self._wake.wait()
+        self._wake = trio.Event()
 
     async def _send(self) -> bool:
         """Send one report to each peer concerned; return whether it had content."""
