--- a/features/ordered_waiting.feature
+++ b/features/ordered_waiting.feature
@@ -64,3 +64,8 @@
     Given 2 engines
     When a stream waits for memory and its gateway is told to stop
     Then the stream is refused within 1 s, and has not run
+
+  Scenario: A gateway learns what waits at another, and drops datagrams it can't decode
+    Given 2 engines
+    When a stream waits at one of 2 gateways, and the other gets a broken report
+    Then the other gateway knows that it waits, until it no longer does
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -12,7 +12,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 from support.core_checks import check_coded_errors, checked, ENGINE
-from support.stream_reading import StreamReading
+from support.stream_reading import StreamReading, wait_for_peers
 
 from devtools.bench.fleet_settings import FleetSettings, WorkMix
 from piershore.core.fleet.endpoint_load import EndpointLoad
@@ -394,6 +394,37 @@
     assert forecast(EMPTY).free_tokens == 9 * TOKENS
 
 
+@when("a stream waits at one of 2 gateways, and the other gets a broken report")
+def wait_beside_peer(context):
+    async def script(world):
+        await wait_for_peers(world)
+        other = world.gateways[1][1]._state
+        async with trio.open_nursery() as nursery:
+            outer, world.nursery = world.nursery, nursery
+            daemon, _ = await wait_for_memory(world)
+            host = world.settings(1).host
+            await daemon._peers.send_to(host, WAITING_PREFIX + b"[1]")
+            with trio.move_on_after(2):
+                while not other.waiting.has_waiting(SERVICE, trio.current_time()):
+                    await trio.sleep(0.01)
+            context.knew = other.waiting.has_waiting(SERVICE, trio.current_time())
+            nursery.cancel_scope.cancel()
+        world.nursery = outer
+        await trio.sleep(REPORT_EXPIRY_SECONDS)
+        context.knows = other.waiting.has_waiting(SERVICE, trio.current_time())
+        context.gateways = other.gateway_count
+
+    context.ingress._start_gateways = 2
+    context.ingress.run(script)
+
+
+@then("the other gateway knows that it waits, until it no longer does")
+def check_peer_knows(context):
+    assert context.knew
+    assert not context.knows
+    assert context.gateways == 2
+
+
 async def wait_for_memory(world):
     """Request a stream while the engines are full; return it once it waits."""
     for route in world.configuration["routes"]:
--- a/src/piershore/ingress/streams/ordered_wait.py
+++ b/src/piershore/ingress/streams/ordered_wait.py
@@ -158,12 +158,12 @@
         self._state.waiting.leave(self._waiter)
         last = self._last
         has_returned = last is not None and last.has_returned
-        is_refused = result is not None and result.refusal is not None
+        ended = _name_end(result)
         if self._has_waited or has_returned:
             self._state.announce_waiting()
+        is_refused = ended == "refused"
         if last is None or not (self._has_waited or has_returned or is_refused):
             return
-        ended = "refused" if is_refused else "started" if result else "caller_gone"
         ingress_metrics.MEMORY_WAITS.labels(ended).inc()
         self._state.log.write(
             MemoryWaitEnded(
@@ -179,3 +179,11 @@
                 last.has_returned,
             )
         )
+
+
+def _name_end(result: WaitResult | None) -> str:
+    if result is None:
+        return "cancelled"
+    if result.refusal is not None:
+        return "refused"
+    return "started" if result.decision is not None else "no_endpoint"
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -287,11 +287,11 @@
 class MemoryWaitEnded(LogEvent):
     """A generation that waited for memory, or whose caller returned, went on.
 
-    `result` is `started`, `refused` or `caller_gone`, after `seconds`. At the last
-    check, memory was projected for it in `projected` seconds: `tokens_before` were
-    needed by others before it in the order of its service, `reserved_tokens` by callers
-    told to return by then, and engines had `free_tokens`. `has_returned` is whether its
-    caller came back when told.
+    `result` is `started`, `refused`, `no_endpoint`, or `cancelled` (the caller left, or
+    the deadline passed), after `seconds`. At the last check, memory was projected for
+    it in `projected` seconds: `tokens_before` were needed by others before it in the
+    order of its service, `reserved_tokens` by callers told to return by then, and
+    engines had `free_tokens`. `has_returned` is whether its caller came back when told.
     """
 
     request: str
