--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -255,18 +255,12 @@
     def _should_wait(
         self, waiter: Waiter, now: float, seconds: float, *, has_returned: bool
     ) -> bool:
-        start = now + seconds
         if now > waiter.complete_until:
             return False
         waited = now - waiter.arrived
         if has_returned or waited > REFUSAL_SHARE * waiter.target_latency:
             return True
-        if waiter.is_in_time(start):
-            return True
-        # A caller that returns too early for its target as well gains nothing by it.
-        latest_return = now + _latest_return(waiter, now)
-        patience = waiter.start_until - waiter.arrived
-        return latest_return + patience < start <= waiter.complete_until
+        return waiter.is_in_time(now + seconds)
 
     def _tokens_before(self, waiter: Waiter, now: float) -> float:
         rank = self._rank(waiter, now)
