--- a/features/ordered_waiting.feature
+++ b/features/ordered_waiting.feature
@@ -9,6 +9,7 @@
     Then at most 2 of 100 long generations are refused again after they returned
     And at least 80 of 100 long ones start in time, at first or from their return
     And long and short ones are answered about equally often
+    And fewer of those that start are preempted than with checks at random
     And at most 1 of 5 of those that were refused had waited for over 0.5 s
 
   Scenario: The more urgent, those who return when told, those in time, then the oldest
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -15,6 +15,7 @@
 from support.stream_reading import StreamReading, wait_for_peers
 
 from devtools.bench.fleet_settings import FleetSettings, WorkMix
+from devtools.bench.fleet_simulation import FleetRun
 from piershore.core.fleet.endpoint_load import EndpointLoad
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
 from piershore.core.waiting.memory_forecast import MemoryForecast
@@ -24,6 +25,7 @@
 from piershore.core.waiting.waiting_queue import MAX_YIELD_SECONDS, WaitingQueue
 from piershore.core.waiting.waiting_report import WAITING_PREFIX, WaitingReport
 
+SEED = 68
 SERVICE = "model"
 START, WAIT, REFUSE = WaitingAction.START, WaitingAction.WAIT, WaitingAction.REFUSE
 FIRST_AIM, DEADLINE = 4.0, 39.0
@@ -129,6 +131,18 @@
     assert max(shares) - min(shares) <= 0.05, shares
 
 
+def preempted_share(streams):
+    started = [s for s in streams if s.engine is not None]
+    return mean(s.preemptions > 0 for s in started)
+
+
+@then("fewer of those that start are preempted than with checks at random")
+def check_preempted(context):
+    unordered = replace(context.fleet._settings, orders=False, refuses=True, waits=True)
+    before = preempted_share(FleetRun(unordered, SEED).run())
+    assert preempted_share(context.streams) < before, before
+
+
 @then("at most 1 of 5 of those that were refused had waited for over {seconds:g} s")
 def check_refused_at_once(context, seconds):
     waits = context.fleet.refused_after
