--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -15,7 +15,6 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import replace
-from heapq import nsmallest
 from math import inf
 
 from piershore.core.bounded_mapping import put_newest
@@ -27,19 +26,15 @@
 from piershore.core.waiting.waiter import Rank, Waiter
 from piershore.core.waiting.waiting_decision import WaitingAction, WaitingDecision
 from piershore.core.waiting.waiting_report import (
-    MAX_GROUPS,
     MAX_LEVEL,
-    MAX_LISTED,
     MAX_PROMISES_REPORTED,
     MAX_SECONDS,
     MAX_SERVICES,
-    ReportedGroup,
     ReportedPromise,
-    ReportedWaiter,
     ServiceWaiting,
-    TIME_DIGITS,
     WaitingReport,
 )
+from piershore.core.waiting.waiting_summary import reported_seconds, summarize
 
 REFUSAL_SHARE = 0.125
 """Share of its target latency within which a generation may be refused after all: a
@@ -290,33 +285,8 @@
         ]
 
     def _service_waiting(self, service: str, now: float) -> ServiceWaiting:
-        ranked = [
-            (self._rank(waiter, now), waiter)
-            for waiter in self._waiters.values()
-            if waiter.service == service
-        ]
-        first = nsmallest(MAX_LISTED, ranked, key=lambda pair: pair[0])
-        listed = {waiter.identity for _, waiter in first}
-        sums: dict[tuple[int, bool, bool], int] = {}
-        for rank, waiter in ranked:
-            if waiter.identity not in listed:
-                sums[rank.group] = sums.get(rank.group, 0) + waiter.tokens
-        return ServiceWaiting(
-            tuple(
-                ReportedWaiter(
-                    min(rank.level, MAX_LEVEL),
-                    rank.is_newcomer,
-                    rank.is_late,
-                    _reported_seconds(now - waiter.arrived),
-                    waiter.tokens,
-                )
-                for rank, waiter in first
-            ),
-            tuple(
-                ReportedGroup(*group, tokens)
-                for group, tokens in sorted(sums.items())[:MAX_GROUPS]
-            ),
-        )
+        waiters = (w for w in self._waiters.values() if w.service == service)
+        return summarize([(self._rank(waiter, now), waiter) for waiter in waiters], now)
 
     def _reported_promises(self, now: float) -> Iterator[ReportedPromise]:
         """Yield own promises that are new or due soon, in the order of their times."""
@@ -333,8 +303,8 @@
                 promise.service,
                 min(promise.priority, MAX_LEVEL),
                 promise.tokens,
-                _reported_seconds(promise.opens - now),
-                _reported_seconds(promise.lapses - now),
+                reported_seconds(promise.opens - now),
+                reported_seconds(promise.lapses - now),
             )
 
 
@@ -343,10 +313,6 @@
     return max(0.0, RETURN_SHARE * (waiter.deadline - now))
 
 
-def _reported_seconds(seconds: float) -> float:
-    return round(min(max(0.0, seconds), MAX_SECONDS), TIME_DIGITS)
-
-
 def _bounded_retry_after(seconds: float) -> float:
     if seconds == inf:
         return UNKNOWN_RETRY_AFTER_SECONDS
