--- a/features/ordered_waiting.feature
+++ b/features/ordered_waiting.feature
@@ -24,6 +24,7 @@
 
   Scenario: Memory is free and nobody waits
     Then generations start at once, and there is nothing to report
+    And one that takes 0.85 of an engine's memory starts at an empty engine
 
   Scenario Outline: A caller that was told to return in 6 s comes back after <seconds> s
     Then when it comes back after <seconds> s it is <result>
--- a/features/steps/ordered_waiting_steps.py
+++ b/features/steps/ordered_waiting_steps.py
@@ -17,6 +17,9 @@
 from devtools.bench.fleet_settings import FleetSettings, WorkMix
 from devtools.bench.fleet_simulation import FleetRun
 from piershore.core.fleet.endpoint_load import EndpointLoad
+from piershore.core.fleet.generation_admission import has_memory_in_order
+from piershore.core.fleet.generation_work import GenerationSize, GenerationWork
+from piershore.core.fleet.length_estimate import LengthEstimate
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
 from piershore.core.waiting.memory_forecast import MemoryForecast
 from piershore.core.waiting.peer_waiting import REPORT_EXPIRY_SECONDS
@@ -228,6 +231,14 @@
     assert not queue.has_waiting(SERVICE, 0.0)
 
 
+@then("one that takes {share:g} of an engine's memory starts at an empty engine")
+def check_largest(context, share):
+    size = GenerationSize(int(share * ENGINE.memory_tokens), 800)
+    work = GenerationWork(size, LengthEstimate.exactly(700))
+    assert has_memory_in_order(EMPTY, work, ENGINE)
+    assert not has_memory_in_order(EndpointLoad(1, 1, 1), work, ENGINE)
+
+
 def refused_queues(told):
     """Return queues of two gateways, the first of which has refused a caller."""
     queues = [WaitingQueue(host) for host in HOSTS[:2]]
--- a/src/piershore/core/fleet/generation_admission.py
+++ b/src/piershore/core/fleet/generation_admission.py
@@ -48,10 +48,11 @@
 ) -> bool:
     """Return whether an engine has memory for a generation that may wait its turn.
 
-    A short one fits if it preempts no other.
+    A short one fits if it preempts no other. An empty engine has all that it ever has.
     """
     if work.is_long:
-        return has_memory(load, work, engine, MAX_HELD_SHARE_IN_ORDER)
+        max_held = MAX_HELD_SHARE_IN_ORDER if load.held_tokens else MAX_HELD_SHARE
+        return has_memory(load, work, engine, max_held)
     return _fits_without_preemption(load, work, engine)
 
 
