--- a/src/piershore/core/waiting/memory_forecast.py
+++ b/src/piershore/core/waiting/memory_forecast.py
@@ -22,7 +22,7 @@
 
 MIN_GENERATION_SECONDS = 0.1
 """Minimum of the time that a generation is expected to take."""
-FREED_SHARE = 0.6
+FREED_SHARE = 0.5
 """Part of the freed memory that counts: the rest goes to more urgent generations and to
 those of engines that leave. A caller that returns too early waits in vain, while one
 that returns too late is still in time."""
--- a/src/piershore/core/waiting/waiting_queue.py
+++ b/src/piershore/core/waiting/waiting_queue.py
@@ -39,7 +39,7 @@
 REFUSAL_SHARE = 0.125
 """Share of its target latency within which a generation may be refused after all: a
 caller that has waited longer gets its answer sooner by waiting on."""
-RESERVED_AHEAD_SECONDS = 0.25
+RESERVED_AHEAD_SECONDS = 0.5
 """Promised memory counts as taken so long before its time: engines free memory in
 pieces, and callers come a few tenths of a second early."""
 RETURN_SHARE = 1 / 3
