--- a/src/piershore/core/fleet/fleet_load.py
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
 from piershore.core.fleet.endpoint_load import EndpointLoad, NO_LOAD
@@ -50,6 +50,22 @@
         return self._work.load()
 
 
+class DepartingWork:
+    """The load that a generation takes from its endpoint by moving to another.
+
+    It counts until the generation runs elsewhere, so that peers don't relieve an
+    endpoint that a move relieves already.
+    """
+
+    def __init__(self, work: Work, is_at_source: Callable[[], bool]) -> None:
+        self._work = work
+        self._is_at_source = is_at_source
+
+    def load(self) -> EndpointLoad:
+        """Return the negative load of the generation while it is at its source."""
+        return NO_LOAD - self._work.load() if self._is_at_source() else NO_LOAD
+
+
 class FleetLoad:
     """This gateway's work by endpoint, and the loads that its peers report.
 
@@ -119,6 +135,12 @@
         peers = self._peer_sums.get(identity, NO_LOAD)
         return peers + self.own(identity) if identity in self._own else peers
 
+    def peers_at(self, identity: str) -> Iterator[str]:
+        """Yield the peers that reported requests at an endpoint."""
+        for peer, (_, loads) in self._peers.items():
+            if loads.get(identity, NO_LOAD).requests > 0:
+                yield peer
+
     def _forget(self, peer: str) -> None:
         _, loads = self._peers.pop(peer, (0.0, {}))
         for identity, load in loads.items():
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -25,6 +25,7 @@
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams
+from piershore.ingress.moves.load_mover import LoadMover
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.ingress.peers.crash_reporter import CrashReporter
 from piershore.ingress.peers.load_update_sender import LoadUpdateSender
@@ -176,6 +177,9 @@
         silence_watch = SilenceWatch(
             self._state, self._live, self._moves, self._endpoint_prober
         )
+        load_mover = LoadMover(
+            self._state, self._live, self._moves, outage_prober.is_store_down
+        )
         await link.start()
         try:
             async with trio.open_nursery() as nursery:
@@ -189,6 +193,8 @@
                     nursery.start_soon(self._supervise, outage_prober.run)
                 if self._state.is_enabled(Mechanism.SILENCE_QUESTIONS):
                     nursery.start_soon(self._supervise, silence_watch.run)
+                if self._state.is_enabled(Mechanism.LOAD_MOVES):
+                    nursery.start_soon(self._supervise, load_mover.run)
                 self._log.write(
                     ProcessStarted(link.incarnation, self._settings.data_hall)
                 )
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -28,7 +28,7 @@
 
     `copy` is set once `target` holds a copy of the memory, `run_stopped` once the
     source was told to stop the run, and `is_settled` once no more work is done for the
-    move. `noticed_at` is when the source was known to leave.
+    move. `noticed_at` is when the source was known to leave, inf if it stays.
     """
 
     source: Endpoint
@@ -52,7 +52,7 @@
     `backup` is the endpoint that receives a copy of its memory as it grows.
     `reading_scope` cancels the wait for the next chunk from the current endpoint,
     `waiting_since` is when that wait started. `is_given_up` is set when the stream is
-    to continue at another endpoint.
+    to continue at another endpoint, `moved_at` when it last did.
     """
 
     exchange: Exchange
@@ -65,6 +65,7 @@
     reading_scope: trio.CancelScope | None = None
     waiting_since: float | None = None
     moves: int = 0
+    moved_at: float = float("-inf")
     endpoint_first_event_at: float = float("inf")
     last_event_at: float = 0.0
     longest_pause: float = 0.0
@@ -85,6 +86,7 @@
         self.endpoint_first_event_at = float("inf")
         self.waiting_since = None
         self.moves += 1
+        self.moved_at = trio.current_time()
 
     @property
     def has_backup(self) -> bool:
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -1,4 +1,4 @@
-"""Coordinates moves of generations away from endpoints that leave.
+"""Coordinates moves of generations away from endpoints that leave or are too full.
 
 All copies from one endpoint share its link, one after the other, and take most of the
 time between the endpoint's notice and its end. A stream continues while its memory is
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 
 import trio
 
@@ -21,7 +22,8 @@
     plan_evacuation,
     PlannedMove,
 )
-from piershore.core.fleet.fleet_load import MoveTargetWork
+from piershore.core.fleet.fleet_load import DepartingWork, MoveTargetWork
+from piershore.core.fleet.load_moves import LoadMoveCause
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.service_spec import EngineSpec
 from piershore.ingress.gateway_state import GatewayState
@@ -61,6 +63,7 @@
 
     ENDPOINT_LEAVES = "endpoint_leaves"
     EVENTS_LOST = "events_lost"
+    LOAD = "load"
 
 
 @dataclass(frozen=True)
@@ -77,7 +80,9 @@
 
     def handover_to(self, target: Endpoint) -> Handover:
         """Return a move to one target."""
-        return Handover(self.source, target, noticed_at=self.noticed_at)
+        stays = self.reason is MoveReason.LOAD
+        noticed_at = float("inf") if stays else self.noticed_at
+        return Handover(self.source, target, noticed_at=noticed_at)
 
 
 class MoveCoordinator:
@@ -99,9 +104,12 @@
 
     def evacuate(self, source: Endpoint) -> None:
         """Move all streams away from an endpoint that leaves."""
-        streams = [
-            s for s in self._live.running_at(source.identity) if s.handover is None
-        ]
+        now = trio.current_time()
+        running = self._live.running_at(source.identity)
+        for stream in running:
+            if stream.handover is not None:
+                stream.handover.noticed_at = min(stream.handover.noticed_at, now)
+        streams = [s for s in running if s.handover is None]
         if streams:
             self._start(source, streams, MoveReason.ENDPOINT_LEAVES)
 
@@ -112,23 +120,36 @@
         if stream.handover is None:
             self._start(stream.endpoint, [stream], reason)
 
+    def move_for_load(
+        self, stream: LiveStream, target: Endpoint, cause: LoadMoveCause
+    ) -> None:
+        """Move one stream to `target`; if that fails, it stays where it is."""
+        evacuation = self._evacuation(stream.endpoint, MoveReason.LOAD)
+        if evacuation is not None and stream.handover is None:
+            self._nursery.start_soon(
+                self._run, self._relieve, stream, evacuation, target, cause
+            )
+
     def _start(
         self, source: Endpoint, streams: list[LiveStream], reason: MoveReason
     ) -> None:
+        evacuation = self._evacuation(source, reason)
+        if evacuation is not None:
+            self._nursery.start_soon(self._run, self._evacuate, evacuation, streams)
+
+    def _evacuation(self, source: Endpoint, reason: MoveReason) -> Evacuation | None:
+        """Return the move away from an endpoint, or None if its streams can't move."""
         engine = self._engine_of(source.service)
         if engine is None or not engine.can_move or self._nursery is None:
-            return
+            return None
         if not self._state.is_enabled(Mechanism.MOVES):
-            return
-        evacuation = Evacuation(source, engine, trio.current_time(), reason)
-        self._nursery.start_soon(self._run_evacuation, evacuation, streams)
+            return None
+        return Evacuation(source, engine, trio.current_time(), reason)
 
-    async def _run_evacuation(
-        self, evacuation: Evacuation, streams: list[LiveStream]
-    ) -> None:
-        """Run an evacuation; log an exception instead of letting it end the process."""
+    async def _run(self, move: Callable[..., Awaitable[None]], *arguments) -> None:
+        """Run a move; log an exception instead of letting it end the process."""
         try:
-            await self._evacuate(evacuation, streams)
+            await move(*arguments)
         except Exception as error:
             self._state.log.write_internal_error("MoveCoordinator", error)
 
@@ -200,6 +221,30 @@
             target = self._choose_target(stream, evacuation, tried)
         return not self._is_at(stream, evacuation.source)
 
+    async def _relieve(
+        self,
+        stream: LiveStream,
+        evacuation: Evacuation,
+        target: Endpoint,
+        cause: LoadMoveCause,
+    ) -> None:
+        """Move one stream to `target` and let peers count it there from the start."""
+        source = evacuation.source
+        departure = DepartingWork(stream.work, partial(self._is_at, stream, source))
+        self._state.fleet_load.add(source.identity, departure)
+        self._state.announce_load(source)
+        is_copied = False
+        try:
+            is_copied = await self._move_to(stream, evacuation, target)
+        finally:
+            self._state.fleet_load.remove(source.identity, departure)
+            self._state.announce_load(source)
+        result = "copied" if is_copied else "refused"
+        ingress_metrics.LOAD_MOVES.labels(cause, result).inc()
+        is_left = self._is_at(stream, source) and not is_copied
+        if is_left and self._state.directory.is_leaving(source.identity):
+            self.evacuate_one(stream)
+
     async def _move_to(
         self, stream: LiveStream, evacuation: Evacuation, target: Endpoint
     ) -> bool:
--- a/src/piershore/ingress/peers/outage_prober.py
+++ b/src/piershore/ingress/peers/outage_prober.py
@@ -44,24 +44,24 @@
         self._endpoints = endpoints
         self._peers = peers
 
+    def is_store_down(self) -> bool:
+        """Return whether no gateway can learn from the store that an engine leaves."""
+        if self._peers.store_seems_silent():
+            return True
+        return (
+            self._endpoints.health.is_out and not self._peers.has_peer_reading_store()
+        )
+
     async def run(self) -> None:
         """Probe periodically while the store is down for all; run until cancelled."""
         while True:
             await trio.sleep(PROBE_INTERVAL_SECONDS)
-            if not self._is_store_down():
+            if not self.is_store_down():
                 continue
             async with trio.open_nursery() as nursery:
                 for endpoint in list(self._endpoints_to_probe()):
                     nursery.start_soon(self._probe, endpoint)
 
-    def _is_store_down(self) -> bool:
-        """Return whether no gateway can learn from the store that an engine leaves."""
-        if self._peers.store_seems_silent():
-            return True
-        return (
-            self._endpoints.health.is_out and not self._peers.has_peer_reading_store()
-        )
-
     def _endpoints_to_probe(self) -> Iterator[Endpoint]:
         hosts = [self._host, *self._peers.living_hosts()]
         for endpoint in self._state.directory:
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -370,6 +370,29 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class LoadMoveChosen(LogEvent):
+    """A generation is moved because its engine is too full or too slow (`cause`).
+
+    `source_tokens` is the memory that the engine would need soon, out of
+    `memory_tokens`; `target_tokens` is the memory projected at the target with the
+    generation, of which `remaining_tokens` are still expected. A slowness of 1.0 is the
+    median of the service.
+    """
+
+    request: str
+    endpoint: str
+    target: str
+    cause: str
+    source_tokens: int
+    target_tokens: int
+    memory_tokens: int
+    held_tokens: int
+    remaining_tokens: int
+    source_slowness: float
+    target_slowness: float
+
+
 @dataclass(frozen=True)
 class MoveEnded(LogEvent):
     """A move ended; unless it succeeded, the generation stays where it was."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -33,6 +33,12 @@
     ["result"],
     registry=REGISTRY,
 )
+LOAD_MOVES = Counter(
+    "piershore_ingress_load_moves_total",
+    "Generations copied away from engines that were too full or too slow, by cause.",
+    ["cause", "result"],
+    registry=REGISTRY,
+)
 SILENCES = Counter(
     "piershore_ingress_silences_total",
     "Streams that paused far longer than their endpoint's pace, by what was done.",
