--- a/src/piershore/core/fleet/load_moves.py
+++ b/src/piershore/core/fleet/load_moves.py
@@ -22,7 +22,7 @@
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
-from piershore.core.fleet.generation_admission import TOKEN_SECONDS
+from piershore.core.fleet.generation_admission import MAX_HELD_SHARE, TOKEN_SECONDS
 from piershore.core.hashing import stable_hash
 from piershore.core.routes.service_spec import EngineSpec
 
@@ -178,7 +178,7 @@
             slowness = self._slowness(identity, source.service)
             tokens = tokens_within_horizon(view.load_at(identity), slowness)
             applies = {
-                LoadMoveCause.MEMORY: tokens > view.engine.memory_tokens,
+                LoadMoveCause.MEMORY: tokens > _bearable_tokens(view.engine),
                 LoadMoveCause.SPEED: slowness >= MIN_SLOWNESS,
             }
             if any(applies.values()) and view.accepts_work(source):
@@ -222,7 +222,7 @@
         view: FleetView,
     ) -> LoadMove | None:
         """Return the move of the first stream that has a target."""
-        missing = source_tokens - view.engine.memory_tokens
+        missing = source_tokens - _bearable_tokens(view.engine)
         for stream in sorted(streams, key=lambda s: _order(s, cause, missing)):
             targets = self._targets(stream, cause, view)
             target = min(targets, key=lambda t: _target_order(stream, t), default=None)
@@ -283,6 +283,14 @@
         _drop_older(self._targeted, now - MIN_TARGET_INTERVAL_SECONDS)
 
 
+def _bearable_tokens(engine: EngineSpec) -> float:
+    """Return the memory that an engine may need soon without being relieved.
+
+    Beyond it the next urgent prompt would wait, or preempt running generations.
+    """
+    return MAX_HELD_SHARE * engine.memory_tokens
+
+
 def _order(stream: MovableStream, cause: LoadMoveCause, missing: int) -> tuple:
     """Return the sort key of the streams at one source: the first should move.
 
