Load moves: only where memory runs out, newest first; scenarios

So engines are relieved only if their memory runs out, by one move per gateway and second, and the targets keep more memory free.

--- /dev/null
+++ b/features/load_moves.feature
@@ -0,0 +1,44 @@
+Feature: Generations move away from engines that are too full or too slow
+
+  Scenario Outline: a sixth of the engines was replaced, and the others hold too much
+    Given 20 gateways before engines of which 4 are empty and 16 almost full
+    And their views are up to <age> s old
+    When they serve for 8 seconds, with moves for load and without, from 6 seeds
+    Then at most <share> of the preempted generations are preempted with moves
+
+    Examples:
+      | age | share |
+      | 0.1 | 0.25  |
+      | 1.0 | 0.5   |
+
+  Scenario: views that are old and need not agree
+    When 30 random fleets serve for 4 seconds, by views up to 1 s old
+    Then no generation moves twice within its minimum stay
+    And no gateway begins more than 1 moves in a second
+
+  Scenario: engines with memory to spare, which don't differ in speed
+    When 10 fleets that hold up to 0.8 of their memory serve for 4 seconds
+    Then nothing moves
+
+  Scenario: endpoints differ in speed, and fast ones become free
+    When 10 fleets with slow endpoints and empty fast ones serve for 4 seconds
+    Then generations move away from slow endpoints only, to others
+    And no generation moves twice within its minimum stay
+
+  Scenario: peers report absurd loads, and speeds are absurd
+    Then a planner decides by any loads and speeds without an error
+
+  @tokens_once_in_order
+  Scenario Outline: the engine of a stream becomes full
+    Given 3 engines
+    When a stream of 400 events is read, its engine becomes full, and <event>
+    Then all events came once and in order, from 1 run
+    And it was continued at other endpoints <times> times
+
+    Examples:
+      | event                             | times |
+      | nothing else happens              | 1     |
+      | all engines refuse copies         | 0     |
+      | the target crashes after the copy | 1     |
+      | the store is down                 | 0     |
+      | load_moves is disabled            | 0     |
--- a/src/piershore/core/fleet/fleet_load.py
+++ b/src/piershore/core/fleet/fleet_load.py
@@ -51,10 +51,10 @@
 
 
 class DepartingWork:
-    """The load that a generation takes from its endpoint by moving to another.
+    """The memory that a generation will not need at its endpoint, since it moves away.
 
     It counts until the generation runs elsewhere, so that peers don't relieve an
-    endpoint that a move relieves already.
+    endpoint that a move relieves already. The memory in use isn't free before that.
     """
 
     def __init__(self, work: Work, is_at_source: Callable[[], bool]) -> None:
@@ -62,8 +62,10 @@
         self._is_at_source = is_at_source
 
     def load(self) -> EndpointLoad:
-        """Return the negative load of the generation while it is at its source."""
-        return NO_LOAD - self._work.load() if self._is_at_source() else NO_LOAD
+        """Return the projected memory, negative, until the generation has moved."""
+        if not self._is_at_source():
+            return NO_LOAD
+        return EndpointLoad(projected_tokens=-self._work.load().projected_tokens)
 
 
 class FleetLoad:
--- a/src/piershore/core/fleet/load_moves.py
+++ b/src/piershore/core/fleet/load_moves.py
@@ -15,34 +15,36 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf, isfinite
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_load import EndpointLoad
-from piershore.core.fleet.generation_admission import MAX_HELD_SHARE, TOKEN_SECONDS
+from piershore.core.fleet.generation_admission import TOKEN_SECONDS
 from piershore.core.hashing import stable_hash
 from piershore.core.routes.service_spec import EngineSpec
 
 HORIZON_SECONDS = 2.0
 """An engine is relieved if its memory runs out within this time: turns, a copy and the
 stop of a run take up to a second, and later growth is too uncertain."""
-MAX_TARGET_SHARE = 0.8
+MAX_TARGET_SHARE = 0.7
 """Share of a target's memory that may be projected at the expected ends, with the
-stream: the rest is enough for another stream that a peer moves there at the same time,
-and the target doesn't have to be relieved itself soon after."""
+stream: the rest is enough for a stream that a peer moves there at the same time and for
+new ones that are placed there, and the target doesn't have to be relieved soon after.
+"""
 MIN_REMAINING_TOKENS = 150
 """Expected output below which a stream stays: it ends before a move would be worth its
 pause, and frees its memory then."""
 MIN_STAY_SECONDS = 3.0
 """Minimum time between two moves of one stream."""
-MIN_TARGET_INTERVAL_SECONDS = 1.0
+MIN_TARGET_INTERVAL_SECONDS = 2.0
 """Minimum time between two moves of one gateway to the same target: a copy has arrived
-by then, or was refused."""
-MAX_MOVES_PER_SECOND = 2
-"""Moves that one gateway begins per second."""
+by then or was refused, and peers have reported what they moved there."""
+MIN_MOVE_INTERVAL_SECONDS = 1.0
+"""Minimum time between two moves that one gateway begins: a gateway has few streams at
+an engine, and many gateways may act on views that are up to a second old."""
 MIN_SLOWNESS = 1.3
 """Slowness, relative to the service, of an endpoint that streams move away from."""
 MIN_SAVED_SECONDS = 1.5
@@ -60,10 +62,10 @@
     SPEED = "speed"
 
 
-TURN_SECONDS = {LoadMoveCause.MEMORY: 0.1, LoadMoveCause.SPEED: 0.5}
+TURN_SECONDS = {LoadMoveCause.MEMORY: 0.2, LoadMoveCause.SPEED: 0.5}
 """Length of a gateway's turn by cause: peers receive its load update in 14 ms, and all
-gateways notice the cause within one check. Many endpoints are slow at the same time,
-and nothing is lost by waiting there."""
+gateways notice the cause within one check. Longer turns bound the moves that begin
+while views are old. Nothing is lost by waiting at an endpoint that is only slow."""
 
 Slowness = Callable[[str, str], float]
 """Time per token of an endpoint relative to its service, by identity and service."""
@@ -78,7 +80,8 @@
 class MovableStream:
     """A running generation of this gateway.
 
-    `priority` 0 is the most urgent. `moved_at` is when it last changed its endpoint.
+    `priority` 0 is the most urgent. `begun_at` is when its first event came from its
+    endpoint, `moved_at` when it last changed the endpoint.
     """
 
     request: str
@@ -86,7 +89,8 @@
     held_tokens: int
     remaining_tokens: int
     priority: int
-    moved_at: float = float("-inf")
+    begun_at: float
+    moved_at: float = -inf
 
     @property
     def projected_tokens(self) -> int:
@@ -128,10 +132,13 @@
 
 
 def tokens_within_horizon(load: EndpointLoad, slowness: float = 1.0) -> int:
-    """Return the memory that an engine's generations will need soon."""
+    """Return the memory that an engine's generations will need soon.
+
+    It is less than the memory in use if generations are moving away.
+    """
     steps = HORIZON_SECONDS / (TOKEN_SECONDS * slowness)
     growth = min(load.projected_tokens - load.held_tokens, load.requests * steps)
-    return load.held_tokens + max(0, round(growth))
+    return load.held_tokens + (round(growth) if isfinite(growth) else 0)
 
 
 class LoadMovePlanner:
@@ -143,7 +150,7 @@
         self._due: dict[tuple[str, LoadMoveCause], float] = {}
         self._moved: dict[str, float] = {}
         self._targeted: dict[str, float] = {}
-        self._begun: deque[float] = deque()
+        self._begun_at = -inf
 
     def plan(
         self, streams: Iterable[MovableStream], view: FleetView, now: float
@@ -175,10 +182,10 @@
         """Yield why streams should leave which sources, and the memory needed there."""
         for identity, streams in by_source.items():
             source = streams[0].source
-            slowness = self._slowness(identity, source.service)
+            slowness = self._slowness_of(source)
             tokens = tokens_within_horizon(view.load_at(identity), slowness)
             applies = {
-                LoadMoveCause.MEMORY: tokens > _bearable_tokens(view.engine),
+                LoadMoveCause.MEMORY: tokens > view.engine.memory_tokens,
                 LoadMoveCause.SPEED: slowness >= MIN_SLOWNESS,
             }
             if any(applies.values()) and view.accepts_work(source):
@@ -189,12 +196,11 @@
     def _has_turn(
         self, identity: str, cause: LoadMoveCause, view: FleetView, now: float
     ) -> bool:
-        if len(self._begun) >= MAX_MOVES_PER_SECOND:
-            return False
         key = identity, cause
         if key not in self._due:
             self._due[key] = now + self._delay(identity, cause, view)
-        return now >= self._due[key]
+        has_paused = now - self._begun_at >= MIN_MOVE_INTERVAL_SECONDS
+        return has_paused and now >= self._due[key]
 
     def _delay(self, identity: str, cause: LoadMoveCause, view: FleetView) -> float:
         """Return the time until this gateway's turn, by a hash that all compute alike.
@@ -222,8 +228,7 @@
         view: FleetView,
     ) -> LoadMove | None:
         """Return the move of the first stream that has a target."""
-        missing = source_tokens - _bearable_tokens(view.engine)
-        for stream in sorted(streams, key=lambda s: _order(s, cause, missing)):
+        for stream in sorted(streams, key=lambda s: _order(s, cause)):
             targets = self._targets(stream, cause, view)
             target = min(targets, key=lambda t: _target_order(stream, t), default=None)
             if target is None:
@@ -234,9 +239,9 @@
                 target,
                 cause,
                 source_tokens,
-                load.projected_tokens + stream.projected_tokens,
-                self._slowness(stream.source.identity, stream.source.service),
-                self._slowness(target.identity, target.service),
+                _tokens_with(stream, load),
+                self._slowness_of(stream.source),
+                self._slowness_of(target),
             )
         return None
 
@@ -251,7 +256,7 @@
             if target.identity in self._targeted or not view.accepts_work(target):
                 continue
             load = view.load_at(target.identity)
-            tokens = load.projected_tokens + stream.projected_tokens
+            tokens = _tokens_with(stream, load)
             if tokens > max_tokens or load.requests + 1 >= view.engine.slots:
                 continue
             if self._is_fast_enough(stream, target, cause):
@@ -260,13 +265,18 @@
     def _is_fast_enough(
         self, stream: MovableStream, target: Endpoint, cause: LoadMoveCause
     ) -> bool:
-        here = self._slowness(stream.source.identity, stream.source.service)
-        there = self._slowness(target.identity, target.service)
+        here = self._slowness_of(stream.source)
+        there = self._slowness_of(target)
         if cause is LoadMoveCause.MEMORY:
             return there < MIN_SLOWNESS or there <= here
         saved = stream.remaining_tokens * TOKEN_SECONDS * (here - there)
         return there < MIN_SLOWNESS and saved - MOVE_PAUSE_SECONDS >= MIN_SAVED_SECONDS
 
+    def _slowness_of(self, endpoint: Endpoint) -> float:
+        """Return the slowness of an endpoint; 1.0 for a value that is no ratio."""
+        slowness = self._slowness(endpoint.identity, endpoint.service)
+        return slowness if 0 < slowness < inf else 1.0
+
     def _record(self, move: LoadMove, view: FleetView, now: float) -> None:
         """Record a move; this gateway's next one at the source waits for its peers."""
         identity = move.stream.source.identity
@@ -274,34 +284,30 @@
         self._due[identity, move.cause] = now + TURN_SECONDS[move.cause] * turns
         self._moved[move.stream.request] = now
         self._targeted[move.target.identity] = now
-        self._begun.append(now)
+        self._begun_at = now
 
     def _forget_before(self, now: float) -> None:
-        while self._begun and now - self._begun[0] >= 1.0:
-            self._begun.popleft()
         _drop_older(self._moved, now - MIN_STAY_SECONDS)
         _drop_older(self._targeted, now - MIN_TARGET_INTERVAL_SECONDS)
 
 
-def _bearable_tokens(engine: EngineSpec) -> float:
-    """Return the memory that an engine may need soon without being relieved.
+def _tokens_with(stream: MovableStream, load: EndpointLoad) -> int:
+    """Return the most memory that a target is expected to need with a stream.
 
-    Beyond it the next urgent prompt would wait, or preempt running generations.
+    Generations that move away from it use its memory until they are copied.
     """
-    return MAX_HELD_SHARE * engine.memory_tokens
+    return max(load.held_tokens, load.projected_tokens) + stream.projected_tokens
 
 
-def _order(stream: MovableStream, cause: LoadMoveCause, missing: int) -> tuple:
+def _order(stream: MovableStream, cause: LoadMoveCause) -> tuple:
     """Return the sort key of the streams at one source: the first should move.
 
-    For memory these are the least urgent, which would be preempted, and of these the
-    smallest that is enough, or else the largest.
+    For memory that is the one which the engine would preempt, as far as this gateway
+    knows: the newest of the least urgent.
     """
     if cause is LoadMoveCause.SPEED:
         return (-stream.remaining_tokens, stream.request)
-    is_enough = stream.held_tokens >= missing
-    size = stream.held_tokens if is_enough else -stream.held_tokens
-    return (-stream.priority, not is_enough, size, stream.request)
+    return (-stream.priority, -stream.begun_at, stream.request)
 
 
 def _target_order(stream: MovableStream, target: Endpoint) -> tuple:
--- a/src/piershore/ingress/moves/load_mover.py
+++ b/src/piershore/ingress/moves/load_mover.py
@@ -137,5 +137,6 @@
         work.held_tokens,
         work.remaining_tokens,
         stream.exchange.priority,
+        stream.endpoint_first_event_at,
         stream.moved_at,
     )
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -82,10 +82,14 @@
 
 
 class EngineMemory:
-    """Copies of generations by `HOST:PORT/NAME`: where each lies."""
+    """Copies of generations by `HOST:PORT/NAME`: where each lies.
+
+    `stopped` are those whose source keeps the memory of the run that it stopped.
+    """
 
     def __init__(self) -> None:
         self.copies: dict[str, str] = {}
+        self.stopped: set[str] = set()
         self.used: set[str] = set()
 
 
@@ -343,10 +347,12 @@
         await stream.send_all(data + connection.send(h11.EndOfMessage()))
 
     def _take_copy(self, name: str) -> bool:
-        holder = self._memory.copies.get(name)
-        if holder != self.listed_as() or name in self._memory.used:
+        memory, here = self._memory, self.listed_as()
+        is_here = memory.copies.get(name) == here
+        is_source = name in memory.stopped and name.startswith(f"{here}/")
+        if not (is_here or is_source) or name in memory.used:
             return False
-        self._memory.used.add(name)
+        memory.used.add(name)
         return True
 
     async def _report(self, arrival: Arrival) -> None:
@@ -371,6 +377,8 @@
             scope.cancel()
             await trio.sleep(self.stop_answer_seconds)
         handle = f"h-{order['id']}"
+        if order["last"]:
+            self._memory.stopped.add(f"{self.listed_as()}/{handle}")
         self._memory.copies[f"{self.listed_as()}/{handle}"] = order["target_version"]
         answer = orjson.dumps({"handle": handle, "made": 1})
         await self.respond(arrival, 200, self.move_answer or answer)
