--- a/features/support/moving_fleet.py
+++ b/features/support/moving_fleet.py
@@ -14,6 +14,7 @@
 from standins.engine_model import EngineGeneration, EngineModel, EngineSettings
 
 TICK_SECONDS, COPY_SECONDS, EXPECTED_TOKENS = 0.05, 0.3, 700
+TICKS_PER_CHECK = 4
 SPEC = EngineSpec(24, 27_000, 131_072, 2.4e9, can_move=True, can_back_up=False)
 SETTINGS = EngineSettings(SPEC.memory_tokens, 24, 0.007, 0.00012, 0.0, 1 / 14_000, 112)
 
@@ -96,8 +97,12 @@
                     for name in step.finished:
                         del self.generations[name]
             self._history.append([self._loads(gateway) for gateway in gateways])
-            for gateway in self._random.sample(gateways, len(gateways) * moves):
-                self._plan(gateway)
+            # Each gateway checks at its own moments.
+            for gateway in gateways[
+                len(self._history) % TICKS_PER_CHECK :: TICKS_PER_CHECK
+            ]:
+                if moves:
+                    self._plan(gateway)
 
     def _of(self, gateway):
         return [g for g in self.generations.values() if g.gateway == gateway]
--- a/src/piershore/ingress/moves/load_mover.py
+++ b/src/piershore/ingress/moves/load_mover.py
@@ -24,8 +24,9 @@
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.telemetry.events import LoadMoveChosen
 
-CHECK_INTERVAL_SECONDS = 0.1
-"""Interval between checks of all streams: half of a gateway's turn."""
+CHECK_INTERVAL_SECONDS = 0.2
+"""Interval between checks of all streams, as long as a gateway's turn: a check adds up
+the loads of all own streams."""
 
 
 class LoadMover:
@@ -99,7 +100,7 @@
             self._movable_at,
             targets,
             accepts_work,
-            load.at,
+            cache(load.at),
             load.peers_at,
         )
 
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -124,6 +124,8 @@
         self, stream: LiveStream, target: Endpoint, cause: LoadMoveCause
     ) -> None:
         """Move one stream to `target`; if that fails, it stays where it is."""
+        if not self._state.is_enabled(Mechanism.FIRST_COPIES):
+            return
         evacuation = self._evacuation(stream.endpoint, MoveReason.LOAD)
         if evacuation is not None and stream.handover is None:
             self._nursery.start_soon(
