--- a/src/piershore/core/fleet/load_moves.py
+++ b/src/piershore/core/fleet/load_moves.py
@@ -145,7 +145,7 @@
 
 
 class LoadMovePlanner:
-    """Decides for one gateway which of its streams move."""
+    """Decides for one gateway which of its streams of one service move."""
 
     def __init__(self, host: str, slowness: Slowness = uniform_slowness) -> None:
         self._host = host
--- a/src/piershore/ingress/moves/load_mover.py
+++ b/src/piershore/ingress/moves/load_mover.py
@@ -49,7 +49,8 @@
         self._live = live
         self._moves = moves
         self._is_store_down = is_store_down
-        self._planner = LoadMovePlanner(state.host, slowness)
+        self._slowness = slowness
+        self._planners: dict[str, LoadMovePlanner] = {}
 
     async def run(self) -> None:
         """Check all streams periodically, until cancelled."""
@@ -69,10 +70,16 @@
             if spec is None or spec.engine is None or not spec.engine.can_move:
                 continue
             view = self._view(service, spec.engine, sources.values(), now)
-            move = self._planner.plan(view, now)
+            move = self._planner_of(service).plan(view, now)
             if move is not None:
                 self._begin(move, spec.engine)
 
+    def _planner_of(self, service: str) -> LoadMovePlanner:
+        if service not in self._planners:
+            planner = LoadMovePlanner(self._state.host, self._slowness)
+            self._planners[service] = planner
+        return self._planners[service]
+
     def _view(
         self,
         service: str,
