--- a/features/load_moves.feature
+++ b/features/load_moves.feature
@@ -9,6 +9,12 @@
       | 0.1 | 0.25  |
       | 1.0 | 0.5   |
 
+  # Regression: five gateways had waited for a target, and chose the same one within
+  # 16 ms of its being ready.
+  Scenario: gateways wait for a target, and one becomes ready
+    When 10 fleets whose one replacement is ready after 2.5 s serve for 4 s, by views up to 0 s old
+    Then at most 2 gateways move generations to one engine at the same moment
+
   Scenario: views that are old and need not agree
     When 20 fleets of random sizes, loads and speeds serve for 5 s, by views up to 1 s old
     Then no generation moves twice within its minimum stay
--- a/features/steps/load_move_steps.py
+++ b/features/steps/load_move_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from itertools import pairwise, product
 from math import inf, nan
 from random import Random
@@ -32,6 +33,11 @@
     return MovingFleet(random.random(), shares, 20, age)
 
 
+def replaced_later(random, age):
+    shares = [random.uniform(0.97, 1.0) for _ in range(16)] + [0.0]
+    return MovingFleet(random.random(), shares, 20, age, opens_at=2.5)
+
+
 def anything(random, age):
     shares = [random.uniform(0.2, 1.0) ** 0.5 for _ in range(random.randrange(3, 16))]
     slowness = [random.choice((0.6, 1.0, 1.6)) for _ in shares]
@@ -50,6 +56,7 @@
 
 FLEETS = {
     "where a sixth of the engines was replaced": replaced,
+    "whose one replacement is ready after 2.5 s": replaced_later,
     "of random sizes, loads and speeds": anything,
     "with memory to spare": with_room,
     "with slow endpoints and empty fast ones": uneven,
@@ -75,6 +82,14 @@
     assert preempted <= share * without, (preempted, without)
 
 
+@then("at most {most:d} gateways move generations to one engine at the same moment")
+def check_simultaneous(context, most):
+    assert any(fleet.moves for fleet in context.fleets)
+    for fleet in context.fleets:
+        begun = Counter((at, move.target.identity) for at, _, move in fleet.moves)
+        assert max(begun.values(), default=0) <= most, begun
+
+
 @then("nothing moves")
 def check_nothing_moves(context):
     assert not any(fleet.moves for fleet in context.fleets)
--- a/features/support/moving_fleet.py
+++ b/features/support/moving_fleet.py
@@ -52,10 +52,12 @@
     """Engines that hold `shares` of their memory and get no new generations.
 
     Several generations grow together, since all are young. Gateways know the loads of
-    their peers as they were up to `view_age` seconds ago.
+    their peers as they were up to `view_age` seconds ago. Engines that are empty at the
+    start accept work from `opens_at` on.
     """
 
-    def __init__(self, seed, shares, gateways, view_age, slowness=None):
+    def __init__(self, seed, shares, gateways, view_age, slowness=None, opens_at=0.0):
+        self._accept_from = [0.0 if share else opens_at for share in shares]
         self._random, self._view_age = Random(seed), view_age
         self._slowness = slowness or [1.0] * len(shares)
         self.now, self._history = 0.0, []
@@ -128,7 +130,7 @@
             {stream.source for stream in streams},
             lambda source: [s for s in streams if s.source == source],
             lambda: endpoints,
-            lambda one: True,
+            lambda one: self.now >= self._accept_from[int(one.name)],
             lambda name: sum((loads.get(name, NO_LOAD) for loads in seen), NO_LOAD),
             lambda name: [str(g) for g, loads in enumerate(seen) if name in loads],
         )
--- a/src/piershore/core/fleet/load_moves.py
+++ b/src/piershore/core/fleet/load_moves.py
@@ -161,19 +161,25 @@
         The caller reports the resulting loads to its peers before the next call.
         """
         self._forget_before(now)
-        causes = list(self._causes(view))
-        current = {(source.identity, cause) for source, cause, _ in causes}
-        self._due = {key: due for key, due in self._due.items() if key in current}
-        for source, cause, source_tokens in causes:
-            if not self._has_turn(source.identity, cause, view, now):
-                continue
-            movable = (s for s in view.streams_at(source) if self._may_move(s, now))
-            move = self._best_move(movable, cause, source_tokens, view)
-            if move is not None:
+        possible = {
+            (move.stream.source.identity, move.cause): move
+            for move in self._possible_moves(view, now)
+        }
+        self._due = {key: due for key, due in self._due.items() if key in possible}
+        for (identity, cause), move in possible.items():
+            if self._has_turn(identity, cause, view, now):
                 self._record(move, view, now)
                 return move
         return None
 
+    def _possible_moves(self, view: FleetView, now: float) -> Iterator[LoadMove]:
+        """Yield the best move away from each source that streams should leave."""
+        for source, cause, source_tokens in self._causes(view):
+            movable = (s for s in view.streams_at(source) if self._may_move(s, now))
+            move = self._best_move(movable, cause, source_tokens, view)
+            if move is not None:
+                yield move
+
     def _causes(self, view: FleetView) -> Iterator[tuple[Endpoint, LoadMoveCause, int]]:
         """Yield which sources streams should leave and why, and the memory needed."""
         for source in view.sources:
@@ -190,6 +196,11 @@
     def _has_turn(
         self, identity: str, cause: LoadMoveCause, view: FleetView, now: float
     ) -> bool:
+        """Return whether it is this gateway's turn at a source.
+
+        The turns begin when a move becomes possible: otherwise all gateways that wait
+        for a target would use the next one at the same moment.
+        """
         key = identity, cause
         if key not in self._due:
             self._due[key] = now + self._delay(identity, cause, view)
