--- a/src/piershore/core/fleet/load_moves.py
+++ b/src/piershore/core/fleet/load_moves.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
+from heapq import nsmallest
 from math import inf, isfinite
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -52,6 +53,9 @@
 links, and the pause of the move is a risk for its caller."""
 MOVE_PAUSE_SECONDS = 0.1
 """Usual pause of a stream while it changes its endpoint."""
+MAX_STREAMS = 3
+"""Streams for which a target is looked for, at each source: if none is found for these,
+one is seldom found for the others."""
 HASH_RANGE = 2.0**64
 
 
@@ -233,7 +237,8 @@
         view: FleetView,
     ) -> LoadMove | None:
         """Return the move of the first stream that has a target."""
-        for stream in sorted(streams, key=lambda s: _order(s, cause)):
+        preferred = nsmallest(MAX_STREAMS, streams, key=lambda s: _order(s, cause))
+        for stream in preferred:
             targets = self._targets(stream, cause, view)
             target = min(targets, key=lambda t: _target_order(stream, t), default=None)
             if target is None:
