Urgent headroom: long generations leave memory free for lighter, more urgent ones

Short generations queue inside engines whose memory long ones hold. Each gateway derives the memory that light work of a more urgent priority holds at one engine from its arrivals, the time that one takes and the number of gateways, and long generations leave that much free. The fleet experiment plays it.

--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -5,13 +5,19 @@
 from argparse import ArgumentParser
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
 from statistics import mean
 
 from tabulate import tabulate
 
 from devtools.bench.fleet_plot import plot_fleet
-from devtools.bench.fleet_settings import FleetSettings, SHIFTED_WORK
+from devtools.bench.fleet_settings import (
+    COMPETING_WORK,
+    FleetSettings,
+    LongBurst,
+    SHIFTED_WORK,
+)
 from devtools.bench.fleet_simulation import FleetRun
 from devtools.bench.simulated_fleet import FleetStream
 from piershore.core.fleet.placement_policy import PLACEMENT_POLICIES
@@ -20,7 +26,6 @@
 SEED = 2_000
 SEEDS = 5
 SECONDS = 120.0
-FIRST_AIM_SECONDS = 1.8
 SHORT_AIM_SECONDS = 1.5
 PAUSE_AIM_SECONDS = 0.18
 FRESH = FleetSettings("projected_peak", SECONDS)
@@ -92,6 +97,28 @@
         ("mean, waits", {"waits": True}),
     )
 }
+COMPETING = replace(
+    FRESH,
+    gateways=29,
+    engines=21,
+    rate=26.0,
+    report_interval=report_interval(28),
+    refuses=True,
+    waits=True,
+    work=COMPETING_WORK,
+    reclaim_every=1.0,
+    long_aim=4.0,
+    urgent_short=True,
+)
+SITUATIONS |= {
+    f"competing, {load}, {way}": replace(COMPETING, **changed, headroom=headroom)
+    for load, changed in (
+        ("usual", {}),
+        ("1.4 times the load", {"rate": 36.0}),
+        ("bursts of long ones", {"long_burst": LongBurst(factor=2.5)}),
+    )
+    for way, headroom in (("no headroom", False), ("headroom", True))
+}
 LARGEST = many(410, 2_300, 4.0)
 MINUTES_LONG = {
     "410 gateways, 2300 engines": LARGEST,
@@ -128,10 +155,11 @@
     streams = fleet.run()
     long = [s for s in streams if s.work.size.max_output_tokens > 1_000]
     short = [s for s in streams if s.work.size.max_output_tokens <= 1_000]
+    is_in_aim = partial(_is_in_aim, long_aim=settings.long_aim)
     waits = sorted(s.first_at - s.arrived_at for s in streams if s.first_at)
     return FleetFigures(
-        in_aim=mean(map(_is_in_aim, long)),
-        short_in_aim=mean(map(_is_in_aim, short)),
+        in_aim=mean(map(is_in_aim, long)),
+        short_in_aim=mean(map(is_in_aim, short)),
         lost=mean(s.is_lost for s in long),
         refused=mean(s.refusals > 1 for s in long),
         preempted=1_000 * mean(s.preemptions for s in streams),
@@ -146,12 +174,12 @@
     return settings.lasting(min(most, settings.seconds))
 
 
-def _is_in_aim(stream: FleetStream) -> bool:
+def _is_in_aim(stream: FleetStream, long_aim: float) -> bool:
     if not stream.is_whole or stream.longest_pause > PAUSE_AIM_SECONDS:
         return False
     waited = stream.came_back_after + stream.first_at - stream.arrived_at
     is_long = stream.work.size.max_output_tokens > 1_000
-    return waited <= (FIRST_AIM_SECONDS if is_long else SHORT_AIM_SECONDS)
+    return waited <= (long_aim if is_long else SHORT_AIM_SECONDS)
 
 
 def main() -> None:
--- a/devtools/bench/fleet_settings.py
+++ b/devtools/bench/fleet_settings.py
@@ -78,6 +78,29 @@
 """The same customer's some months on, with lengths as they were logged."""
 
 
+COMPETING_WORK = WorkMix(
+    long_share=0.34,
+    long_median=700,
+    long_most=1_504,
+    length_spread=0.4,
+    memory_tokens=26_948,
+)
+"""Another customer's, whose short checks are more urgent than the long reviews."""
+
+
+@dataclass(frozen=True)
+class LongBurst:
+    """Every `interval` seconds long reviews come at `factor` times the usual rate."""
+
+    interval: float = 20.0
+    seconds: float = 6.0
+    factor: float = 1.0
+
+    def factor_at(self, now: float) -> float:
+        """Return how many times the usual long reviews arrive now."""
+        return self.factor if now % self.interval >= self.interval - self.seconds else 1
+
+
 @dataclass(frozen=True)
 class FleetSettings:
     """One run: sizes, how aged the views are, and what goes wrong; times in seconds.
@@ -88,6 +111,7 @@
     `reclaim_every`, `reclaim_count` engines are told to leave and are gone after
     `notice`; a notice of 0 is a crash. A generation for which no engine has memory is
     refused at once if `refuses`, or after it has waited a moment if it also `waits`.
+    If `urgent_short`, short checks are more urgent; long reviews then leave `headroom`.
     """
 
     policy: str
@@ -107,6 +131,10 @@
     reclaim_count: int = 1
     notice: float = 1.8
     callers_a_gateway: float = 0.0
+    long_aim: float = FIRST_AIM_SECONDS
+    long_burst: LongBurst = LongBurst()
+    urgent_short: bool = False
+    headroom: bool = False
 
     def lasting(self, seconds: float) -> FleetSettings:
         """Return the same run for another time."""
--- a/devtools/bench/fleet_simulation.py
+++ b/devtools/bench/fleet_simulation.py
@@ -12,7 +12,6 @@
 
 from devtools.bench.fleet_settings import (
     BACKUP_DELAY_SECONDS,
-    FIRST_AIM_SECONDS,
     FleetSettings,
     GUESS_SPREAD,
     NETWORK_SECONDS,
@@ -28,6 +27,7 @@
     Placing,
     SimulatedEngine,
     SimulatedGateway,
+    URGENT_PRIORITY,
 )
 from devtools.bench.virtual_time import VirtualTime
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
@@ -47,6 +47,7 @@
 from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.memory_wait import max_memory_wait_seconds, MemoryWait
 from piershore.core.fleet.report_timing import MIN_TRIGGERED_INTERVAL_SECONDS
+from piershore.core.fleet.urgent_headroom import FleetSize
 
 
 class FleetRun(VirtualTime):
@@ -85,6 +86,17 @@
         self._play()
         return self.streams
 
+    @property
+    def _rate(self) -> float:
+        """Arrivals per second now."""
+        return self._settings.rate * (1 + self._extra_long_share)
+
+    @property
+    def _extra_long_share(self) -> float:
+        """Long reviews of a burst, as a share of the usual arrivals."""
+        factor = self._settings.long_burst.factor_at(self._now)
+        return self._settings.work.long_share * (factor - 1)
+
     @property
     def _is_over(self) -> bool:
         return self._now >= self._settings.seconds
@@ -136,7 +148,7 @@
     def _arrive(self) -> None:
         if self._is_over:
             return
-        self._at(self._random.expovariate(self._settings.rate), self._arrive)
+        self._at(self._random.expovariate(self._rate), self._arrive)
         gateway = self._random.choice(self._callers or self._gateways)
         stream = self._new_stream(gateway)
         self.streams.append(stream)
@@ -146,7 +158,9 @@
     def _new_stream(self, gateway: SimulatedGateway) -> FleetStream:
         """Return a long review or a short check, as the users' callers send them."""
         random, mix = self._random, self._settings.work
-        is_long = random.random() < mix.long_share
+        extra_long = self._extra_long_share
+        long_share = (mix.long_share + extra_long) / (1 + extra_long)
+        is_long = random.random() < long_share
         median, most = SHORT_MEDIAN, SHORT_MOST
         if is_long:
             median, most = mix.long_median, mix.long_most
@@ -159,7 +173,11 @@
         work = GenerationWork(size, estimate, self._expectation)
         identity = f"s-{len(self.streams)}"
         wait = MemoryWait(random)
-        return FleetStream(identity, gateway, work, length, self._now, wait)
+        stream = FleetStream(identity, gateway, work, length, self._now, wait)
+        if self._settings.urgent_short and not is_long:
+            stream.priority = URGENT_PRIORITY
+        gateway.headroom.record_arrival(SERVICE, stream.priority, work, self._now)
+        return stream
 
     def _place(self, stream: FleetStream) -> None:
         gateway = stream.gateway
@@ -183,11 +201,12 @@
 
     def _takes_room(self, stream: FleetStream, load: EndpointLoad) -> bool:
         """Tell whether a stream starts now; else it looks again, or is refused."""
-        has_room = has_memory(load, stream.work, self._engine)
+        reserved = self._reserved_tokens(stream)
+        has_room = has_memory(load, stream.work, self._engine, reserved)
         pause = stream.wait.next_pause(has_memory=has_room)
         until = stream.arrived_at
         if self._settings.waits:
-            until += max_memory_wait_seconds(FIRST_AIM_SECONDS)
+            until += max_memory_wait_seconds(self._settings.long_aim)
         if pause is not None and self._now + pause <= until:
             self._at(pause, self._place, stream)
             return False
@@ -195,6 +214,18 @@
             self._refuse(stream, load)
         return has_room
 
+    def _reserved_tokens(self, stream: FleetStream) -> int:
+        if not self._settings.headroom:
+            return 0
+        engines = len(stream.gateway.directory.of_service(SERVICE))
+        return stream.gateway.headroom.tokens(
+            SERVICE,
+            stream.priority,
+            self._engine.memory_tokens,
+            FleetSize(self._settings.gateways, engines),
+            self._now,
+        )
+
     def _refuse(self, stream: FleetStream, load: EndpointLoad) -> None:
         """Send the caller away; it comes back once."""
         stream.refusals += 1
@@ -280,6 +311,9 @@
         stream.gateway.lengths.record(
             str(is_long), work.size, work.made_tokens, self._now
         )
+        stream.gateway.headroom.record_served(
+            SERVICE, stream.priority, work, self._now - stream.arrived_at
+        )
         self._forget(stream)
 
     def _lose(self, stream: FleetStream) -> None:
--- a/devtools/bench/simulated_fleet.py
+++ b/devtools/bench/simulated_fleet.py
@@ -23,10 +23,14 @@
 from piershore.core.fleet.rate_shares import RateShares
 from piershore.core.fleet.requested_backoffs import RequestedBackoffs
 from piershore.core.fleet.subsetting import EndpointSubsets
+from piershore.core.fleet.urgent_headroom import UrgentHeadroom
 from piershore.core.mechanism import Mechanism
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from standins.engine_model import EngineModel, EngineSettings
 
+LONG_PRIORITY, URGENT_PRIORITY = 2, 0
+"""Priorities as routes have them: 0 is the most urgent."""
+
 
 @dataclass(frozen=True)
 class Placing:
@@ -66,6 +70,7 @@
     came_back_after: float = 0.0
     is_whole: bool = False
     is_lost: bool = False
+    priority: int = LONG_PRIORITY
 
 
 class SimulatedEngine:
@@ -89,7 +94,8 @@
     def submit(self, stream: FleetStream, held_tokens: int, length: int) -> None:
         """Run a generation, or what is left of it, from `held_tokens` of memory."""
         self.streams[stream.identity] = stream
-        self.model.submit(stream.identity, stream.identity, held_tokens, length, 1)
+        rank = LONG_PRIORITY - stream.priority
+        self.model.submit(stream.identity, stream.identity, held_tokens, length, rank)
 
 
 class SimulatedGateway:
@@ -104,6 +110,7 @@
         shares = RateShares(self.name, self.subsets, configuration)
         self.loads = FleetLoad()
         self.lengths = OutputLengths()
+        self.headroom = UrgentHeadroom()
         self.streams: dict[str, FleetStream] = {}
         self.placement = Placement(
             HALLS[number % len(HALLS)],
--- a/src/piershore/core/fleet/generation_admission.py
+++ b/src/piershore/core/fleet/generation_admission.py
@@ -23,14 +23,23 @@
 """Bounds of the time until a retry: engines are replaced after about 4 s."""
 
 
-def has_memory(load: EndpointLoad, work: GenerationWork, engine: EngineSpec) -> bool:
-    """Return whether an engine with this load has memory for one more generation."""
+def has_memory(
+    load: EndpointLoad,
+    work: GenerationWork,
+    engine: EngineSpec,
+    reserved_tokens: int = 0,
+) -> bool:
+    """Return whether an engine with this load has memory for one more generation.
+
+    A long generation leaves `reserved_tokens` free, unless the engine is empty.
+    """
     if not work.is_long:
         return True
     held = load.held_tokens + work.held_tokens
     projected = load.projected_tokens + work.held_tokens + work.remaining_tokens
+    reserved = reserved_tokens if load.held_tokens > 0 else 0
     return (
-        held <= MAX_HELD_SHARE * engine.memory_tokens
+        held <= MAX_HELD_SHARE * engine.memory_tokens - reserved
         and projected <= MAX_PROJECTED_SHARE * engine.memory_tokens
     )
 
--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -54,3 +54,5 @@
     """Generations that wait for memory start in the order of their priority."""
     RETURN_TIMES = "return_times"
     """Memory is reserved for refused callers at the time they were told to return."""
+    URGENT_HEADROOM = "urgent_headroom"
+    """Long generations leave memory free for light ones of a more urgent priority."""
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -38,6 +38,7 @@
 from piershore.ingress.attempts.endpoint_notices import EndpointNotices
 from piershore.ingress.attempts.rate_limit_monitor import RateLimitMonitor
 from piershore.ingress.ports import RequestDialect
+from piershore.ingress.streams.headroom_monitor import HeadroomMonitor
 from piershore.telemetry.event_log import EventLog
 
 
@@ -112,6 +113,7 @@
             notice_handler, self.limits, self.limit_monitor, self.dialect, self.log
         )
         self.pool.set_head_callback(self.notices.receive_head)
+        self.headroom = HeadroomMonitor(self.directory, self.log)
         self.cold_starts = ColdStarts(shares, self.configuration)
         self.placement = Placement(
             self.data_hall,
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -40,6 +40,7 @@
         """Answer one request, or raise `RequestRefusedError` before the first byte."""
         size = exchange.request.size or DEFAULT_SIZE
         work = self._expected_work(exchange, size)
+        self._state.headroom.record_arrival(exchange, work)
         placement = StreamPlacement(self._state, exchange, work)
         opening = StreamOpening(self._state, exchange, placement)
         try:
@@ -129,6 +130,7 @@
         self._state.lengths.record(
             route, work.size, work.made_tokens, trio.current_time()
         )
+        self._state.headroom.record_served(exchange, stream.endpoint.service, work)
         ingress_metrics.FIRST_EVENT_SECONDS.observe(stream.first_seconds)
         ingress_metrics.LONGEST_PAUSE_SECONDS.observe(stream.longest_pause)
         ingress_metrics.ANSWER_SECONDS.labels(exchange.route.kind).observe(exchange.age)
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -9,6 +9,7 @@
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import PlacementDecision
 from piershore.core.mechanism import Mechanism
+from piershore.core.routes.service_spec import EngineSpec
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
 
@@ -69,7 +70,10 @@
         decision = placement.for_generation(
             service, self.work, spec.engine, now, excluded
         )
-        if decision is None or has_memory(decision.load, self.work, spec.engine):
+        reserved = self._reserved_tokens(service, spec.engine)
+        if decision is None or has_memory(
+            decision.load, self.work, spec.engine, reserved
+        ):
             return decision
         # Don't refuse a request while an endpoint outside the subset has free memory.
         return placement.for_generation(
@@ -83,7 +87,16 @@
         spec = self._exchange.configuration.services.get(decision.endpoint.service)
         if spec is None or spec.engine is None:
             return True
-        return has_memory(decision.load, self.work, spec.engine)
+        reserved = self._reserved_tokens(decision.endpoint.service, spec.engine)
+        return has_memory(decision.load, self.work, spec.engine, reserved)
+
+    def _reserved_tokens(self, service: str, engine: EngineSpec) -> int:
+        """Return the memory that the generation leaves free for more urgent work."""
+        if not self._state.is_enabled(Mechanism.URGENT_HEADROOM):
+            return 0
+        return self._state.headroom.reserved_tokens(
+            service, self._exchange.priority, engine, self._state.gateway_count
+        )
 
     def choose_backup(self, endpoint: Endpoint, now: float) -> Endpoint | None:
         """Return the endpoint for a backup, or None if there should be none.
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -236,6 +236,27 @@
     limited: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class HeadroomChanged(LogEvent):
+    """Long generations leave room for another number of light, more urgent ones.
+
+    It is `reserved_requests` with `reserved_tokens` of memory at each engine of the
+    service, for long generations of this priority. Light ones of more urgent
+    priorities arrive at `arrivals_per_second` at all `gateways`; one of them holds
+    `tokens_each` tokens for `held_seconds` at one of the `engines`.
+    """
+
+    service: str
+    priority: int
+    reserved_requests: int
+    reserved_tokens: int
+    arrivals_per_second: float
+    held_seconds: float
+    tokens_each: float
+    gateways: int
+    engines: int
+
+
 @dataclass(frozen=True)
 class AttemptEnded(LogEvent):
     """An attempt ended without an answer for the caller."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -126,6 +126,13 @@
     ["route"],
     registry=REGISTRY,
 )
+URGENT_HEADROOM_TOKENS = Gauge(
+    "piershore_ingress_urgent_headroom_tokens",
+    "Memory at each engine that long generations leave free for more urgent ones,"
+    " by the long ones' priority.",
+    ["service", "priority"],
+    registry=REGISTRY,
+)
 DRAINED_DATA_HALLS = Gauge(
     "piershore_ingress_drained_halls",
     "Data halls that get nothing new, since operators drain them.",
