--- a/devtools/bench/fleet_experiment.py
+++ b/devtools/bench/fleet_experiment.py
@@ -155,11 +155,11 @@
     streams = fleet.run()
     long = [s for s in streams if s.work.size.max_output_tokens > 1_000]
     short = [s for s in streams if s.work.size.max_output_tokens <= 1_000]
-    is_in_aim = partial(_is_in_aim, long_aim=settings.long_aim)
+    in_aim = partial(is_in_aim, long_aim=settings.long_aim)
     waits = sorted(s.first_at - s.arrived_at for s in streams if s.first_at)
     return FleetFigures(
-        in_aim=mean(map(is_in_aim, long)),
-        short_in_aim=mean(map(is_in_aim, short)),
+        in_aim=mean(map(in_aim, long)),
+        short_in_aim=mean(map(in_aim, short)),
         lost=mean(s.is_lost for s in long),
         refused=mean(s.refusals > 1 for s in long),
         preempted=1_000 * mean(s.preemptions for s in streams),
@@ -174,7 +174,8 @@
     return settings.lasting(min(most, settings.seconds))
 
 
-def _is_in_aim(stream: FleetStream, long_aim: float) -> bool:
+def is_in_aim(stream: FleetStream, long_aim: float) -> bool:
+    """Return whether a stream came whole, with its first token and pauses in aim."""
     if not stream.is_whole or stream.longest_pause > PAUSE_AIM_SECONDS:
         return False
     waited = stream.came_back_after + stream.first_at - stream.arrived_at
--- a/src/piershore/core/fleet/light_work.py
+++ b/src/piershore/core/fleet/light_work.py
@@ -64,10 +64,8 @@
             return 0.0
         count = len(self._arrivals)
         window = min(now - self._since, MAX_WINDOW_SECONDS)
-        since_oldest = now - self._arrivals[0][0]
-        if count >= MIN_WINDOW_ARRIVALS and since_oldest > MIN_WINDOW_SECONDS:
-            # The oldest arrival only marks the beginning of its window.
-            count, window = count - 1, since_oldest
+        if count >= MIN_WINDOW_ARRIVALS:
+            window = now - self._arrivals[0][0]
         return count / max(MIN_WINDOW_SECONDS, window)
 
     def _is_expired(self, age: float) -> bool:
