--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -48,9 +48,6 @@
     """A repeatable call doesn't spend its whole timeout on the first endpoint."""
     ENDPOINT_SPEEDS = "endpoint_speeds"
     """Placement includes how fast each endpoint is, where endpoints differ."""
-    LOAD_MOVES = "load_moves"
-    """Generations move away from an engine whose memory will run out."""
-    ORDERED_WAITING = "ordered_waiting"
-    """Generations that wait for memory start in the order of their priority."""
-    RETURN_TIMES = "return_times"
-    """Memory is reserved for refused callers at the time they were told to return."""
+    PROMPT_DEFERRAL = "prompt_deferral"
+    """Long generations whose first part isn't due soon leave the reading of prompts to
+    more urgent ones."""
--- a/src/piershore/core/routes/serving_configuration.py
+++ b/src/piershore/core/routes/serving_configuration.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
+from itertools import chain
+from math import inf
 
 from piershore.core.routes.client_limits import ClientLimits
-from piershore.core.routes.route import Route
+from piershore.core.routes.route import RequestKind, Route
 from piershore.core.routes.service_spec import ServiceSpec
 
 
@@ -29,6 +32,17 @@
     limits: ClientLimits = field(default_factory=ClientLimits)
     requires_keys: bool = False
 
+    @cached_property
+    def shortest_stream_targets(self) -> Mapping[str, float]:
+        """The shortest target latency of a service's stream routes, in seconds."""
+        shortest: dict[str, float] = {}
+        for route in chain.from_iterable(self.routes_by_host.values()):
+            if route.kind is RequestKind.STREAM:
+                for share in route.shares:
+                    known = shortest.get(share.service, inf)
+                    shortest[share.service] = min(known, route.target_latency)
+        return shortest
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest matching path prefix, or None."""
         for route in self.routes_by_host.get(host, ()):
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -92,7 +92,9 @@
             if decision is None:
                 pause = self._seconds_until_available(service)
             else:
-                pause = wait.next_pause(has_memory=self._placement.fits(decision))
+                may_start = self._placement.fits(decision)
+                may_start = may_start and not self._placement.defers(decision)
+                pause = wait.next_pause(has_memory=may_start)
             if pause is None or trio.current_time() + pause > deadline:
                 return decision
             await trio.sleep(pause)
--- a/src/piershore/ingress/streams/stream_placement.py
+++ b/src/piershore/ingress/streams/stream_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from piershore.core.fleet.backup_policy import backup_memory_limit, fits_backup
 from piershore.core.fleet.caller_aims import CallerAims
 from piershore.core.fleet.endpoint import Endpoint
@@ -9,6 +11,7 @@
 from piershore.core.fleet.generation_admission import has_memory
 from piershore.core.fleet.generation_work import GenerationWork
 from piershore.core.fleet.placement import PlacementDecision
+from piershore.core.fleet.prompt_deferral import defers_prompt
 from piershore.core.mechanism import Mechanism
 from piershore.ingress.callers.exchange import Exchange
 from piershore.ingress.gateway_state import GatewayState
@@ -94,6 +97,19 @@
             return True
         return has_memory(decision.load, self.work, spec.engine)
 
+    def defers(self, decision: PlacementDecision) -> bool:
+        """Return whether to wait until fewer prompts are pending at the engine."""
+        if not self._state.is_enabled(Mechanism.PROMPT_DEFERRAL):
+            return False
+        exchange, service = self._exchange, decision.endpoint.service
+        return defers_prompt(
+            decision.load,
+            self.work,
+            exchange.age,
+            exchange.route.target_latency,
+            exchange.configuration.shortest_stream_targets.get(service, inf),
+        )
+
     def choose_backup(self, endpoint: Endpoint, now: float) -> Endpoint | None:
         """Return the endpoint for a backup, or None if there should be none.
 
