--- a/src/piershore/core/fleet/prompt_deferral.py
+++ b/src/piershore/core/fleet/prompt_deferral.py
@@ -1,10 +1,10 @@
 """Whether a generation leaves an engine's prompt reading to more urgent ones.
 
-The load pattern: engines read prompts one after the other, between the tokens of running
-generations. In a shortage several prompts wait at each engine, and those of generations
-whose first part is due in some seconds delay others that are due sooner. Of 302 short
-generations that found 6,000 tokens or more of prompts at their engine, 125 had their
-first part late, while long ones, due much later, hardly ever had.
+The load pattern: engines read prompts one after the other, between the tokens of
+running generations. In a shortage several prompts wait at each engine, and those of
+generations whose first part is due in some seconds delay others that are due sooner. Of
+302 short generations that found 6,000 tokens or more of prompts at their engine, 125
+had their first part late, while long ones, due much later, hardly ever had.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from piershore.core.fleet.generation_work import GenerationWork
 
 URGENT_TARGET_SHARE = 0.5
-"""A generation defers to others only if a route of the service has at most this share of
-its target latency: with similar targets, waiting would make it late itself."""
+"""A generation defers to others only if a route of the service has at most this share
+of its target latency: with similar targets, waiting would make it late itself."""
 MAX_FIRST_PART_SHARE = 0.5
 """Share of the target latency within which the first part must still be expected; the
 rest absorbs prompts that arrive at the engine later."""
