Invalid numbers: speed reports are among the inputs

Cause: the other messages of peers are checked with invalid numbers in each of their places, speed reports weren't. Change: one more row of the outline.

--- a/features/invalid_numbers.feature
+++ b/features/invalid_numbers.feature
@@ -19,6 +19,7 @@
       | a stored configuration |
       | a peer's report        |
       | a load update          |
+      | a speed report         |
       | crash reports          |
       | a peer's endpoints     |
       | a list of objects      |
--- a/features/steps/invalid_number_steps.py
+++ b/features/steps/invalid_number_steps.py
@@ -25,6 +25,7 @@
 from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.peer_report import PeerReport
 from piershore.core.fleet.shared_failures import OutcomeCounts
+from piershore.core.fleet.speed_report import ReportedSpeed, SpeedReport
 from piershore.core.fleet.store_revision import StoreRevision
 from piershore.core.numbers import MAX_NUMBER
 from piershore.core.quarantine.crash_report import (
@@ -201,6 +202,7 @@
     "platform_url": "http://127.0.0.1:3",
     "endpoint_url": "http://127.0.0.1:4",
 }
+SPEED_REPORT = SpeedReport("h", "l", 3, (ReportedSpeed("i-1", 0.02, 64, 0.1),))
 INPUTS = {
     "an endpoint entry": (VALID_ENTRY, lambda entry: decode_endpoint("i-1", entry)),
     "a configuration": (CONFIGURATION, decode_partial_configuration),
@@ -216,6 +218,10 @@
         orjson.loads(LoadUpdate("h", "l", 3, "i-1", EndpointLoad(1)).encode()[1:]),
         lambda fields: LoadUpdate.decode(b"+" + _json(fields)),
     ),
+    "a speed report": (
+        orjson.loads(SPEED_REPORT.encode()[1:]),
+        lambda fields: SpeedReport.decode(b"~" + _json(fields)),
+    ),
     "crash reports": (
         orjson.loads(encode_reports([CrashReport("c", frozenset("ab"))])[1:]),
         lambda fields: decode_reports(b"!" + _json(fields)),
