Slow callers: speeds judge by both ends of a gap, paces by the caller's hold-up; wording

Change: a gap is passed to endpoint speeds, which use it only if both of its chunks were awaited; paces and stalls leave out what the caller held up. Docstrings of the part in the field's words.

--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -30,6 +30,7 @@
 from piershore.core.fleet.speed_report import ReportedSpeed, SpeedReport
 from piershore.core.fleet.subsetting import EndpointSubsets
 from piershore.core.mechanism import Mechanism
+from piershore.core.streams.reader_progress import ReaderProgress
 from piershore.ingress.peers.speed_reporter import SpeedReporter
 from piershore.ingress.streams.stream_relay import StreamRelay
 from piershore.telemetry import ingress_metrics
@@ -369,6 +370,7 @@
     def __init__(self, connection):
         self.exchange = SimpleNamespace(connection=connection)
         self.delivered = SimpleNamespace(filter_new=list)
+        self.reader = ReaderProgress()
 
     def record_events(self, count, now, tokens):
         self.last_event_at = now
--- a/src/piershore/core/fleet/endpoint_speeds.py
+++ b/src/piershore/core/fleet/endpoint_speeds.py
@@ -85,8 +85,8 @@
     ) -> None:
         """Record a pause between two chunks of a stream; the later has `tokens`.
 
-        `has_pending_prompts` tells whether the endpoint is known to read prompts
-        beside; it is called for those gaps only that an estimate can use.
+        `has_pending_prompts` returns whether the endpoint is known to read prompts
+        beside; it is called only for gaps that an estimate can use.
         """
         token_seconds = gap / max(1, tokens)
         if not is_plausible(token_seconds):
@@ -168,9 +168,9 @@
         return self._estimates[identity]
 
     def _differ(self, service: str, known: Collection[OwnTime]) -> bool:
-        """Return whether endpoints differ; in doubt only settled estimates tell.
+        """Return whether endpoints differ.
 
-        Rough ones count as soon as it is known that endpoints differ.
+        Only settled estimates show that they do; after that, others count as well.
         """
         view = self._views.get(service)
         if (view is not None and view.are_uneven) or self._peers_report(service):
--- a/src/piershore/core/fleet/speed_announcements.py
+++ b/src/piershore/core/fleet/speed_announcements.py
@@ -8,7 +8,7 @@
 from piershore.core.fleet.speed_estimate import FULL_SAMPLES, OwnTime
 
 NOTABLE_RATIO = 1.15
-"""Change of an endpoint's time per token that peers are told of at once."""
+"""Change of an endpoint's time per token that is sent to peers at once."""
 REPEAT_SECONDS = 0.5
 """Delay after which a first or changed estimate is sent again: a datagram may get
 lost."""
@@ -24,41 +24,41 @@
 
 
 class SpeedAnnouncements:
-    """What each peer was told; a new peer was told nothing, and gets everything."""
+    """The estimates sent to each peer; a new peer gets all of them."""
 
     def __init__(self) -> None:
-        self._told: dict[str, dict[str, _Announcement]] = {}
+        self._sent: dict[str, dict[str, _Announcement]] = {}
 
     def keep_only(self, hosts: Iterable[str]) -> None:
-        """Forget what was told to peers that left: they may return as new ones."""
-        for host in self._told.keys() - set(hosts):
-            del self._told[host]
+        """Drop peers that departed: when they return, they get all estimates again."""
+        for host in self._sent.keys() - set(hosts):
+            del self._sent[host]
 
     def forget(self, identities: Iterable[str]) -> None:
-        """Forget what was told of endpoints that departed."""
+        """Drop endpoints that departed."""
         gone = set(identities)
-        for told in self._told.values():
-            for identity in told.keys() & gone:
-                del told[identity]
+        for sent in self._sent.values():
+            for identity in sent.keys() & gone:
+                del sent[identity]
 
     def is_due(self, host: str, identity: str, time: OwnTime, now: float) -> bool:
-        """Return whether a peer must be told of an estimate now."""
+        """Return whether an estimate is to be sent to a peer now."""
         if not time.is_fresh(now):
             return False
-        told = self._told.get(host, {}).get(identity)
-        if told is None or is_notable(told.time, time):
+        last = self._sent.get(host, {}).get(identity)
+        if last is None or is_notable(last.time, time):
             return True
-        age = now - told.at
-        if not told.is_repeated:
+        age = now - last.at
+        if not last.is_repeated:
             return age >= REPEAT_SECONDS
-        return age >= REFRESH_SECONDS and time.updated_at > told.at
+        return age >= REFRESH_SECONDS and time.updated_at > last.at
 
     def record(self, host: str, identity: str, time: OwnTime, now: float) -> None:
-        """Record that a peer was told of an estimate."""
-        told = self._told.setdefault(host, {})
-        before = told.get(identity)
+        """Record that an estimate was sent to a peer."""
+        sent = self._sent.setdefault(host, {})
+        before = sent.get(identity)
         is_repeated = before is not None and not is_notable(before.time, time)
-        told[identity] = _Announcement(time, now, is_repeated)
+        sent[identity] = _Announcement(time, now, is_repeated)
 
 
 def is_notable(before: OwnTime, after: OwnTime) -> bool:
--- a/src/piershore/core/fleet/speed_estimate.py
+++ b/src/piershore/core/fleet/speed_estimate.py
@@ -36,8 +36,8 @@
 class OwnTime:
     """An endpoint's own seconds per token, and the samples that it is based on.
 
-    `is_rough` tells that prompts were read beside most of them: the time may be twice
-    as long as the endpoint's own.
+    `is_rough` is set if prompts were read beside most of them: the time may then be
+    twice as long as the endpoint's own.
     """
 
     token_seconds: float
--- a/src/piershore/core/fleet/speed_report.py
+++ b/src/piershore/core/fleet/speed_report.py
@@ -1,4 +1,4 @@
-"""The message that tells a peer how fast endpoints are that both choose from."""
+"""The message that reports the speeds of endpoints to a peer that shares them."""
 
 from __future__ import annotations
 
--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -98,8 +98,8 @@
     def observe_era(self, era: int) -> None:
         """Read the whole state again if it was read in an earlier era.
 
-        A watch that was opened after the store had returned, at a revision that it also
-        has in the later era, tells that only with its answer.
+        A watch that was opened after the store was restored, at a revision that exists
+        in the later era too, shows the new era only with its answer.
         """
         self._expected_era = era
         if self._revision is not None and self._revision.era < era:
--- a/src/piershore/ingress/peers/speed_reporter.py
+++ b/src/piershore/ingress/peers/speed_reporter.py
@@ -22,8 +22,8 @@
 from piershore.telemetry.events import EndpointSpeedLearned
 
 SEND_INTERVAL_SECONDS = 0.25
-"""Interval at which new estimates are collected: a peer that has just started is told
-all of them within it."""
+"""Interval at which new estimates are sent: a peer that has just started gets all of
+them within it."""
 
 
 class SpeedReporter:
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -102,13 +102,14 @@
     def _record_events(self, attempt: EndpointAttempt, count: int) -> None:
         stream, now = self._stream, trio.current_time()
         is_first = stream.endpoint_first_event_at == float("inf")
-        is_own = not (is_first or stream.reader.is_gap_held_up)
-        gap = now - stream.last_event_at if is_own else None
+        gap = None if is_first else now - stream.last_event_at
+        if gap is not None and self._learns_speeds:
+            self._record_speed(attempt.endpoint, gap, count, now)
+        if stream.reader.is_gap_held_up:
+            gap = None
         self._state.paces.record_chunk(attempt.endpoint.identity, gap, now)
         if gap is not None:
             self._state.stalls.record_chunk(attempt.endpoint.data_hall, gap)
-            if self._learns_speeds:
-                self._record_speed(attempt.endpoint, gap, count, now)
         stream.record_events(count, now, TOKENS_PER_EVENT)
 
     def _record_speed(
