Peer link: one registry for all datagrams; a wait is timed once

Cause: the registry of datagram handlers stood beside special cases for crash reports and load updates, each with a test of its prefix; a stream's wait was computed twice. Change: all datagrams go through the registry, regular reports are its default; the two prefix tests had no other use and are gone. Behaviour as before.

--- a/src/piershore/core/fleet/load_update.py
+++ b/src/piershore/core/fleet/load_update.py
@@ -28,11 +28,6 @@
     endpoint: str
     load: EndpointLoad
 
-    @staticmethod
-    def is_load_update(data: bytes) -> bool:
-        """Return whether a datagram is a load update and not a report."""
-        return data.startswith(LOAD_UPDATE_PREFIX)
-
     def encode(self) -> bytes:
         """Return the update as a datagram."""
         load = self.load
--- a/src/piershore/core/quarantine/crash_report.py
+++ b/src/piershore/core/quarantine/crash_report.py
@@ -35,11 +35,6 @@
     probes: int = 0
 
 
-def holds_crash_reports(data: bytes) -> bool:
-    """Return whether a datagram holds crash reports."""
-    return data.startswith(PREFIX)
-
-
 def encode_reports(reports: Iterable[CrashReport]) -> bytes:
     """Return one datagram with the reports."""
     return PREFIX + orjson.dumps(
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -14,7 +14,7 @@
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1_024 * 1_024
-"""Maximum size of an answer that is held as a whole. Without a limit, one endless
+"""Maximum size of an answer that is read as a whole. Without a limit, one endless
 answer would take all the memory of a box, and with it all other requests."""
 MAX_FOREIGN_ANSWERS = 4
 """Number of answers to earlier requests after which the exchange fails."""
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -9,7 +9,7 @@
 
 from piershore.core.attempts.leaving import RESTART_SECONDS, retry_after_seconds
 from piershore.core.fleet.evacuation_plan import StreamReport
-from piershore.core.fleet.load_update import LoadUpdate
+from piershore.core.fleet.load_update import LOAD_UPDATE_PREFIX, LoadUpdate
 from piershore.core.fleet.output_lengths import LengthSums
 from piershore.core.fleet.peer_report import (
     DepartureReport,
@@ -30,7 +30,9 @@
 from piershore.core.quarantine.crash_report import (
     CrashReport,
     decode_reports,
-    holds_crash_reports,
+)
+from piershore.core.quarantine.crash_report import (
+    PREFIX as CRASH_REPORTS_PREFIX,
 )
 from piershore.ingress.attempts.attempt_log import eject_on_shared_failures
 from piershore.ingress.followers.drain_follower import DrainFollower
@@ -97,9 +99,10 @@
         self._live_hosts: set[str] = set()
         self._leaving_since: dict[str, float] = {}
         self._membership_changed_at = float("-inf")
-        self._apply_crash_reports: Callable[[tuple[CrashReport, ...]], None] = _ignore
         self._on_new_peer: Callable[[str], None] = _ignore
         self._handlers: dict[bytes, Callable[[bytes], None]] = {}
+        self.add_handler(LOAD_UPDATE_PREFIX, self._apply_load_update)
+        self.add_handler(CRASH_REPORTS_PREFIX, _ignore)
 
     def add_handler(self, prefix: bytes, apply: Callable[[bytes], None]) -> None:
         """Set the callback for datagrams whose first byte is `prefix`.
@@ -114,7 +117,9 @@
         on_new_peer: Callable[[str], None],
     ) -> None:
         """Set the callbacks for crash reports of peers and for each new peer's host."""
-        self._apply_crash_reports = apply_reports
+        self.add_handler(
+            CRASH_REPORTS_PREFIX, lambda data: apply_reports(decode_reports(data))
+        )
         self._on_new_peer = on_new_peer
 
     async def start(self) -> None:
@@ -142,17 +147,13 @@
                 continue
 
     def _apply_datagram(self, data: bytes) -> None:
-        handler = self._handlers.get(data[:1])
-        if handler is not None:
-            handler(data)
-        elif holds_crash_reports(data):
-            self._apply_crash_reports(decode_reports(data))
-        elif LoadUpdate.is_load_update(data):
-            self._apply_load_update(LoadUpdate.decode(data))
-        else:
-            self._apply_report(PeerReport.decode(data))
+        self._handlers.get(data[:1], self._apply_report_data)(data)
+
+    def _apply_report_data(self, data: bytes) -> None:
+        self._apply_report(PeerReport.decode(data))
 
-    def _apply_load_update(self, update: LoadUpdate) -> None:
+    def _apply_load_update(self, data: bytes) -> None:
+        update = LoadUpdate.decode(data)
         if self._state.is_enabled(Mechanism.PEER_LOADS) and self.table.is_newer(update):
             self._state.fleet_load.apply_update(
                 update.host, update.endpoint, update.load
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -18,7 +18,7 @@
 TOKENS_PER_EVENT = 4
 """Tokens assumed per event, as endpoints don't report them; used for estimates only."""
 MAX_EVENT_BYTES = 1_024 * 1_024
-"""Maximum size of an event, which is held until it is complete."""
+"""Maximum size of an event, which is buffered until it is complete."""
 
 MIN_WAIT_SHARE = 0.5
 """Share of a gap that was spent on waiting for the endpoint: with less, the caller read
@@ -79,9 +79,9 @@
                 return await anext(chunks, None)
             return None
         finally:
-            stream.reader.record_wait(trio.current_time() - stream.waiting_since)
             stream.waiting_since = None
             self._waited = trio.current_time() - started
+            stream.reader.record_wait(self._waited)
 
     async def _relay(
         self, attempt: EndpointAttempt, events: Iterable[StreamEvent]
