Crash detection: a run that its endpoint outlived is not suspected

Callers saw: a call that nobody had answered was refused with 429 endpoints_crashed for 30 s at every gateway, though it had crashed nothing.

Cause: a run without an answer that its gateway gave up was suspected for the next 6 s of whatever happened to its endpoint. With slow links and a content that many send, each endpoint has such a run at nearly any time, so any two crashes looked like two by that content.

Now each part of an answer, to whatever request, tells that its endpoint lives. A run isn't suspected if its endpoint answered more than 1 s after the run can have begun; crashes that a request caused came within 0.25 s of its begin. A run that wasn't given up may still be queued there and is suspected as before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -42,6 +42,17 @@
   Scenario: an engine's entry is removed, and it restarts without refusing connections
     Then a request that had just begun there is suspected, and a long one isn't
 
+  Scenario: a run that was given up is suspected only if its endpoint then fell silent
+    Then a run that was given up 1.2 s before its endpoint's last answer isn't suspected
+    And a run that was given up 0.2 s before its endpoint's last answer is suspected
+
+  # A call that had timed out at two endpoints was refused for 30 s after these crashed
+  # seconds later, although they had answered other calls in the meantime.
+  Scenario: endpoints that gave no answer to a call live on, and crash later
+    Given 4 endpoints of the desk behind 1 gateway
+    When a call is given up at two endpoints, and each crashes after 1.5 s of other answers
+    Then the same call is served by another endpoint
+
   Scenario Outline: reports of <kinds> are late, repeated, reordered or lost
     Then after reports of <kinds> all gateways that receive everything agree
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -17,6 +17,8 @@
 
 SEED = 30
 SMALL = "100,40"
+REPEATED_BODY = b"the same call again"
+GIVE_UP = ("deadline-ms", "300")
 REPORT_SECONDS = 0.5
 """Time for crash reports to reach all gateways; a small fleet needs some ms."""
 
@@ -94,6 +96,48 @@
     context.ingress.run(script)
 
 
+async def give_up_call(world):
+    """Send a call that is not answered in time; return the endpoint that got it."""
+    for endpoint in world.endpoints:
+        endpoint.faults = ["silent"]
+    reply = await world.call("once", GIVE_UP, body=REPEATED_BODY)
+    assert reply.status == 504, vars(reply)
+    (silent,) = [e for e in world.endpoints if not e.faults]
+    for endpoint in world.endpoints:
+        endpoint.faults.clear()
+    return silent
+
+
+async def answer_others(world, endpoint, seconds):
+    """Send other calls for some seconds, and until `endpoint` has answered the last."""
+    end = trio.current_time() + seconds
+    while endpoint.arrivals[-1].at < end:
+        reply = await world.call("once", body=b"%f" % trio.current_time())
+        assert reply.status == 200, vars(reply)
+
+
+@when(
+    "a call is given up at two endpoints, and each crashes after {seconds:g} s of other "
+    "answers"
+)
+def crash_later(context, seconds):
+    async def script(world):
+        for _ in range(2):
+            endpoint = await give_up_call(world)
+            await answer_others(world, endpoint, seconds)
+            endpoint.crash()
+            world.store.remove("servers", endpoint.identity)
+            await trio.sleep(CHECKED_SECONDS)
+        context.reply = await world.call("once", body=REPEATED_BODY)
+
+    context.ingress.run(script)
+
+
+@then("the same call is served by another endpoint")
+def check_same_served(context):
+    assert context.reply.status == 200, vars(context.reply)
+
+
 async def send_crashing(context, number):
     reply = await context.ingress.call(
         "stream", size=SMALL, body=CRASHING_BODY, number=number
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -54,6 +54,29 @@
     assert list(runs.suspects("e-1", 3.5)) == [waiting]
 
 
+def _is_suspect_after_answer(seconds):
+    runs = EndpointRuns()
+    run = runs.begin("e-1", "r", CONTENT)
+    runs.abandon("e-1", run, 1.0)
+    runs.record_answer("e-1", 1.0 + seconds)
+    return run in runs.suspects("e-1", 4.0)
+
+
+@then(
+    "a run that was given up {seconds:g} s before its endpoint's last answer isn't "
+    "suspected"
+)
+def check_outlived(context, seconds):
+    assert not _is_suspect_after_answer(seconds)
+
+
+@then(
+    "a run that was given up {seconds:g} s before its endpoint's last answer is suspected"
+)
+def check_not_outlived(context, seconds):
+    assert _is_suspect_after_answer(seconds)
+
+
 @then("after reports of {kinds} all gateways that receive everything agree")
 def check_order(context, kinds):
     @checked(st.integers(0, 10_000))
--- a/src/piershore/core/quarantine/endpoint_runs.py
+++ b/src/piershore/core/quarantine/endpoint_runs.py
@@ -33,13 +33,25 @@
         """Record a chunk of the answer."""
         self.first_chunk_at = min(self.first_chunk_at, now)
 
-    def is_suspect(self, now: float) -> bool:
+    @property
+    def latest_start(self) -> float:
+        """When the endpoint had begun to run the request, or had dropped it, at latest.
+
+        An endpoint drops a request that it hasn't begun when its connection is closed.
+        """
+        return min(self.first_chunk_at, self.ended_at)
+
+    def is_suspect(self, now: float, endpoint_answered_at: float = -inf) -> bool:
         """Return whether the run may have caused a crash of its endpoint now.
 
         It may if its first chunk came within `SUSPECT_WINDOW_SECONDS` before, or before
-        the run ended, or has not come yet.
+        the run ended, or has not come yet. It may not if its endpoint has answered,
+        whatever request, that long after it began.
         """
-        return min(now, self.ended_at) - self.first_chunk_at <= SUSPECT_WINDOW_SECONDS
+        window = SUSPECT_WINDOW_SECONDS
+        if min(now, self.ended_at) - self.first_chunk_at > window:
+            return False
+        return endpoint_answered_at - self.latest_start <= window
 
 
 class EndpointRuns:
@@ -47,6 +59,7 @@
 
     def __init__(self) -> None:
         self._runs: dict[str, list[EndpointRun]] = {}
+        self._answered_at: dict[str, float] = {}
 
     def begin(self, identity: str, request: str, content: str) -> EndpointRun:
         """Record that a request is sent to an endpoint."""
@@ -62,6 +75,12 @@
         runs.remove(run)
         if not runs:
             del self._runs[identity]
+            self._answered_at.pop(identity, None)
+
+    def record_answer(self, identity: str, now: float) -> None:
+        """Record that an endpoint sent a part of an answer, to whatever request."""
+        if identity in self._runs:
+            self._answered_at[identity] = now
 
     def abandon(self, identity: str, run: EndpointRun, now: float) -> None:
         """Record that the gateway no longer waits for the answer to a run."""
@@ -72,7 +91,10 @@
     def suspects(self, identity: str, now: float) -> Iterator[EndpointRun]:
         """Yield the runs that may have caused a crash of an endpoint now."""
         self.drop_expired(now)
-        yield from (run for run in self._runs.get(identity, ()) if run.is_suspect(now))
+        answered_at = self._answered_at.get(identity, -inf)
+        for run in self._runs.get(identity, ()):
+            if run.is_suspect(now, answered_at):
+                yield run
 
     def clear_abandoned(self, identity: str) -> None:
         """Remove the abandoned runs at an endpoint that lives: none has crashed it."""
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -79,6 +79,7 @@
         except ExchangeBrokenError as error:
             self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
+        self._record_answer()
         self.answer = self._state.dialect.read_answer(self.head)
         if self.answer.was_not_run:
             self.may_have_run = False
@@ -96,6 +97,7 @@
         except ExchangeBrokenError as error:
             self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
+        self._record_answer()
         self._is_complete = True
         return body
 
@@ -103,7 +105,7 @@
         """Yield the body in chunks; raise `ExchangeBrokenError` if it breaks off."""
         try:
             async for chunk in self._connection.read_chunks():
-                self._run.record_chunk(trio.current_time())
+                self._run.record_chunk(self._record_answer())
                 yield chunk
         except ExchangeBrokenError:
             self._is_broken = True
@@ -169,6 +171,12 @@
             self.endpoint.identity, exchange.identity, exchange.content
         )
 
+    def _record_answer(self) -> float:
+        """Record that the endpoint sent a part of an answer; return the time."""
+        now = trio.current_time()
+        self._state.runs.record_answer(self.endpoint.identity, now)
+        return now
+
     def _end_run(self) -> None:
         """Record how the run ended; check the endpoint if its answer broke off."""
         run, self._run = self._run, None
