Crash detection: a run that was stopped for a move is not suspected

Callers saw: a stream that engines had handed over to others was refused with 429 for 30 s when its caller sent it again, after two of those engines crashed.

Cause: to the crash detector the end of a run at its source was the same as a run that its gateway gave up, whose fate at the endpoint is unknown. Here it is known: the answer to the order to stop says that the run has ended.

The runs of a request are removed when its engine confirms the stop. The new scenario was refused with 429 before and is served now.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -53,6 +53,13 @@
     When a call is given up at two endpoints, and each crashes after 1.5 s of other answers
     Then the same call is served by another endpoint
 
+  # A stream was refused for 30 s after two engines crashed that it had been moved away
+  # from before.
+  Scenario: engines crash after they stopped a run for a move
+    Given 4 endpoints of the model behind 1 gateway
+    When a stream is moved away from two engines whose events are lost, which then crash
+    Then the same stream is served by another endpoint
+
   Scenario Outline: reports of <kinds> are late, repeated, reordered or lost
     Then after reports of <kinds> all gateways that receive everything agree
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -13,10 +13,11 @@
 from devtools.bench.fleet_settings import FleetSettings
 from piershore.core.attempts.attempt_outcome import NOT_RUN_STATUSES
 from piershore.core.fleet.placement_policy import DEFAULT_PLACEMENT
-from standins.published_endpoint import CRASHING_BODY
+from standins.published_endpoint import CRASHING_BODY, Silence
 
 SEED = 30
 SMALL = "100,40"
+LONG = "100,4000"
 REPEATED_BODY = b"the same call again"
 GIVE_UP = ("deadline-ms", "300")
 REPORT_SECONDS = 0.5
@@ -133,8 +134,41 @@
     context.ingress.run(script)
 
 
-@then("the same call is served by another endpoint")
-def check_same_served(context):
+async def wait_for_run(world, excluded=()):
+    """Return the engine that runs a stream; `excluded` ones may have lost it."""
+    while True:
+        for endpoint in world.endpoints:
+            if endpoint.made and endpoint not in excluded:
+                return endpoint
+        await trio.sleep(0.01)
+
+
+@when(
+    "a stream is moved away from two engines whose events are lost, which then crash"
+)
+def crash_after_move(context):
+    async def read_stream(world):
+        await world.call("stream", size=LONG, body=REPEATED_BODY)
+
+    async def script(world):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_stream, world)
+            sources = []
+            for _ in range(2):
+                sources.append(await wait_for_run(world, sources))
+                sources[-1].silence = Silence.EVENTS_LOST
+                await wait_for_run(world, sources)
+                sources[-1].crash()
+                world.store.remove("servers", sources[-1].identity)
+            await trio.sleep(REPORT_SECONDS)
+            context.reply = await world.call("stream", size=SMALL, body=REPEATED_BODY)
+            nursery.cancel_scope.cancel()
+
+    context.ingress.run(script)
+
+
+@then("the same {kind} is served by another endpoint")
+def check_same_served(context, kind):
     assert context.reply.status == 200, vars(context.reply)
 
 
--- a/src/piershore/core/quarantine/endpoint_runs.py
+++ b/src/piershore/core/quarantine/endpoint_runs.py
@@ -77,6 +77,12 @@
             del self._runs[identity]
             self._answered_at.pop(identity, None)
 
+    def end_stopped(self, identity: str, request: str) -> None:
+        """Remove the runs of a request that the endpoint reported as stopped."""
+        for run in list(self._runs.get(identity, ())):
+            if run.request == request:
+                self.end(identity, run)
+
     def record_answer(self, identity: str, now: float) -> None:
         """Record that an endpoint sent a part of an answer, to whatever request."""
         if identity in self._runs:
--- a/src/piershore/ingress/moves/move_client.py
+++ b/src/piershore/ingress/moves/move_client.py
@@ -41,6 +41,8 @@
         """
         handover.run_stopped = True
         result = await self._move(request, handover, is_last=True)
+        if result is not None:
+            self._state.runs.end_stopped(handover.source.identity, request)
         outcome = "moved" if result else "refused"
         ingress_metrics.MOVES.labels(outcome).inc()
         self._log_end(request, handover, outcome, trio.current_time() - noticed_at)
