Crash detection: an endpoint whose entry is gone has not crashed if it serves

Callers saw: a healthy stream was broken off while it was moved to its third engine ("the move failed"), and the same request was refused with 429 for 30 s.

The scenario that removes the entries of two engines which serve on broke the stream off at the third one in each run.

Cause: the removal of an entry without a notice was taken for a crash at once. Entries are also lost by the store, and some endpoints leave without a notice and serve on for seconds; the stream's own moves then were its two "crashes".

An endpoint that restarted under its name has crashed, as before. It costs one connection for a removal during which a request had just begun there, and none otherwise.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -60,6 +60,13 @@
     When a stream is moved away from two engines whose events are lost, which then crash
     Then the same stream is served by another endpoint
 
+  # A stream was refused for 30 s after the store had lost the entries of two engines,
+  # which served on.
+  Scenario: entries of engines are removed while these serve on
+    Given 4 endpoints of the model behind 1 gateway
+    When a stream has begun at two engines, and the entry of each is removed
+    Then the same stream is served by another endpoint
+
   Scenario Outline: reports of <kinds> are late, repeated, reordered or lost
     Then after reports of <kinds> all gateways that receive everything agree
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -20,6 +20,8 @@
 LONG = "100,4000"
 REPEATED_BODY = b"the same call again"
 GIVE_UP = ("deadline-ms", "300")
+RUN_SECONDS = 20.0
+"""Time for a stream to begin at an endpoint on a busy machine."""
 REPORT_SECONDS = 0.5
 """Time for crash reports to reach all gateways; a small fleet needs some ms."""
 
@@ -136,30 +138,41 @@
 
 async def wait_for_run(world, excluded=()):
     """Return the engine that runs a stream; `excluded` ones may have lost it."""
-    while True:
-        for endpoint in world.endpoints:
-            if endpoint.made and endpoint not in excluded:
-                return endpoint
-        await trio.sleep(0.01)
+    with trio.fail_after(RUN_SECONDS):
+        while True:
+            for endpoint in world.endpoints:
+                if endpoint.made and endpoint not in excluded:
+                    return endpoint
+            await trio.sleep(0.01)
 
 
-@when(
-    "a stream is moved away from two engines whose events are lost, which then crash"
-)
-def crash_after_move(context):
-    async def read_stream(world):
-        await world.call("stream", size=LONG, body=REPEATED_BODY)
+async def read_stream(world):
+    await world.call("stream", size=LONG, body=REPEATED_BODY)
+
+
+async def crash_moved(world, source, sources):
+    source.silence = Silence.EVENTS_LOST
+    await wait_for_run(world, sources)
+    source.crash()
+    world.store.remove("servers", source.identity)
+
+
+async def remove_entry(world, source, sources):
+    world.store.remove("servers", source.identity)
+    await wait_for_run(world, sources)
+
+
+def disturb_stream(context, disturb):
+    """Disturb two engines of a stream in turn; send it again while it still runs."""
 
     async def script(world):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read_stream, world)
             sources = []
             for _ in range(2):
-                sources.append(await wait_for_run(world, sources))
-                sources[-1].silence = Silence.EVENTS_LOST
-                await wait_for_run(world, sources)
-                sources[-1].crash()
-                world.store.remove("servers", sources[-1].identity)
+                source = await wait_for_run(world, sources)
+                sources.append(source)
+                await disturb(world, source, sources)
             await trio.sleep(REPORT_SECONDS)
             context.reply = await world.call("stream", size=SMALL, body=REPEATED_BODY)
             nursery.cancel_scope.cancel()
@@ -167,6 +180,16 @@
     context.ingress.run(script)
 
 
+@when("a stream is moved away from two engines whose events are lost, which then crash")
+def crash_after_move(context):
+    disturb_stream(context, crash_moved)
+
+
+@when("a stream has begun at two engines, and the entry of each is removed")
+def remove_entries(context):
+    disturb_stream(context, remove_entry)
+
+
 @then("the same {kind} is served by another endpoint")
 def check_same_served(context, kind):
     assert context.reply.status == 200, vars(context.reply)
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -69,13 +69,22 @@
         self._checks[identity] = trio.Event()
         self._nursery.start_soon(self._check, endpoint)
 
-    def record_removal(self, endpoint: Endpoint) -> None:
-        """Treat an endpoint that was removed without a notice as crashed.
+    def record_removal(self, endpoint: Endpoint, *, is_restarted: bool) -> None:
+        """Check an endpoint whose entry was removed without a notice.
 
-        If it still serves, the requests that it completes are cleared.
+        It may serve on: some leave without one, and the store may lose entries.
         """
-        if endpoint.stage is not EndpointStage.LEAVING:
-            self._record_crash(endpoint.identity)
+        identity = endpoint.identity
+        if endpoint.stage is EndpointStage.LEAVING:
+            return
+        if is_restarted:
+            self._record_crash(identity)
+            return
+        if identity in self._checks or self._nursery is None:
+            return
+        if any(self._runs.suspects(identity, trio.current_time())):
+            self._checks[identity] = trio.Event()
+            self._nursery.start_soon(self._check_removed, endpoint)
 
     def record_sent(self, content: str) -> None:
         """Record that a request is sent to an endpoint; report a probe to the peers."""
@@ -128,6 +137,20 @@
         if is_there:
             self._runs.clear_abandoned(identity)
 
+    async def _check_removed(self, endpoint: Endpoint) -> None:
+        """Treat a removed endpoint as crashed unless it accepts connections."""
+        identity = endpoint.identity
+        try:
+            for delay in PROBE_DELAYS_SECONDS:
+                await trio.sleep(delay)
+                is_there = await self._pool.is_listening(endpoint.address)
+                if is_there is not None:
+                    break
+            if not is_there:
+                self._record_crash(identity)
+        finally:
+            self._checks.pop(identity).set()
+
     def _record_crash(self, identity: str) -> None:
         self._crashed[identity] = trio.current_time() + REMEMBERED_SECONDS
         self._suspect_requests(identity)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -332,7 +332,9 @@
         else:
             self._moves.evacuate(endpoint)
         if departure.is_gone:
-            self._state.crash_detector.record_removal(endpoint)
+            self._state.crash_detector.record_removal(
+                endpoint, is_restarted=departure.is_restarted
+            )
             self._state.health.forget(endpoint.identity)
             self._state.paces.forget(endpoint.identity)
             self._state.speeds.forget(endpoint.identity)
