Own interface: what a lost engine tells depends on how long its run had lasted

Callers saw: an order for a complete answer was refused as quarantined for 30 s after it had run for seconds at two engines that were lost (all runs there were lost); and a streamed order that loses its engines just after a first token was sent on to one engine after the other.

Cause: the same as at the gateways on the platform, looked for here: only the kind of the answer decided. Each loss under a complete answer counted, however long it had run, and none under a stream that had begun.

Both now ask the rule of the platform's gateways: a loss counts if the first token came within the last second, or hasn't come.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -128,6 +128,19 @@
     Then 2 engines were lost, and the caller is told engine_lost
     And the next order of that content is refused at once with quarantined as not run
 
+  # A complete answer's generation that had run for seconds was suspected of its engine's
+  # loss, and one that had sent a first token was never suspected.
+  Scenario Outline: engines are lost <seconds> s after the first token of a <kind> answer
+    When a <kind> answer is ordered twice, and its engines are lost after <seconds> s
+    Then the next order of that content is answered <code>
+
+    Examples:
+      | kind     | seconds | code        |
+      | complete | 2.0     | engine_lost |
+      | complete | 0.2     | quarantined |
+      | streamed | 2.0     | engine_lost |
+      | streamed | 0.2     | quarantined |
+
   # When no engine was left, the last refusal was handled as a new one as long as there were
   # retries: one order spent all 50 without being sent anywhere.
   Scenario: an order that every engine has refused spends no more retries
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from random import Random
 
 import trio
 from behave import then, when
 from hypothesis import strategies as st
 from support.core_checks import check_coded_errors, checked
+from trio.testing import MockClock
 
 from piershore.core.outcome import Outcome
 from piershore.core.quarantine.crash_report import (
@@ -27,7 +29,7 @@
 from piershore.gateway.exceptions import RequestRefusedError
 from piershore.gateway.generation_service import GenerationService
 from piershore.gateway.requested_generation import RequestedGeneration
-from piershore.wire.link_pb2 import Accepted, Ended, Refused
+from piershore.wire.link_pb2 import Accepted, Ended, Refused, StreamTokens
 
 CONTENT = "c0ffee"
 ENGINES = ("e-1", "e-2", "e-3", "e-4")
@@ -266,7 +268,11 @@
         """Do nothing."""
 
     async def receive(self):
-        return self._frames.pop(0)
+        frame = self._frames.pop(0)
+        if isinstance(frame, float):
+            await trio.sleep(frame)
+            frame = self._frames.pop(0)
+        return frame
 
 
 class _Links:
@@ -323,6 +329,38 @@
     trio.run(send)
 
 
+async def send_streamed(service, order):
+    async with aclosing(service.stream(order)) as chunks:
+        async for _ in chunks:
+            pass
+
+
+SENDERS = {"complete": GenerationService.complete, "streamed": send_streamed}
+
+
+@when("a {kind} answer is ordered twice, and its engines are lost after {seconds:g} s")
+def lose_started(context, kind, seconds):
+    context.codes = []
+    tokens = StreamTokens(request=1, first_index=0, tokens=["a"])
+    frames = (ENGINE_LOST[0], tokens, seconds, ENGINE_LOST[1])
+    service = GenerationService(_Links(2, frames), _ManyRetries(), 5.0)
+    order = RequestedGeneration("surulere", "model", "review", 1, "a prompt", 10)
+
+    async def send():
+        for _ in range(3):
+            try:
+                await SENDERS[kind](service, order)
+            except RequestRefusedError as error:
+                context.codes.append(error.code)
+
+    trio.run(send, clock=MockClock(autojump_threshold=0))
+
+
+@then("the next order of that content is answered {code}")
+def check_next_code(context, code):
+    assert context.codes[-1] == code, context.codes
+
+
 @then("{count:d} engines were lost, and the caller is told {code}")
 def check_lost(context, count, code):
     assert len(context.links.sent) == count, context.links.sent
--- a/src/piershore/core/quarantine/endpoint_runs.py
+++ b/src/piershore/core/quarantine/endpoint_runs.py
@@ -29,9 +29,10 @@
     first_chunk_at: float = inf
     ended_at: float = inf
 
-    def record_chunk(self, now: float) -> None:
-        """Record a chunk of the answer."""
-        self.first_chunk_at = min(self.first_chunk_at, now)
+    @property
+    def has_answered(self) -> bool:
+        """Whether a chunk of the answer came."""
+        return self.first_chunk_at < inf
 
     @property
     def latest_start(self) -> float:
@@ -41,6 +42,10 @@
         """
         return min(self.first_chunk_at, self.ended_at)
 
+    def record_chunk(self, now: float) -> None:
+        """Record a chunk of the answer."""
+        self.first_chunk_at = min(self.first_chunk_at, now)
+
     def is_suspect(self, now: float, endpoint_answered_at: float = -inf) -> bool:
         """Return whether the run may have caused a crash of its endpoint now.
 
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -8,6 +8,7 @@
 import trio
 
 from piershore.core.outcome import Outcome
+from piershore.core.quarantine.endpoint_runs import EndpointRun
 from piershore.core.quarantine.quarantine import Quarantine
 from piershore.core.refusal_reason import RefusalReason
 from piershore.core.streams.event_id import EventId
@@ -50,18 +51,19 @@
         self._check_quarantine(request)
         attempts = RequestAttempts(self._links, self._retries)
         while True:
-            has_started = False
+            run = EndpointRun(request.content, request.content)
             try:
                 async with aclosing(
                     self._attempt(attempts, request, resumable=True)
                 ) as chunks:
                     async for chunk in chunks:
-                        has_started = True
+                        run.record_chunk(trio.current_time())
                         yield chunk
                 self._quarantine.record_completion(request.content, trio.current_time())
                 return
             except RequestRefusedError as error:
-                if has_started:
+                self._record_loss(attempts, run, error)
+                if run.has_answered:
                     raise
                 self._record_failure(attempts, request, error)
 
@@ -71,15 +73,18 @@
         attempts = RequestAttempts(self._links, self._retries)
         while True:
             collected: list[str] = []
+            run = EndpointRun(request.content, request.content)
             try:
                 async with aclosing(
                     self._attempt(attempts, request, resumable=False)
                 ) as chunks:
                     async for chunk in chunks:
+                        run.record_chunk(trio.current_time())
                         collected.extend(chunk.tokens)
                 self._quarantine.record_completion(request.content, trio.current_time())
                 return tuple(collected)
             except RequestRefusedError as error:
+                self._record_loss(attempts, run, error)
                 self._record_failure(attempts, request, error)
 
     async def resume(
@@ -115,6 +120,19 @@
                 retry_after=seconds,
             )
 
+    def _record_loss(
+        self, attempts: RequestAttempts, run: EndpointRun, error: RequestRefusedError
+    ) -> None:
+        """Suspect a generation of its engine's loss, unless it had run for a while."""
+        if error.reason is not RefusalReason.ENGINE_LOST:
+            return
+        now = trio.current_time()
+        if attempts.is_previous_refusal(error) or not run.is_suspect(now):
+            return
+        # A restarted engine keeps its agent's name; the time tells them apart.
+        engine = f"{attempts.endpoint}@{now}"
+        self._quarantine.record_crash(run.content, engine, now)
+
     def _record_failure(
         self,
         attempts: RequestAttempts,
@@ -123,13 +141,6 @@
     ) -> None:
         """Spend a retry; raise `error` if no further attempt is allowed."""
         now = trio.current_time()
-        if (
-            error.reason is RefusalReason.ENGINE_LOST
-            and not attempts.is_previous_refusal(error)
-        ):
-            # A restarted engine keeps its agent's name; the time tells them apart.
-            engine = f"{attempts.endpoint}@{now}"
-            self._quarantine.record_crash(request.content, engine, now)
         attempts.record_failure(error)
         if self._quarantine.seconds_until_release(request.content, now) is not None:
             raise error
