Links: a pause of the gateway at any time isn't its agent's silence; logs tell why

Callers may see: agent_lost for a stream whose agent lives.

What was tried: freezing gateway-1 of a running deployment 42 times for 2.2 to 3.0 s, 14 times for 3.2 to 9 s and an agent 20 times for 1.5 to 1.95 s, beside a load of 10 to 12: no link was closed.

What is shown, in virtual time: a link took only a wake-up that was late at its deadline for a pause of this process. After a pause of 2.85 s that began just after a heartbeat, it closed 0.05 s later, while the heartbeats of that time were unread. A follower of a relay didn't look for pauses at all: one that stood still for 6 s left its relay and read the whole configuration anew.

Both use `SilenceTimer` now: it is checked each second, so that it notices each pause, doesn't count it, and lets 1 s pass after it for what is unread. A process that is paused again and again still notices after twice the timeout.

--- a/features/accepted_config.feature
+++ b/features/accepted_config.feature
@@ -63,6 +63,11 @@
     Then the platform sees at most 3 watches
     And an edit comes into force on all 9 boxes
 
+  # The follower took the time for the relay's silence, left it and read everything anew.
+  Scenario: A follower stands still while its relay sends
+    When a gateway that follows a relay stands still for 6 s, and then reads what came
+    Then it goes on following that relay
+
   # A snapshot of 4,500 accounts has some 1.3 MB. Sent as one message, it took longer
   # than the 4 s of silence after which a follower gives up on a relay. The follower
   # started over at the next relay and never finished.
--- a/features/tokens_once_in_order.feature
+++ b/features/tokens_once_in_order.feature
@@ -34,6 +34,29 @@
     Then the stream is complete, in order, from one generation
     And gateway-1 has closed no link
 
+  # A pause that ended before the timeout wasn't noticed, and a link to a living agent
+  # was closed while the agent's heartbeats were unread.
+  Scenario Outline: A gateway stands still and reads the heartbeats of that time late
+    When a gateway stands still for <paused> s after a heartbeat, and reads the next <late> s later
+    Then its link to the agent stays open
+
+    Examples:
+      | paused | late |
+      | 2.85   | 0.5  |
+      | 2.95   | 0.1  |
+      | 3.5    | 0.5  |
+      | 20.0   | 0.8  |
+
+  Scenario Outline: An agent falls silent and its gateway <pauses>
+    When an agent falls silent and its gateway <pauses>
+    Then the link is closed within <seconds> s, which its log line tells
+
+    Examples:
+      | pauses                             | seconds |
+      | runs                               | 3.5     |
+      | stands still once for 2 s          | 6.0     |
+      | stands still for 0.2 s each second | 9.0     |
+
   Scenario: Two readers resume the same stream
     Given a running deployment
     When a stream of 200 tokens is requested
--- a/src/piershore/gateway/agent_link.py
+++ b/src/piershore/gateway/agent_link.py
@@ -10,8 +10,8 @@
 from piershore.core.configuration.config_view import ConfigView
 from piershore.core.configuration.objects import EndpointStatus
 from piershore.core.ownership.interval import Interval, Owner, SlotInterval
-from piershore.core.process_pause import was_paused
 from piershore.core.routing.endpoint_state import EndpointState, LoadReport
+from piershore.core.silence_timer import SilenceTimer
 from piershore.gateway.exceptions import LinkLostError
 from piershore.telemetry import metrics
 from piershore.telemetry.logs import log_state_change
@@ -100,7 +100,8 @@
         self._intervals: tuple[SlotInterval, ...] = ()
         self._closed = trio.Event()
         self._opened = trio.Event()
-        self._last_received_at = 0.0
+        self._silence = SilenceTimer(SILENCE_TIMEOUT_SECONDS, 0.0)
+        self._close_cause = ""
         self._retired = False
 
     @property
@@ -210,9 +211,16 @@
 
     async def _connect_once(self) -> bool:
         self._closed = closed = trio.Event()
-        client = LinkClient(self._status.address, self._frame_received, closed.set)
+        self._close_cause = ""
+
+        def close(cause: str) -> None:
+            if closed is self._closed:
+                self._close_cause = self._close_cause or cause
+            closed.set()
+
+        client = LinkClient(self._status.address, self._frame_received, close)
         self._client = client
-        self._last_received_at = trio.current_time()
+        self._silence = SilenceTimer(SILENCE_TIMEOUT_SECONDS, trio.current_time())
         client.start()
         client.send(GatewayFrame(hello=GatewayHello(gateway=self._gateway)))
         await self._wait_until_lost(closed)
@@ -223,14 +231,10 @@
     async def _wait_until_lost(self, closed: trio.Event) -> None:
         """Wait until the link is closed or has been silent for too long."""
         while not closed.is_set():
-            deadline = self._last_received_at + SILENCE_TIMEOUT_SECONDS
-            with trio.move_on_at(deadline):
+            with trio.move_on_at(self._silence.next_check):
                 await closed.wait()
-            now = trio.current_time()
-            if was_paused(deadline, now):
-                # Frames that arrived while the process was paused are still unread.
-                self._last_received_at = now
-            elif now >= self._last_received_at + SILENCE_TIMEOUT_SECONDS:
+            if self._silence.is_over(trio.current_time()):
+                self._close_cause = self._close_cause or "silent"
                 return
 
     def _disconnect(self) -> None:
@@ -239,7 +243,15 @@
         client, self._client = self._client, None
         client.close()
         if self._state.is_open:
-            log_state_change("link_closed", endpoint=self._state.name)
+            now = trio.current_time()
+            log_state_change(
+                "link_closed",
+                endpoint=self._state.name,
+                cause=self._close_cause or "gateway stops using it",
+                silent_seconds=round(now - self._silence.received_at, 3),
+                seconds_since_pause=round(now - self._silence.resumed_at, 3),
+                requests=len(self._requests),
+            )
             metrics.LINKS.dec()
         self._state.is_open = False
         self._opened = trio.Event()
@@ -250,7 +262,7 @@
             request.mark_lost()
 
     def _frame_received(self, frame: AgentFrame) -> None:
-        self._last_received_at = trio.current_time()
+        self._silence.record_message(trio.current_time())
         body = frame.WhichOneof("body")
         if body == "tokens":
             for stream in frame.tokens.streams:
@@ -272,6 +284,7 @@
         hello = frame.hello
         if self._client is None or hello.endpoint != self._state.name:
             # The address now belongs to another endpoint.
+            self._close_cause = "another endpoint answered"
             self._closed.set()
             return
         self._incarnation = hello.incarnation
--- a/src/piershore/gateway/config_source.py
+++ b/src/piershore/gateway/config_source.py
@@ -9,6 +9,7 @@
 from piershore.core.configuration.config_view import ConfigView
 from piershore.core.configuration.relays import relays_of, rendezvous_order
 from piershore.core.configuration.stored_object import StoredObject
+from piershore.core.silence_timer import SilenceTimer
 from piershore.gateway.box_directory import BoxDirectory
 from piershore.platform.exceptions import PlatformUnavailableError, WatchGapError
 from piershore.platform.http_platform_store import HttpPlatformStore
@@ -105,11 +106,14 @@
         Also stop if this gateway becomes a relay, once the peer has sent a batch.
         """
         closed = trio.Event()
-        last_received: list[float] = []
+        silence = SilenceTimer(RELAY_TIMEOUT_SECONDS, trio.current_time())
+        has_received = False
         receiver = BatchReceiver(self._view)
 
         def receive(batch: ConfigBatch) -> None:
-            last_received[:] = [trio.current_time()]
+            nonlocal has_received
+            has_received = True
+            silence.record_message(trio.current_time())
             receiver.apply(batch)
             self._update_revision_gauge()
             if batch.boxes:
@@ -118,21 +122,18 @@
         request = FollowRequest(
             gateway=self._gateway, complete_to=self._view.complete_to
         )
-        reader = follow_peer(address, request, receive, closed.set)
+        reader = follow_peer(address, request, receive, lambda cause: closed.set())
         reader.start()
-        started = trio.current_time()
         try:
             while not closed.is_set():
-                last_at = last_received[0] if last_received else started
-                silence = trio.current_time() - last_at
-                is_now_relay = bool(last_received) and self._should_relay()
-                if silence > RELAY_TIMEOUT_SECONDS or is_now_relay:
+                is_now_relay = has_received and self._should_relay()
+                if silence.is_over(trio.current_time()) or is_now_relay:
                     break
-                with trio.move_on_after(RELAY_TIMEOUT_SECONDS / 4):
+                with trio.move_on_at(silence.next_check):
                     await closed.wait()
         finally:
             reader.close()
-        return bool(last_received)
+        return has_received
 
     async def _follow_platform(self) -> None:
         try:
--- a/src/piershore/wire/link_client.py
+++ b/src/piershore/wire/link_client.py
@@ -19,7 +19,7 @@
         self,
         address: str,
         on_frame: Callable[[AgentFrame], None],
-        on_close: Callable[[], None],
+        on_close: Callable[[str], None],
     ) -> None:
         self._frames: FrameQueue[GatewayFrame] = FrameQueue()
         self._reader = StreamReader(address, self._connect, on_frame, on_close)
--- a/src/piershore/wire/peer_client.py
+++ b/src/piershore/wire/peer_client.py
@@ -23,7 +23,7 @@
     address: str,
     request: FollowRequest,
     on_batch: Callable[[ConfigBatch], None],
-    on_close: Callable[[], None],
+    on_close: Callable[[str], None],
 ) -> StreamReader[ConfigBatch]:
     """Return a reader for the configuration stream of the gateway at `address`."""
     return StreamReader(
--- a/src/piershore/wire/stream_reader.py
+++ b/src/piershore/wire/stream_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from threading import Thread
 from typing import Generic, TypeVar
 
@@ -18,7 +17,7 @@
 class StreamReader(Generic[Frame]):
     """One stream to one address; create a new object to reconnect.
 
-    `on_frame` and `on_close` are called in the trio thread.
+    `on_frame` and `on_close` are called in the trio thread; `on_close` gets the cause.
     """
 
     def __init__(
@@ -26,7 +25,7 @@
         address: str,
         open_call: Callable[[grpc.Channel], Iterable[Frame]],
         on_frame: Callable[[Frame], None],
-        on_close: Callable[[], None],
+        on_close: Callable[[str], None],
     ) -> None:
         self._channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
         self._open_call = open_call
@@ -48,8 +47,14 @@
         self._channel.close()
 
     def _read_frames(self) -> None:
-        with suppress(grpc.RpcError, trio.RunFinishedError):
-            for frame in self._call:
-                self._trio_token.run_sync_soon(self._on_frame, frame)
-        with suppress(trio.RunFinishedError):
-            self._trio_token.run_sync_soon(self._on_close)
+        cause = "ended by the peer"
+        try:
+            try:
+                for frame in self._call:
+                    self._trio_token.run_sync_soon(self._on_frame, frame)
+            except grpc.RpcError as error:
+                cause = f"{error.code().name.lower()}: {error.details()}"
+            self._trio_token.run_sync_soon(self._on_close, cause)
+        except trio.RunFinishedError:
+            # The process ends.
+            return
