--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -7,7 +7,8 @@
 import shutil
 import subprocess
 import sys
-from collections import deque
+import time
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,7 +18,9 @@
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.MULTILINE
 )
 KNOWN_RED = Path("KNOWN-RED.txt")
-MOST_KNOWN_RED = 3
+FAILURES = Path("build/failures")
+"""The whole output of each step that failed, with the machine's load."""
+BROKEN_SEED = re.compile(r"^seed (\d+): .*BROKEN", re.MULTILINE)
 FAILING = re.compile(r"^  features/\S+\.feature:\d+  (.+)$", re.MULTILINE)
 REASON = re.compile(
     r"^(?:FAILURE in|ERROR in|ASSERT FAILED|[\w.]+Error\b).*", re.MULTILINE
@@ -54,8 +57,7 @@
     counts += run_models()
     counts += run_behave()
     for option in SOAK_OPTIONS:
-        soak = ("-m", "devtools.soak", "--seeds", "3", option)
-        counts += run_step(f"soak {option}", sys.executable, *soak)
+        counts += run_soak(option)
     if KNOWN_RED.exists():
         print("known red:", KNOWN_RED.read_text(), sep="\n")
     for line in counts.told:
@@ -66,18 +68,54 @@
 
 def run_step(name: str, *command: str) -> Counts:
     """Run one command as one check."""
-    last: deque[str] = deque(maxlen=LINES_TOLD)
+    code, output = run_and_print(command)
+    if code == 0:
+        print(f"{name}: passed", flush=True)
+        return Counts(passed=1)
+    print(f"{name}: failed", flush=True)
+    keep_output(name, output)
+    last = output.splitlines()[-LINES_TOLD:]
+    return Counts(failed=1, told=(f"{name} failed:", *last))
+
+
+def run_soak(option: str) -> Counts:
+    """Run the soak with one option as one check; known red seeds are passed over."""
+    name = f"soak {option}"
+    command = (sys.executable, "-m", "devtools.soak", "--seeds", "3", option)
+    code, output = run_and_print(command)
+    if code == 0:
+        print(f"{name}: passed", flush=True)
+        return Counts(passed=1)
+    keep_output(name, output)
+    broken = [f"{name} {seed}" for seed in set(BROKEN_SEED.findall(output))]
+    unknown = [seed for seed in broken if seed not in known_red()]
+    print_known_red(seed for seed in broken if seed not in unknown)
+    if broken and not unknown:
+        return Counts(passed=1)
+    print(f"{name}: failed", flush=True)
+    last = output.splitlines()[-LINES_TOLD:]
+    return Counts(failed=1, told=(f"{name} failed:", *last))
+
+
+def run_and_print(command: Iterable[str]) -> tuple[int, str]:
+    """Run a command, print its output as it comes, and return its code and output."""
+    lines: list[str] = []
     with subprocess.Popen(
         command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
     ) as step:
         for line in step.stdout:
             print(line, end="", flush=True)
-            last.append(line.rstrip())
-    if step.returncode == 0:
-        print(f"{name}: passed", flush=True)
-        return Counts(passed=1)
-    print(f"{name}: failed", flush=True)
-    return Counts(failed=1, told=(f"{name} failed:", *last))
+            lines.append(line)
+    return step.returncode, "".join(lines)
+
+
+def keep_output(name: str, output: str) -> None:
+    """Keep the whole output of a step that failed."""
+    FAILURES.mkdir(parents=True, exist_ok=True)
+    load = " ".join(f"{value:.1f}" for value in os.getloadavg())
+    path = FAILURES / f"{name.replace(' ', '')}-{time.strftime('%H%M%S')}.txt"
+    path.write_text(f"load {load}\n{output}")
+    print(f"output kept in {path}, load {load}", flush=True)
 
 
 def run_models() -> Counts:
@@ -111,12 +149,14 @@
     found = SCENARIOS.search(done.stdout)
     if found is None:
         print(done.stdout, flush=True)
+        keep_output(feature.name, done.stdout)
         return Counts(failed=1)
     counts = Counts(int(found[1]), int(found[2]) + int(found[3] or 0))
     if done.returncode != 0 and not counts.failed:
         counts += Counts(failed=1)
     if counts.failed:
         print(done.stdout, flush=True)
+        keep_output(feature.name, done.stdout)
         counts = pass_over_known_red(done.stdout, counts)
         counts += Counts(told=(f"{feature.name} failed:", *read_reasons(done.stdout)))
     print(f"{feature.name}: {counts.passed} passed, {counts.failed} failed", flush=True)
@@ -130,15 +170,23 @@
 
 def pass_over_known_red(output: str, counts: Counts) -> Counts:
     """Take failures out that KNOWN-RED.txt names, and print them."""
-    if not KNOWN_RED.exists():
-        return counts
-    lines = KNOWN_RED.read_text().splitlines()
-    known = {line.partition("|")[0].strip() for line in lines[:MOST_KNOWN_RED]}
+    known = known_red()
     red = [name for name in FAILING.findall(output) if name.strip() in known]
-    for name in red:
-        print(f"known red, failed: {name}", flush=True)
+    print_known_red(red)
     return Counts(counts.passed, max(0, counts.failed - len(red)))
 
 
+def known_red() -> set[str]:
+    """Return the names of the tests that KNOWN-RED.txt lists, one a line."""
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    return {line.partition("|")[0].strip() for line in lines if line.strip()}
+
+
+def print_known_red(names: Iterable[str]) -> None:
+    """Print the tests that failed as listed."""
+    for name in names:
+        print(f"known red, failed: {name}", flush=True)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -84,7 +84,7 @@
     text = f"seed {seed}: {len(callers.calls)} calls, {served} served"
     text += f", {troubles.played} faults"
     if findings:
-        kept = KEPT / str(seed)
+        kept = KEPT / "-".join([*_played_options(options), str(seed)])
         shutil.rmtree(kept, ignore_errors=True)
         shutil.copytree(folder, kept)
         (kept / "faults.txt").write_text("\n".join([*troubles.told, *findings]))
@@ -94,6 +94,11 @@
     return text, bool(findings)
 
 
+def _played_options(options: Namespace) -> list[str]:
+    names = ("crashing", "asking", "limiting", "drill", "uneven")
+    return [name for name in names if getattr(options, name)]
+
+
 async def _run(
     fleet: Fleet,
     callers: Callers,
