Slow readers: a gateway's own delay isn't a wait for the engine

Callers see: an engine that works is blamed, and after three times left out, since a caller didn't read its answer in time.

Cause: after a caller's pause, a wait of 20 ms for the next chunk tells that the gateway has caught up with the engine, so that a later break is the engine's. The wait was measured in the gateway's time: a gateway whose loop was busy "waited" 20 ms for bytes that had arrived long before.

While a caller has held up its stream, the gateway looks 20 ms after it began to wait, when it runs: only if nothing is there to be read then was the wait for the engine. It costs one timer for each chunk in that state, none otherwise.

--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -16,6 +16,13 @@
     And no endpoint has a failure rate above 0, and none is ejected
     And the pauses of the caller don't count as stalls of its endpoint
 
+  # The gateway's own delay was taken for a wait for the engine, which was then blamed.
+  Scenario: an engine cuts off an unread answer while its gateway is busy
+    Given a gateway before 2 engines that cut off what remains unread for 0.5 s
+    When a caller of a stream of 2000 events reads nothing for 3 s after 50 events, then beside work of 0.03 s at a time
+    Then what came is in order and visibly not whole
+    And no endpoint has a failure rate above 0, and none is ejected
+
   @tokens_once_in_order
   Scenario: an engine fails while its caller reads in time
     Given a gateway before 2 engines that send faster than callers read
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import time
 from pathlib import Path
 from unittest.mock import patch
 
@@ -165,6 +166,27 @@
     context.lines = _log(world)
 
 
+@when(
+    "a caller of a stream of {count:d} events reads nothing for {seconds:g} s "
+    "after {events:d} events, then beside work of {hold:g} s at a time"
+)
+def read_late_beside_work(context, count, seconds, events, hold):
+    async def disturb(world, reading, seconds):
+        await trio.sleep(seconds)
+        reading.resumed.set()
+        while reading.reply is None:
+            time.sleep(hold)
+            await trio.sleep(0.001)
+
+    async def script(world):
+        context.count = count
+        context.reading = StreamReading(world, count, SMALL_SIZE)
+        context.reading.pause_after = events
+        await _read_disturbed(context, world, disturb, seconds)
+
+    context.ingress.run(script)
+
+
 @when(
     "a caller of a stream of {count:d} events reads nothing for {seconds:g} s "
     "after {events:d} events"
--- a/src/piershore/core/streams/reader_progress.py
+++ b/src/piershore/core/streams/reader_progress.py
@@ -28,6 +28,11 @@
         self._held_up_until = float("-inf")
         self._is_gap_held_up = False
 
+    @property
+    def has_held_up(self) -> bool:
+        """Whether the gateway hasn't caught up yet since the caller's last pause."""
+        return self._held_up_seconds > 0
+
     @property
     def is_gap_held_up(self) -> bool:
         """Whether the caller held up the last chunk that was read."""
@@ -40,7 +45,11 @@
             self._held_up_until = now
 
     def record_wait(self, seconds: float) -> None:
-        """Record how long the endpoint's next chunk, or its break, was awaited."""
+        """Record how long the endpoint's next chunk, or its break, was awaited.
+
+        Only a wait during which nothing was there to be read shows that the gateway has
+        caught up; its own delays don't.
+        """
         self._is_gap_held_up = self._held_up_seconds > 0
         if seconds >= CAUGHT_UP_SECONDS:
             self._held_up_seconds = 0.0
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -86,6 +86,10 @@
         """Return whether nothing, not even a close, followed the last answer."""
         return not self._has_trailing_data and not self._stream.socket.is_readable()
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or a close, have arrived that weren't read."""
+        return self._stream.socket.is_readable()
+
     async def closes_within(self, seconds: float) -> bool:
         """Return whether the peer closes the connection within some seconds.
 
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -53,6 +53,11 @@
         """Whether the request was sent and no head of an answer was received."""
         return self.may_have_run and self.head is None
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether a part of the answer has arrived that wasn't read."""
+        return self._connection is not None and self._connection.has_unread_bytes()
+
     async def start(self, options: ForwardingOptions) -> EndpointAnswer:
         """Send the request and read the answer's head.
 
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -10,6 +10,7 @@
 from piershore.core.mechanism import Mechanism
 from piershore.core.streams.delivered_events import MissingEventError
 from piershore.core.streams.event_splitter import EventSplitter, StreamEvent
+from piershore.core.streams.reader_progress import CAUGHT_UP_SECONDS
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.gateway_state import GatewayState
@@ -35,6 +36,7 @@
         self._stream = stream
         self._waited = 0.0
         self._was_awaited = True
+        self._found_nothing = False
         self._learns_speeds = state.is_enabled(Mechanism.ENDPOINT_SPEEDS)
         self._unrecorded_gap: tuple[float, int, float] | None = None
 
@@ -46,7 +48,7 @@
         self._was_awaited = True
         stream = self._stream
         try:
-            while (chunk := await self._next_chunk(chunks)) is not None:
+            while (chunk := await self._next_chunk(attempt, chunks)) is not None:
                 await self._relay(attempt, splitter.feed(chunk))
                 if len(splitter.remainder) > MAX_EVENT_BYTES:
                     return f"an event has over {MAX_EVENT_BYTES} bytes"
@@ -64,7 +66,9 @@
             return "the last event was truncated"
         return None
 
-    async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
+    async def _next_chunk(
+        self, attempt: EndpointAttempt, chunks: AsyncIterator[bytes]
+    ) -> bytes | None:
         """Wait for the next chunk; None at the end or when the endpoint is given up.
 
         Only this wait may be cancelled to continue elsewhere: events that were received
@@ -74,14 +78,32 @@
         if stream.is_given_up:
             return None
         started = stream.waiting_since = trio.current_time()
+        look = trio.CancelScope()
+        self._found_nothing = False
+        if stream.reader.has_held_up:
+            stream.exchange.nursery.start_soon(self._look_for_bytes, attempt, look)
         try:
             with trio.CancelScope() as stream.reading_scope:
                 return await anext(chunks, None)
             return None
         finally:
+            look.cancel()
             stream.waiting_since = None
             self._waited = trio.current_time() - started
-            stream.reader.record_wait(self._waited)
+            stream.reader.record_wait(self._waited if self._found_nothing else 0.0)
+
+    async def _look_for_bytes(
+        self, attempt: EndpointAttempt, scope: trio.CancelScope
+    ) -> None:
+        """Look once during a wait whether the endpoint has sent anything.
+
+        A busy gateway waits long for bytes that are already there.
+        """
+        with scope:
+            await trio.sleep(CAUGHT_UP_SECONDS)
+            # A chunk that was read just now ends the wait first.
+            await trio.lowlevel.checkpoint()
+            self._found_nothing = not attempt.has_unread_bytes
 
     async def _relay(
         self, attempt: EndpointAttempt, events: Iterable[StreamEvent]
