--- a/devtools/bench/crash_simulation.py
+++ b/devtools/bench/crash_simulation.py
@@ -167,7 +167,9 @@
 
     def _progress(self, stream: FleetStream) -> None:
         super()._progress(stream)
-        self._open_runs[stream.identity][1].record_chunk(self._now)
+        identity, run = self._open_runs[stream.identity]
+        run.record_chunk(self._now)
+        self._known[stream.gateway.name].runs.record_answer(identity, self._now)
 
     def _finish(self, stream: FleetStream) -> None:
         super()._finish(stream)
