Crash detection: a connection that held until it broke tells when a crash came

A page that many call was refused with 429 for 30 s at every gateway; no endpoint crashed under it.

Call 0x12 was given up at i-2-1 after 0.25 s and at i-0-1 0.5 s later. i-2-1 crashed 1.4 s and i-0-1 0.7 s after that.

But the time of the crash is known: other calls waited at both endpoints, and their connections held until they broke, at the crash.

A connection that breaks 0.05 s or more after a request was sent on it tells that its endpoint lived until then. One that breaks at once may have been broken before, and tells nothing.

--- a/devtools/bench/crash_simulation.py
+++ b/devtools/bench/crash_simulation.py
@@ -169,7 +169,7 @@
         super()._progress(stream)
         identity, run = self._open_runs[stream.identity]
         run.record_chunk(self._now)
-        self._known[stream.gateway.name].runs.record_answer(identity, self._now)
+        self._known[stream.gateway.name].runs.record_alive(identity, self._now)
 
     def _finish(self, stream: FleetStream) -> None:
         super()._finish(stream)
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -53,6 +53,13 @@
     When a call is given up at two endpoints, and each crashes after 1.5 s of other answers
     Then the same call is served by another endpoint
 
+  # The same, where the endpoints had answered nobody in the meantime, but had kept their
+  # connections.
+  Scenario: endpoints that gave no answer to a call crash later under others
+    Given 4 endpoints of the desk behind 1 gateway
+    When a call is given up at two endpoints, and each crashes 1.3 s later under other calls
+    Then the same call is served by another endpoint
+
   # A stream was refused for 30 s after two engines crashed that it had been moved away
   # from before.
   Scenario: engines crash after they stopped a run for a move
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -20,6 +21,8 @@
 LONG = "100,4000"
 REPEATED_BODY = b"the same call again"
 GIVE_UP = ("deadline-ms", "300")
+PATIENT = ("deadline-ms", "1500")
+UNBROKEN_SECONDS = 0.1
 RUN_SECONDS = 20.0
 """Time for a stream to begin at an endpoint on a busy machine."""
 REPORT_SECONDS = 0.5
@@ -136,6 +139,38 @@
     context.ingress.run(script)
 
 
+@when(
+    "a call is given up at two endpoints, and each crashes {seconds:g} s later under "
+    "other calls"
+)
+def crash_under_others(context, seconds):
+    async def script(world):
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                endpoint = await give_up_call(world)
+                await trio.sleep(seconds)
+                await begin_others(world, endpoint, nursery)
+                await trio.sleep(UNBROKEN_SECONDS)
+                endpoint.crash()
+                await trio.sleep(CHECKED_SECONDS)
+        context.reply = await world.call("once", body=REPEATED_BODY)
+
+    context.ingress.run(script)
+
+
+async def begin_others(world, endpoint, nursery):
+    """Send other calls that get no answer, until `endpoint` has one of them."""
+    count = len(endpoint.arrivals)
+    for other in world.endpoints:
+        other.faults = ["silent"] * 10
+    while len(endpoint.arrivals) == count:
+        body = b"%f" % trio.current_time()
+        nursery.start_soon(partial(world.call, "once", PATIENT, body=body))
+        await trio.sleep(0.02)
+    for other in world.endpoints:
+        other.faults.clear()
+
+
 async def wait_for_run(world, excluded=()):
     """Return the engine that runs a stream; `excluded` ones may have lost it."""
     with trio.fail_after(RUN_SECONDS):
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -60,7 +60,7 @@
     runs = EndpointRuns()
     run = runs.begin("e-1", "r", CONTENT)
     runs.abandon("e-1", run, 1.0)
-    runs.record_answer("e-1", 1.0 + seconds)
+    runs.record_alive("e-1", 1.0 + seconds)
     return run in runs.suspects("e-1", 4.0)
 
 
--- a/src/piershore/core/quarantine/endpoint_runs.py
+++ b/src/piershore/core/quarantine/endpoint_runs.py
@@ -46,17 +46,17 @@
         """Record a chunk of the answer."""
         self.first_chunk_at = min(self.first_chunk_at, now)
 
-    def is_suspect(self, now: float, endpoint_answered_at: float = -inf) -> bool:
+    def is_suspect(self, now: float, endpoint_alive_at: float = -inf) -> bool:
         """Return whether the run may have caused a crash of its endpoint now.
 
         It may if its first chunk came within `SUSPECT_WINDOW_SECONDS` before, or before
-        the run ended, or has not come yet. It may not if its endpoint has answered,
-        whatever request, that long after it began.
+        the run ended, or has not come yet. It may not if its endpoint was alive that
+        long after it began.
         """
         window = SUSPECT_WINDOW_SECONDS
         if min(now, self.ended_at) - self.first_chunk_at > window:
             return False
-        return endpoint_answered_at - self.latest_start <= window
+        return endpoint_alive_at - self.latest_start <= window
 
 
 class EndpointRuns:
@@ -64,7 +64,7 @@
 
     def __init__(self) -> None:
         self._runs: dict[str, list[EndpointRun]] = {}
-        self._answered_at: dict[str, float] = {}
+        self._alive_at: dict[str, float] = {}
 
     def begin(self, identity: str, request: str, content: str) -> EndpointRun:
         """Record that a request is sent to an endpoint."""
@@ -80,7 +80,7 @@
         runs.remove(run)
         if not runs:
             del self._runs[identity]
-            self._answered_at.pop(identity, None)
+            self._alive_at.pop(identity, None)
 
     def end_stopped(self, identity: str, request: str) -> None:
         """Remove the runs of a request that the endpoint reported as stopped."""
@@ -88,10 +88,10 @@
             if run.request == request:
                 self.end(identity, run)
 
-    def record_answer(self, identity: str, now: float) -> None:
-        """Record that an endpoint sent a part of an answer, to whatever request."""
+    def record_alive(self, identity: str, now: float) -> None:
+        """Record that an endpoint was alive: it answered, or its connections held."""
         if identity in self._runs:
-            self._answered_at[identity] = now
+            self._alive_at[identity] = now
 
     def abandon(self, identity: str, run: EndpointRun, now: float) -> None:
         """Record that the gateway no longer waits for the answer to a run."""
@@ -102,9 +102,9 @@
     def suspects(self, identity: str, now: float) -> Iterator[EndpointRun]:
         """Yield the runs that may have caused a crash of an endpoint now."""
         self.drop_expired(now)
-        answered_at = self._answered_at.get(identity, -inf)
+        alive_at = self._alive_at.get(identity, -inf)
         for run in self._runs.get(identity, ()):
-            if run.is_suspect(now, answered_at):
+            if run.is_suspect(now, alive_at):
                 yield run
 
     def clear_abandoned(self, identity: str) -> None:
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -20,6 +20,9 @@
 MAX_SENT_FIRST_BYTES = 8_192
 """Larger bodies are sent while the answer is awaited, which may arrive early. Whether
 the endpoint has read the whole body is unknown then, so the connection isn't reused."""
+MIN_HELD_SECONDS = 0.05
+"""A connection that breaks so long after a request was sent on it held until then; one
+that was broken before breaks at once."""
 
 
 class EndpointAttempt:
@@ -40,6 +43,7 @@
         self._is_complete = False
         self._is_broken = False
         self._run: EndpointRun | None = None
+        self._sent_at = 0.0
         self.head: ResponseHead | None = None
         self.answer: EndpointAnswer | None = None
         self.may_have_run = False
@@ -172,6 +176,7 @@
                 "the request is quarantined: endpoints have crashed while running it",
             )
         state.crash_detector.record_sent(exchange.content)
+        self._sent_at = trio.current_time()
         self._run = state.runs.begin(
             self.endpoint.identity, exchange.identity, exchange.content
         )
@@ -179,7 +184,7 @@
     def _record_answer(self) -> float:
         """Record that the endpoint sent a part of an answer; return the time."""
         now = trio.current_time()
-        self._state.runs.record_answer(self.endpoint.identity, now)
+        self._state.runs.record_alive(self.endpoint.identity, now)
         return now
 
     def _end_run(self) -> None:
@@ -188,13 +193,20 @@
         if run is None:
             return
         state, identity = self._state, self.endpoint.identity
+        now = trio.current_time()
         if self._is_complete or not self.may_have_run:
             state.runs.end(identity, run)
         else:
-            state.runs.abandon(identity, run, trio.current_time())
+            state.runs.abandon(identity, run, now)
         if self._is_broken:
+            self._record_break(now)
             state.crash_detector.check_endpoint(self.endpoint)
 
+    def _record_break(self, now: float) -> None:
+        """Record that the endpoint was alive until the connection broke."""
+        if now - self._sent_at >= MIN_HELD_SECONDS:
+            self._state.runs.record_alive(self.endpoint.identity, now)
+
     def _must_close(self) -> bool:
         if len(self._exchange.body) > MAX_SENT_FIRST_BYTES:
             return True
