--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -84,7 +84,7 @@
 
     def is_clean(self) -> bool:
         """Return whether nothing, not even a close, followed the last answer."""
-        return not self._has_trailing_data and not self._stream.socket.is_readable()
+        return not self._has_trailing_data and not self.has_unread_bytes()
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes, or a close, have arrived that weren't read."""
