--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -117,6 +117,13 @@
       | closes | close |
       | takes  | take  |
 
+  # The removal of its entry ended the check of an endpoint whose port still took
+  # connections, so that nothing was suspected of its crash.
+  Scenario: the entry of a crashing endpoint is removed while its port takes connections
+    Given 6 endpoints of the model behind 1 gateway
+    When a request crashes endpoints whose entries go while their ports take connections
+    Then at most 2 endpoints have crashed
+
   Scenario: many callers send one request while another one crashes the engines
     Then a request that completed in the last 30 s is not quarantined by any gateway
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -22,6 +22,7 @@
 REPEATED_BODY = b"the same call again"
 GIVE_UP = ("deadline-ms", "300")
 PATIENT = ("deadline-ms", "1500")
+LINGER_SECONDS, REMOVED_AFTER_SECONDS = 0.3, 0.05
 UNBROKEN_SECONDS = 0.1
 RUN_SECONDS = 20.0
 """Time for a stream to begin at an endpoint on a busy machine."""
@@ -230,6 +231,27 @@
     assert context.reply.status == 200, vars(context.reply)
 
 
+@when("a request crashes endpoints whose entries go while their ports take connections")
+def crash_and_remove(context):
+    async def remove_crashed(world):
+        removed = set()
+        while True:
+            for endpoint in world.endpoints:
+                if endpoint.crashed_at is not None and endpoint not in removed:
+                    removed.add(endpoint)
+                    await trio.sleep(REMOVED_AFTER_SECONDS)
+                    world.store.remove("servers", endpoint.identity)
+            await trio.sleep(0.005)
+
+    async def script(world):
+        for endpoint in world.endpoints:
+            endpoint.lingers_seconds = LINGER_SECONDS
+        world.nursery.start_soon(remove_crashed, world)
+        await send_repeatedly(world, "the model")
+
+    context.ingress.run(script)
+
+
 async def send_crashing(context, number):
     reply = await context.ingress.call(
         "stream", size=SMALL, body=CRASHING_BODY, number=number
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -80,10 +80,8 @@
         if is_restarted:
             self._record_crash(identity)
             return
-        if identity in self._checks or self._nursery is None:
-            return
-        if any(self._runs.suspects(identity, trio.current_time())):
-            self._checks[identity] = trio.Event()
+        now = trio.current_time()
+        if self._nursery is not None and any(self._runs.suspects(identity, now)):
             self._nursery.start_soon(self._check_removed, endpoint)
 
     def record_sent(self, content: str) -> None:
@@ -138,18 +136,15 @@
             self._runs.clear_abandoned(identity)
 
     async def _check_removed(self, endpoint: Endpoint) -> None:
-        """Treat a removed endpoint as crashed unless it accepts connections."""
-        identity = endpoint.identity
-        try:
-            for delay in PROBE_DELAYS_SECONDS:
-                await trio.sleep(delay)
-                is_there = await self._pool.is_listening(endpoint.address)
-                if is_there is not None:
-                    break
-            if not is_there:
-                self._record_crash(identity)
-        finally:
-            self._checks.pop(identity).set()
+        """Treat a removed endpoint as crashed unless it goes on to take connections."""
+        is_there = None
+        for delay in PROBE_DELAYS_SECONDS:
+            await trio.sleep(delay)
+            is_there = await self._pool.is_listening(endpoint.address)
+            if is_there is False:
+                break
+        if not is_there:
+            self._record_crash(endpoint.identity)
 
     def _record_crash(self, identity: str) -> None:
         self._crashed[identity] = trio.current_time() + REMEMBERED_SECONDS
