Endpoint speeds: the steps' stand-in for an attempt tells what is unread

Since the relay looks for unread bytes after a caller's pause, it needs the exchange's nursery and the attempt's `has_unread_bytes`. They have both now; no check is changed.

--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -367,8 +367,8 @@
     is_given_up, handover = False, None
     endpoint_first_event_at = float("inf")
 
-    def __init__(self, connection):
-        self.exchange = SimpleNamespace(connection=connection)
+    def __init__(self, connection, nursery):
+        self.exchange = SimpleNamespace(connection=connection, nursery=nursery)
         self.delivered = SimpleNamespace(filter_new=list)
         self.reader = ReaderProgress()
 
@@ -377,6 +377,20 @@
         self.endpoint_first_event_at = min(now, self.endpoint_first_event_at)
 
 
+class RelayedAttempt:
+    """An attempt whose answer comes over a memory channel."""
+
+    def __init__(self, endpoint, receiver):
+        self.endpoint = endpoint
+        self.read_chunks = receiver.__aiter__
+        self.close = receiver.aclose
+        self._receiver = receiver
+
+    @property
+    def has_unread_bytes(self):
+        return self._receiver.statistics().current_buffer_used > 0
+
+
 @given("the mechanism is disabled")
 def disable(context):
     context.disabled = frozenset({Mechanism.ENDPOINT_SPEEDS})
@@ -408,14 +422,11 @@
                 await sender.send(b"id: %d\ndata: x\n\n" % number)
 
     async def run():
-        attempt = SimpleNamespace(
-            endpoint=context.endpoint,
-            read_chunks=receiver.__aiter__,
-            close=receiver.aclose,
-        )
+        attempt = RelayedAttempt(context.endpoint, receiver)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve)
-            await StreamRelay(state, RelayedStream(context.connection)).run(attempt)
+            stream = RelayedStream(context.connection, nursery)
+            await StreamRelay(state, stream).run(attempt)
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
     assert context.sent
