--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -166,6 +166,16 @@
     context.lines = _log(world)
 
 
+def _read_with_pause(context, count, events, disturb, seconds):
+    async def script(world):
+        context.count = count
+        context.reading = StreamReading(world, count, SMALL_SIZE)
+        context.reading.pause_after = events
+        await _read_disturbed(context, world, disturb, seconds)
+
+    context.ingress.run(script)
+
+
 @when(
     "a caller of a stream of {count:d} events reads nothing for {seconds:g} s "
     "after {events:d} events, then beside work of {hold:g} s at a time"
@@ -178,13 +188,7 @@
             time.sleep(hold)
             await trio.sleep(0.001)
 
-    async def script(world):
-        context.count = count
-        context.reading = StreamReading(world, count, SMALL_SIZE)
-        context.reading.pause_after = events
-        await _read_disturbed(context, world, disturb, seconds)
-
-    context.ingress.run(script)
+    _read_with_pause(context, count, events, disturb, seconds)
 
 
 @when(
@@ -192,13 +196,7 @@
     "after {events:d} events"
 )
 def read_late(context, count, seconds, events):
-    async def script(world):
-        context.count = count
-        context.reading = StreamReading(world, count, SMALL_SIZE)
-        context.reading.pause_after = events
-        await _read_disturbed(context, world, _pause, seconds)
-
-    context.ingress.run(script)
+    _read_with_pause(context, count, events, _pause, seconds)
 
 
 @when("a caller of a stream of {count:d} events reads on while its engine crashes")
