Log the parts of a generation's prompt with each attempt

The ids of a prompt's parts are decoded now and logged with the attempt. An unreadable list of parts gets 400 invalid_prompt_parts; it was forwarded before.

--- a/src/piershore/http1/message.py
+++ b/src/piershore/http1/message.py
@@ -36,6 +36,10 @@
         """Return the first value of a header, or None."""
         return find_header(self.headers, name)
 
+    def values(self, name: bytes) -> Iterator[bytes]:
+        """Yield all values of a header."""
+        return (value for key, value in self.headers if key == name)
+
     @property
     def host(self) -> str:
         """The requested host in lower case, without the port."""
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -28,6 +28,8 @@
 )
 COST_DECIMAL_PLACES = 3
 """Decimal places of costs in log events; smaller differences only break ties."""
+MAX_LOGGED_PARTS = 16
+"""Parts of a prompt in one log event."""
 
 
 def log_attempt(
@@ -61,6 +63,7 @@
             resting=decision.resting,
             limited=decision.limited,
             slowness=_rounded(decision.best.slowness),
+            parts=exchange.request.shared_parts[:MAX_LOGGED_PARTS],
         )
     )
 
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -27,6 +27,8 @@
     """A caller's request as decoded from its head.
 
     `time_left` is how many seconds the caller waits, if the request says so.
+    `shared_parts` are the ids of the parts of a prompt that other prompts may have too,
+    in their order: all but the last one.
     """
 
     head: RequestHead
@@ -34,6 +36,8 @@
     time_left: float | None
     key: str | None
     size: GenerationSize | None
+    model: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/piershore/platform/headers.py
+++ b/src/piershore/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
 
 from piershore.core.fleet.endpoint import Endpoint
@@ -74,6 +75,7 @@
 """Headers that are forwarded even if a caller lists them in `Connection`."""
 
 MISDIRECTED = 421
+PART_ID = re.compile(rb"[0-9A-Fa-f]{1,64}")
 MAX_DEADLINE_MILLISECONDS = 10**9
 MAX_TOKENS = 10**9
 """Far more than any engine's memory; the sums of all gateways' work stay below the
@@ -91,6 +93,8 @@
             time_left=_time_left(head.header(TIME_LEFT)),
             key=_key(head.header(AUTHORIZATION)),
             size=_size(head),
+            model=(head.header(MODEL) or b"").decode("latin-1").strip(),
+            shared_parts=_part_ids(head)[:-1],
         )
 
     def build_forwarded_head(
@@ -225,6 +229,28 @@
     return checked_integer(int(digits), maximum)
 
 
+def _part_ids(head: RequestHead) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts in their order; equal ids are equal texts."""
+    text = b",".join(head.values(PROMPT_PREFIX)).strip()
+    if not text:
+        return ()
+    try:
+        return tuple(map(_part_id, text.split(b",")))
+    except ValueError as error:
+        raise BadRequestError(
+            HTTPStatus.BAD_REQUEST, "invalid_prompt_parts", f"prompt parts: {error}"
+        ) from error
+
+
+def _part_id(part: bytes) -> str:
+    """Return the id in `ID:TOKENS`, an ID in hex; raise ValueError if it isn't one."""
+    digits, _, tokens = part.strip().partition(b":")
+    if not PART_ID.fullmatch(digits):
+        raise ValueError("an id is not a hexadecimal number")
+    _count(tokens, MAX_TOKENS)
+    return digits.decode("ascii").lower().lstrip("0") or "0"
+
+
 def _hinted_tokens(text: bytes) -> int:
     """Return a hint within the range of counts; raise ValueError if it isn't one."""
     return int(min(max(0.0, float(text)), MAX_TOKENS))
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -213,7 +213,8 @@
     has used up its quota of their rate limit). `view_age` is the age of the oldest peer
     report that the loads are based on. `expected_tokens` is the expected length of a
     generation's output, `slowness` the endpoint's time per token relative to its
-    service, None if it isn't known or the endpoints don't differ.
+    service, None if it isn't known or the endpoints don't differ. `parts` are the ids
+    of the first parts of a prompt, without the last one.
     """
 
     request: str
@@ -236,6 +237,7 @@
     resting: tuple[str, ...] = ()
     limited: tuple[str, ...] = ()
     slowness: float | None = None
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
