Quarantine parts of prompts that crash engines, not only whole requests

Callers saw: engine after engine ended under requests of which no two were alike, 36 in 60 s, and with each the reviews that it ran; sound requests found no engine.

Cause: a request was recognized by a digest of account, target and body only. Requests that have one part of their prompts in common never were the same request, so each had one crash and none the two that put it into quarantine. The incident's logs show that: 18 requests suspected of 15 crashes, 18 digests, nothing excused.

Now a crash accuses what its requests have in common with others, too: the parts of the prompt but the last, and the account. An answer that begins after a crash clears all of its request's. Requests are held that have all of the traits that explain the same two crashes equally well; a request that lacks one of them goes on, and tells which it is. Reports have the form and the way of those about whole requests. Requests that wait at an engine when they come into quarantine are recalled.

--- a/src/piershore/core/attempts/attempt_outcome.py
+++ b/src/piershore/core/attempts/attempt_outcome.py
@@ -30,7 +30,8 @@
     has not executed the request and never will. `HELD`: the request is quarantined and
     goes to no endpoint. `RESTING`: it was not sent, since the endpoint had meanwhile
     requested a backoff. `LIMITED`: it was not sent, since this gateway's quota of the
-    endpoint's rate is used up.
+    endpoint's rate is used up. `RECALLED`: its connection was closed before an answer,
+    since the request came into quarantine.
     """
 
     NOT_SENT = "not_sent"
@@ -43,6 +44,7 @@
     FAILED_ANSWER = "failed_answer"
     BROKEN_OFF = "broken_off"
     TIMED_OUT = "timed_out"
+    RECALLED = "recalled"
 
     @property
     def proves_not_run(self) -> bool:
@@ -61,9 +63,14 @@
 )
 
 
+NOT_RETRIED_OUTCOMES = frozenset(
+    {AttemptOutcome.ANSWERED, AttemptOutcome.HELD, AttemptOutcome.RECALLED}
+)
+
+
 def may_retry(kind: RequestKind, outcome: AttemptOutcome) -> bool:
     """Return whether the request may be sent to another endpoint afterwards."""
-    if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.HELD):
+    if outcome in NOT_RETRIED_OUTCOMES:
         return False
     if outcome.proves_not_run:
         return True
--- a/src/piershore/core/quarantine/endpoint_runs.py
+++ b/src/piershore/core/quarantine/endpoint_runs.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from math import inf
 
+from piershore.core.quarantine.request_fingerprint import RequestFingerprint
+
 SUSPECT_WINDOW_SECONDS = 1.0
 """A run whose first chunk came longer ago isn't suspected of its endpoint's crash.
 Observed crashes came 0.07 to 0.25 s after the start of the run that caused them; the
@@ -15,19 +17,33 @@
 stops responding is removed after 3.6 s, and the change may arrive late."""
 
 
+def _ignore_recall() -> None:
+    """Do nothing: the run can't be recalled."""
+
+
 @dataclass(eq=False)
 class EndpointRun:
     """One attempt at an endpoint.
 
-    `content` is the digest of the request, the same for all its attempts.
-    `first_chunk_at` is when the first chunk of the answer came, `ended_at` when the
-    gateway stopped waiting for more.
+    `content` is the digest of the request, the same for all its attempts; `traits` are
+    what it has in common with others. `first_chunk_at` is when
+    the first chunk of the answer came, `ended_at` when the gateway stopped waiting for
+    more. `is_probe` is whether it was released from quarantine. `recall` stops to wait
+    for an answer.
     """
 
     request: str
     content: str
+    traits: frozenset[str] = frozenset()
     first_chunk_at: float = inf
     ended_at: float = inf
+    is_probe: bool = False
+    recall: Callable[[], None] = _ignore_recall
+
+    @property
+    def fingerprint(self) -> RequestFingerprint:
+        """What the request is recognized by."""
+        return RequestFingerprint(self.content, self.traits)
 
     @property
     def has_answered(self) -> bool:
@@ -66,9 +82,15 @@
         self._runs: dict[str, list[EndpointRun]] = {}
         self._alive_at: dict[str, float] = {}
 
-    def begin(self, identity: str, request: str, content: str) -> EndpointRun:
+    def begin(
+        self,
+        identity: str,
+        request: str,
+        content: str,
+        traits: frozenset[str] = frozenset(),
+    ) -> EndpointRun:
         """Record that a request is sent to an endpoint."""
-        run = EndpointRun(request, content)
+        run = EndpointRun(request, content, traits)
         self._runs.setdefault(identity, []).append(run)
         return run
 
@@ -113,6 +135,13 @@
             if run.ended_at < inf:
                 self.end(identity, run)
 
+    def unanswered(self) -> Iterator[EndpointRun]:
+        """Yield the runs whose answer hasn't begun."""
+        for runs in self._runs.values():
+            for run in runs:
+                if not run.has_answered and run.ended_at == inf:
+                    yield run
+
     def drop_expired(self, now: float) -> None:
         """Remove runs that were abandoned long ago."""
         for identity, runs in list(self._runs.items()):
--- a/src/piershore/ingress/attempts/attempt_log.py
+++ b/src/piershore/ingress/attempts/attempt_log.py
@@ -25,6 +25,7 @@
     AttemptOutcome.HELD,
     AttemptOutcome.RESTING,
     AttemptOutcome.LIMITED,
+    AttemptOutcome.RECALLED,
 )
 COST_DECIMAL_PLACES = 3
 """Decimal places of costs in log events; smaller differences only break ties."""
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint, EndpointStage
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.quarantine.endpoint_runs import EndpointRuns, REMEMBERED_SECONDS
-from piershore.core.quarantine.quarantine import Quarantine
+from piershore.core.quarantine.request_fingerprint import RequestFingerprint
+from piershore.core.quarantine.request_quarantine import RequestQuarantine
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
@@ -23,6 +24,8 @@
 connections for a moment, until its port is closed."""
 SWEEP_INTERVAL_SECONDS = 2.0
 
+SubjectsCallback = Callable[[Collection[str]], None]
+
 
 class CrashDetector:
     """Checks whether endpoints whose answers broke off have crashed."""
@@ -30,7 +33,7 @@
     def __init__(
         self,
         runs: EndpointRuns,
-        quarantine: Quarantine,
+        quarantine: RequestQuarantine,
         directory: EndpointDirectory,
         pool: ConnectionPool,
         log: EventLog,
@@ -43,12 +46,12 @@
         self._checks: dict[str, trio.Event] = {}
         self._crashed: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
-        self._announce: Callable[[str], None] = _announce_nothing
+        self._announce: SubjectsCallback = _announce_nothing
 
-    def start(self, nursery: trio.Nursery, announce: Callable[[str], None]) -> None:
+    def start(self, nursery: trio.Nursery, announce: SubjectsCallback) -> None:
         """Run checks in a nursery.
 
-        `announce` gets the digest of each request whose state peers must know.
+        `announce` gets the contents and traits whose state peers must know.
         """
         self._nursery = nursery
         self._announce = announce
@@ -84,18 +87,51 @@
         if self._nursery is not None and any(self._runs.suspects(identity, now)):
             self._nursery.start_soon(self._check_removed, endpoint)
 
-    def record_sent(self, content: str) -> None:
+    def record_sent(self, fingerprint: RequestFingerprint) -> None:
         """Record that a request is sent to an endpoint; report a probe to the peers."""
-        if self._quarantine.record_sent(content, trio.current_time()):
-            self._announce(content)
+        now = trio.current_time()
+        self._announce(list(self._quarantine.record_sent(fingerprint, now)))
+
+    def record_completion(
+        self, request: str, fingerprint: RequestFingerprint, began_at: float
+    ) -> None:
+        """Record that an endpoint completed a request, which clears its crashes.
+
+        `began_at` is when the first chunk of its answer came.
+        """
+        now = trio.current_time()
+        self._report_cleared(
+            request, self._quarantine.record_completion(fingerprint, began_at, now)
+        )
+
+    def record_answer(
+        self, request: str, fingerprint: RequestFingerprint, began_at: float
+    ) -> None:
+        """Record that an endpoint lives on long after it began an answer."""
+        now = trio.current_time()
+        self._report_cleared(
+            request, self._quarantine.record_answer(fingerprint, began_at, now)
+        )
+
+    def recall_quarantined(self) -> None:
+        """Stop the attempts whose request has come into quarantine meanwhile.
 
-    def record_completion(self, request: str, content: str) -> None:
-        """Record that an endpoint completed a request, which clears its crashes."""
-        if not self._quarantine.record_completion(content, trio.current_time()):
+        An endpoint drops a request that it hasn't begun to run.
+        """
+        if not len(self._quarantine):
             return
-        self._log.write(RequestExcused(request, content), is_failure=True)
-        ingress_metrics.QUARANTINED_REQUESTS.set(len(self._quarantine))
-        self._announce(content)
+        for run in list(self._runs.unanswered()):
+            if self._quarantine.is_held(run.fingerprint) and not run.is_probe:
+                run.recall()
+
+    def _report_cleared(self, request: str, subjects: Iterable[str]) -> None:
+        """Log and announce subjects that an answer has cleared of crashes."""
+        cleared = list(subjects)
+        for subject in cleared:
+            self._log.write(RequestExcused(request, subject), is_failure=True)
+        if cleared:
+            ingress_metrics.QUARANTINED_REQUESTS.set(len(self._quarantine))
+            self._announce(cleared)
 
     async def wait_for_check(self, endpoint: Endpoint) -> None:
         """Wait briefly for the result of a check, if one is running."""
@@ -110,6 +146,7 @@
             await trio.sleep(SWEEP_INTERVAL_SECONDS)
             now = trio.current_time()
             self._runs.drop_expired(now)
+            self._quarantine.drop_expired(now)
             for identity, until in list(self._crashed.items()):
                 if until < now:
                     del self._crashed[identity]
@@ -153,21 +190,29 @@
     def _suspect_requests(self, identity: str) -> None:
         """Suspect the requests that the endpoint had just started to run."""
         now, quarantine = trio.current_time(), self._quarantine
+        accused: list[str] = []
         for run in list(self._runs.suspects(identity, now)):
-            crashes = quarantine.record_crash(run.content, identity, now)
-            if not crashes:
+            subjects = quarantine.record_crash(run.fingerprint, identity, now)
+            if not subjects:
                 continue
-            seconds_until_release = quarantine.seconds_until_release(run.content, now)
+            accused.extend(subjects)
             self._log.write(
                 RequestSuspected(
-                    run.request, identity, run.content, crashes, seconds_until_release
+                    run.request,
+                    identity,
+                    run.fingerprint.content,
+                    quarantine.crashes(run.fingerprint),
+                    quarantine.seconds_until_release(run.fingerprint, now),
+                    tuple(sorted(quarantine.quarantined(run.fingerprint))),
                 ),
                 is_failure=True,
             )
             ingress_metrics.SUSPECT_REQUESTS.inc()
+        if accused:
             ingress_metrics.QUARANTINED_REQUESTS.set(len(quarantine))
-            self._announce(run.content)
+            self._announce(accused)
+            self.recall_quarantined()
 
 
-def _announce_nothing(content: str) -> None:
+def _announce_nothing(subjects: Collection[str]) -> None:
     """Do nothing: there are no peers yet."""
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -8,7 +8,10 @@
 
 from piershore.core.attempts.attempt_outcome import AttemptOutcome
 from piershore.core.fleet.endpoint import Endpoint
-from piershore.core.quarantine.endpoint_runs import EndpointRun
+from piershore.core.quarantine.endpoint_runs import (
+    EndpointRun,
+    SUSPECT_WINDOW_SECONDS,
+)
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
@@ -42,7 +45,10 @@
         self._connection: ClientConnection | None = None
         self._is_complete = False
         self._is_broken = False
+        self._has_survived = False
+        self._ended_run: EndpointRun | None = None
         self._run: EndpointRun | None = None
+        self._recall_scope = trio.CancelScope()
         self._sent_at = 0.0
         self.head: ResponseHead | None = None
         self.answer: EndpointAnswer | None = None
@@ -83,11 +89,16 @@
         )
         self.may_have_run = True
         try:
-            await self._send(head)
-            self.head = await self._connection.read_head(self._is_answer)
+            with self._recall_scope:
+                await self._send(head)
+                self.head = await self._connection.read_head(self._is_answer)
         except ExchangeBrokenError as error:
             self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
+        if self.head is None:
+            raise AttemptFailedError(
+                AttemptOutcome.RECALLED, "the request came into quarantine"
+            )
         self._record_answer()
         self.answer = self._state.dialect.read_answer(self.head)
         if self.answer.was_not_run:
@@ -106,7 +117,7 @@
         except ExchangeBrokenError as error:
             self._is_broken = True
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
-        self._record_answer()
+        self._run.record_chunk(self._record_answer())
         self._is_complete = True
         return body
 
@@ -115,6 +126,7 @@
         try:
             async for chunk in self._connection.read_chunks():
                 self._run.record_chunk(self._record_answer())
+                self._record_survival()
                 yield chunk
         except ExchangeBrokenError:
             self._is_broken = True
@@ -139,9 +151,11 @@
 
         A complete answer that isn't passed to the caller proves nothing of the kind.
         """
-        exchange = self._exchange
+        run = self._run or self._ended_run
+        if run is None:
+            return
         self._state.crash_detector.record_completion(
-            exchange.identity, exchange.content
+            run.request, run.fingerprint, run.first_chunk_at
         )
 
     def _check_backoff(self) -> None:
@@ -175,11 +189,17 @@
                 AttemptOutcome.HELD,
                 "the request is quarantined: endpoints have crashed while running it",
             )
-        state.crash_detector.record_sent(exchange.content)
+        is_probe = state.quarantine.is_held(exchange.fingerprint)
+        state.crash_detector.record_sent(exchange.fingerprint)
         self._sent_at = trio.current_time()
         self._run = state.runs.begin(
-            self.endpoint.identity, exchange.identity, exchange.content
+            self.endpoint.identity,
+            exchange.identity,
+            exchange.content,
+            exchange.fingerprint.traits,
         )
+        self._run.is_probe = is_probe
+        self._run.recall = self._recall_scope.cancel
 
     def _record_answer(self) -> float:
         """Record that the endpoint sent a part of an answer; return the time."""
@@ -192,6 +212,7 @@
         run, self._run = self._run, None
         if run is None:
             return
+        self._ended_run = run
         state, identity = self._state, self.endpoint.identity
         now = trio.current_time()
         if self._is_complete or not self.may_have_run:
@@ -202,6 +223,16 @@
             self._record_break(now)
             state.crash_detector.check_endpoint(self.endpoint)
 
+    def _record_survival(self) -> None:
+        """Record once that the endpoint lives long after it began the answer."""
+        run, now = self._run, trio.current_time()
+        if self._has_survived or now - run.first_chunk_at <= SUSPECT_WINDOW_SECONDS:
+            return
+        self._has_survived = True
+        self._state.crash_detector.record_answer(
+            run.request, run.fingerprint, run.first_chunk_at
+        )
+
     def _record_break(self, now: float) -> None:
         """Record that the endpoint was alive until the connection broke."""
         if now - self._sent_at >= MIN_HELD_SECONDS:
--- a/src/piershore/ingress/callers/exchange.py
+++ b/src/piershore/ingress/callers/exchange.py
@@ -8,7 +8,9 @@
 import trio
 
 from piershore.core.attempts.request_digest import request_digest
-from piershore.core.quarantine.quarantine import Quarantine
+from piershore.core.quarantine.request_fingerprint import RequestFingerprint
+from piershore.core.quarantine.request_quarantine import RequestQuarantine
+from piershore.core.quarantine.request_traits import request_traits
 from piershore.core.routes.route import Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -46,9 +48,16 @@
         """Digest that identifies the request when it is sent again under another id."""
         return request_digest(self.account_name, self.request.head.target, self.body)
 
-    def seconds_until_release(self, quarantine: Quarantine) -> float | None:
+    @cached_property
+    def fingerprint(self) -> RequestFingerprint:
+        """What the request is recognized by when it, or one like it, is sent again."""
+        request = self.request
+        traits = request_traits(self.account_name, request.model, request.shared_parts)
+        return RequestFingerprint(self.content, traits)
+
+    def seconds_until_release(self, quarantine: RequestQuarantine) -> float | None:
         """Return in how many seconds quarantine ends; None if not quarantined."""
-        return quarantine.seconds_until_release(self.content, trio.current_time())
+        return quarantine.seconds_until_release(self.fingerprint, trio.current_time())
 
     @property
     def account_name(self) -> str:
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -10,6 +10,7 @@
 
 from piershore.core.attempts.leaving import IMMEDIATE_RETRY_SECONDS
 from piershore.core.attempts.retry_budget import RetryBudget, RetryLimits
+from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.data_hall_stalls import DataHallStalls
 from piershore.core.fleet.endpoint import Endpoint
@@ -32,7 +33,7 @@
 from piershore.core.limits.retry_schedule import RetrySchedule
 from piershore.core.mechanism import Mechanism
 from piershore.core.quarantine.endpoint_runs import EndpointRuns
-from piershore.core.quarantine.quarantine import Quarantine
+from piershore.core.quarantine.request_quarantine import RequestQuarantine
 from piershore.core.routes.current_configuration import CurrentConfiguration
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.attempts.crash_detector import CrashDetector
@@ -87,7 +88,7 @@
     fleet_load: FleetLoad = field(default_factory=FleetLoad)
     lengths: OutputLengths = field(default_factory=OutputLengths)
     runs: EndpointRuns = field(default_factory=EndpointRuns)
-    quarantine: Quarantine = field(default_factory=Quarantine)
+    quarantine: RequestQuarantine = field(default_factory=RequestQuarantine)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     leaving_since: float | None = None
     stops_at: float = float("inf")
@@ -102,6 +103,7 @@
 
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
+        self.quarantine.set_rank(self._rank)
         self.expectation = LENGTH_EXPECTATIONS[self.policies.lengths]()
         self.crash_detector = CrashDetector(
             self.runs, self.quarantine, self.directory, self.pool, self.log
@@ -131,6 +133,11 @@
             self.speeds,
         )
 
+    def _rank(self, key: str) -> int:
+        """Return this gateway's rank among the live gateways, by a hash of `key`."""
+        hosts = [self.host, *self.subsets.peers]
+        return rendezvous_order(key, hosts).index(self.host)
+
     def is_enabled(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return mechanism not in self.policies.disabled
--- a/src/piershore/ingress/peers/crash_reporter.py
+++ b/src/piershore/ingress/peers/crash_reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterator
 from itertools import islice
 
 import trio
@@ -23,6 +24,8 @@
 seconds. One request of 150 bytes costs 0.5 KB a second for any number of gateways."""
 MAX_RESENT_REQUESTS = 8
 """Maximum number of requests in one repeated datagram; the others follow in turn."""
+MAX_SENT_REPORTS = 32
+"""Maximum number of reports in one datagram: some 5 KB, and 20 KB with the longest."""
 
 
 class CrashReporter:
@@ -39,10 +42,10 @@
         self._nursery = nursery
         self._link.set_crash_handlers(self.apply_reports, self.send_to_new_peer)
 
-    def announce(self, content: str) -> None:
-        """Report a crash, a cleared request or a probe to all peers at once."""
-        if self._nursery is not None:
-            self._nursery.start_soon(self._send_to_all, content)
+    def announce(self, subjects: Collection[str]) -> None:
+        """Report crashes, cleared subjects or probes to all peers at once."""
+        if self._nursery is not None and subjects:
+            self._nursery.start_soon(self._send_to_all, tuple(subjects))
 
     def send_to_new_peer(self, host: str) -> None:
         """Send a new peer the quarantined requests; only some gateways do so."""
@@ -54,26 +57,27 @@
 
     def apply_reports(self, reports: tuple[CrashReport, ...]) -> None:
         """Merge a peer's reports into the quarantine."""
-        for report in reports:
-            self._apply_report(report, trio.current_time())
+        now = trio.current_time()
+        corrected = [r.content for r in reports if self._apply_report(r, now)]
+        self.announce(corrected)
+        self._state.crash_detector.recall_quarantined()
         ingress_metrics.QUARANTINED_REQUESTS.set(len(self._state.quarantine))
 
-    def _apply_report(self, report: CrashReport, now: float) -> None:
+    def _apply_report(self, report: CrashReport, now: float) -> bool:
+        """Apply one report; return whether its sender lacks what clears its subject."""
         quarantine = self._state.quarantine
         was_quarantined = quarantine.is_quarantined(report.content)
-        if not quarantine.apply_report(report, now):
-            return
-        if quarantine.clear_if_completed(report.content, now):
-            self.announce(report.content)
-        if quarantine.is_quarantined(report.content) == was_quarantined:
-            return
-        event = RequestHeld(
-            report.content,
-            not was_quarantined,
-            tuple(sorted(report.crashed)),
-            quarantine.seconds_until_release(report.content, now),
-        )
-        self._state.log.write(event, is_failure=True)
+        is_new = quarantine.apply_report(report, now)
+        needs_answer = quarantine.needs_answer(report, now)
+        if is_new and quarantine.is_quarantined(report.content) != was_quarantined:
+            event = RequestHeld(
+                report.content,
+                not was_quarantined,
+                tuple(sorted(report.crashed)),
+                quarantine.seconds_until_probe(report.content, now),
+            )
+            self._state.log.write(event, is_failure=True)
+        return needs_answer
 
     async def run(self) -> None:
         """Send the quarantined requests again periodically, until cancelled."""
@@ -83,12 +87,18 @@
             count = min(RESEND_PEERS, len(hosts))
             await self._send_quarantined(self._state.random.sample(hosts, count))
 
-    async def _send_to_all(self, content: str) -> None:
+    async def _send_to_all(self, subjects: tuple[str, ...]) -> None:
         for pause in (0.0, REPEAT_DELAY_SECONDS):
             await trio.sleep(pause)
-            report = self._state.quarantine.report(content)
+            for batch in _batches(list(self._reports(subjects))):
+                await self._send(batch, self._link.living_hosts())
+
+    def _reports(self, subjects: tuple[str, ...]) -> Iterator[CrashReport]:
+        """Yield the reports about subjects that are still remembered."""
+        for subject in dict.fromkeys(subjects):
+            report = self._state.quarantine.report(subject)
             if report is not None:
-                await self._send([report], self._link.living_hosts())
+                yield report
 
     async def _send_quarantined(self, hosts: list[str]) -> None:
         quarantined = list(self._state.quarantine.quarantined_reports())
@@ -104,3 +114,9 @@
         data = encode_reports(reports)
         for host in hosts:
             await self._link.send_to(host, data)
+
+
+def _batches(reports: list[CrashReport]) -> list[list[CrashReport]]:
+    """Return the reports in lists that fit into a datagram each."""
+    starts = range(0, len(reports), MAX_SENT_REPORTS)
+    return [reports[start : start + MAX_SENT_REPORTS] for start in starts]
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -273,8 +273,9 @@
 class RequestSuspected(LogEvent):
     """An endpoint crashed just after it began to run a request.
 
-    `crashes` counts the crashes so far; `held` is for how many seconds the request is
-    quarantined, or None if it isn't.
+    `crashes` counts the crashes so far under the same content; `held` is for how many
+    seconds the request is quarantined, or None if it isn't. `quarantined` are the
+    contents and traits for which it is held.
     """
 
     request: str
@@ -282,13 +283,14 @@
     content: str
     crashes: int
     held: float | None
+    quarantined: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class RequestHeld(LogEvent):
-    """Crash reports of peers put a request into quarantine or released it.
+    """Crash reports of peers put a content or trait into quarantine or released it.
 
-    `held` is for how many seconds it is quarantined.
+    `held` is for how many seconds a whole request is quarantined.
     """
 
     content: str
@@ -299,7 +301,7 @@
 
 @dataclass(frozen=True)
 class RequestExcused(LogEvent):
-    """A suspected request completed without a crash."""
+    """A suspected content or trait had an answer without a crash."""
 
     request: str
     content: str
