Answers that end with their connection: check whether a crash ended them

Callers saw: a stream whose engine had crashed after a whole event looked complete, and the requests that crash engines were never suspected: 36 crashes in 16 s.

Cause: an answer with neither length nor chunks ends when its connection does, also in a crash, and the attempt counted as complete; the relay found a truncated last event only after it had closed the attempt, which ended the run as answered.

A truncated event now counts as broken off, and an endpoint whose answer ended with its connection within a second of its begin is probed before the answer counts as complete: 30 ms, for such answers only. The same holds for whole answers. The product's own engine protocol has a last line and isn't affected.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -34,6 +34,7 @@
     When they are sent for 4 s without the part, and for 16 s with it
     Then at most 5 engines crash, and at most 3 runs with the part follow
     And sound streams are served 0.95 as often as before
+    And no stream that its engine broke off looks complete
 
     Examples:
       | when            |
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -91,6 +91,11 @@
     assert len(times) < crashes or later <= runs, later
 
 
+@then("no stream that its engine broke off looks complete")
+def check_incomplete(context):
+    assert not context.traffic.wrongly_whole, context.traffic.wrongly_whole
+
+
 @then("sound streams are served {ratio:g} as often as before")
 def check_sound(context, ratio):
     traffic = context.traffic
--- a/features/support/part_traffic.py
+++ b/features/support/part_traffic.py
@@ -53,6 +53,7 @@
         self._random = Random(self.seed)
         self._numbers = count(1)
         self.engine_options = {}
+        self.wrongly_whole = 0
         self.crashing_since = float("inf")
 
     def crash_times(self):
@@ -125,6 +126,8 @@
             )
         except (NotConnectedError, ExchangeBrokenError):
             return None
+        if reply.status == 200 and reply.is_whole and len(reply.events) < EVENTS:
+            self.wrongly_whole += 1
         stream.is_whole = reply.status == 200 and len(reply.events) == EVENTS
         return reply
 
--- a/src/piershore/http1/message.py
+++ b/src/piershore/http1/message.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 
 Headers = tuple[tuple[bytes, bytes], ...]
 """Pairs of a name in lower case and a value, in order."""
@@ -24,6 +25,10 @@
 """Headers that apply to a single connection (RFC 9110, 7.6.1)."""
 
 
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+STATUSES_WITHOUT_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
 @dataclass(frozen=True)
 class RequestHead:
     """Method, target and headers of a request."""
@@ -67,6 +72,14 @@
         """Yield all values of a header."""
         return (value for key, value in self.headers if key == name)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of its connection ends the body (RFC 9112, 6.3)."""
+        if self.status in STATUSES_WITHOUT_BODY:
+            return False
+        names = {name for name, _ in self.headers}
+        return names.isdisjoint(FRAMING_HEADERS)
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None."""
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -72,6 +72,22 @@
         self._checks[identity] = trio.Event()
         self._nursery.start_soon(self._check, endpoint)
 
+    async def has_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint crashed before now; probe it if that isn't known.
+
+        It counts as alive if no probe tells.
+        """
+        for delay in PROBE_DELAYS_SECONDS:
+            await trio.sleep(delay)
+            if endpoint.identity in self._crashed:
+                return True
+            is_there = await self._pool.is_listening(endpoint.address)
+            if is_there is False:
+                self._record_crash(endpoint.identity)
+            elif is_there:
+                return False
+        return endpoint.identity in self._crashed
+
     def record_removal(self, endpoint: Endpoint, *, is_restarted: bool) -> None:
         """Check an endpoint whose entry was removed without a notice.
 
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -119,6 +119,10 @@
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
         self._run.record_chunk(self._record_answer())
         self._is_complete = True
+        if await self.was_cut_by_crash():
+            raise AttemptFailedError(
+                AttemptOutcome.MAYBE_RUN, "the endpoint crashed as its answer ended"
+            )
         return body
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
@@ -133,6 +137,28 @@
             raise
         self._is_complete = True
 
+    def record_truncation(self) -> None:
+        """Record that the answer ended inside an event: its endpoint broke it off.
+
+        An attempt that the gateway ended itself doesn't count.
+        """
+        self._is_broken = self._is_broken or self._is_complete
+        self._is_complete = False
+
+    async def was_cut_by_crash(self) -> bool:
+        """Return whether the end of the answer was its endpoint's crash.
+
+        Only an answer that has just begun and ends with its connection is checked,
+        which takes some 30 ms.
+        """
+        may_be_cut = self._is_complete and self.head.ends_with_connection
+        if not may_be_cut or not self._run.is_suspect(trio.current_time()):
+            return False
+        has_crashed = await self._state.crash_detector.has_crashed(self.endpoint)
+        if has_crashed:
+            self._is_broken, self._is_complete = True, False
+        return has_crashed
+
     async def close(self) -> None:
         """Return the connection to the pool; close it if the answer is incomplete."""
         self._end_run()
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -52,6 +52,7 @@
                 await self._relay(attempt, splitter.feed(chunk))
                 if len(splitter.remainder) > MAX_EVENT_BYTES:
                     return f"an event has over {MAX_EVENT_BYTES} bytes"
+            cut = await self._find_cut(attempt, splitter)
         except ExchangeBrokenError as error:
             return error.message
         except MissingEventError as error:
@@ -60,12 +61,28 @@
             await attempt.close()
         if stream.is_given_up:
             return "the endpoint was given up"
-        if stream.handover is not None and stream.handover.run_stopped:
+        if self._is_stopped:
             return "the run was stopped for a move"
+        return cut
+
+    async def _find_cut(
+        self, attempt: EndpointAttempt, splitter: EventSplitter
+    ) -> str | None:
+        """Return why an answer that ended is incomplete; None if it seems complete."""
         if splitter.remainder:
+            if not self._is_stopped:
+                attempt.record_truncation()
             return "the last event was truncated"
+        if await attempt.was_cut_by_crash():
+            return "the endpoint crashed as its answer ended"
         return None
 
+    @property
+    def _is_stopped(self) -> bool:
+        """Whether the endpoint has confirmed that it stopped the run for a move."""
+        handover = self._stream.handover
+        return handover is not None and handover.run_stopped
+
     async def _next_chunk(
         self, attempt: EndpointAttempt, chunks: AsyncIterator[bytes]
     ) -> bytes | None:
