A gateway that starts learns what is in quarantine before it takes requests

Callers saw: a gateway that had just started sent on what all others had in quarantine, and crashed one more engine.

Cause: peers send a new peer what is in quarantine with their next report, only some of them, and not at all to one that was away for less than 2 s, since it never counted as silent. A gateway was ready before.

A peer answers the first report of a process that knows no other peer at once, also when nothing is in quarantine, and the process waits for that, at most 0.3 s.

--- a/src/piershore/core/fleet/peer_table.py
+++ b/src/piershore/core/fleet/peer_table.py
@@ -56,6 +56,13 @@
         peer.report_received_at = now
         return True
 
+    def is_from_new_process(self, report: PeerReport) -> bool:
+        """Return whether a report is the first one received from its process."""
+        peer = self._peers.get(report.host)
+        if peer is None or peer.report is None:
+            return True
+        return peer.report.incarnation != report.incarnation
+
     def is_newer(self, update: LoadUpdate) -> bool:
         """Return whether an update is newer than its gateway's last report."""
         peer = self._peers.get(update.host)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -125,6 +125,7 @@
         self._status = StatusService(self._is_ready)
         self._metrics_port = metrics_port
         self._peers: PeerLink | None = None
+        self._crash_reporter: CrashReporter | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -160,7 +161,7 @@
         self._state.announce = link.announce
         self._state.announce_failure = link.announce_failure
         load_updates = LoadUpdateSender(self._state, link)
-        crash_reporter = CrashReporter(self._state, link)
+        self._crash_reporter = crash_reporter = CrashReporter(self._state, link)
         speed_reporter = SpeedReporter(self._state, link)
         if self._state.is_enabled(Mechanism.SUBSETS):
             self._state.announce_load = load_updates.schedule_update
@@ -270,6 +271,8 @@
             and self._state.configuration.value is not None
             and self._endpoints.is_known
             and (self._drains.is_known or not self._can_drain)
+            and self._crash_reporter is not None
+            and self._crash_reporter.is_informed
         )
 
     @property
--- a/src/piershore/ingress/peers/crash_reporter.py
+++ b/src/piershore/ingress/peers/crash_reporter.py
@@ -24,6 +24,9 @@
 seconds. One request of 150 bytes costs 0.5 KB a second for any number of gateways."""
 MAX_RESENT_REQUESTS = 8
 """Maximum number of requests in one repeated datagram; the others follow in turn."""
+MAX_START_WAIT_SECONDS = 0.3
+"""How long a process that starts waits for a peer's reports before it takes requests; a
+peer answers within milliseconds."""
 MAX_SENT_REPORTS = 32
 """Maximum number of reports in one datagram: some 5 KB, and 20 KB with the longest."""
 
@@ -35,18 +38,37 @@
         self._state = state
         self._link = link
         self._next_index = 0
+        self._started_at = float("-inf")
+        self._has_received = False
         self._nursery: trio.Nursery | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
         """Set the nursery to send in, and start to apply reports of peers."""
         self._nursery = nursery
-        self._link.set_crash_handlers(self.apply_reports, self.send_to_new_peer)
+        self._started_at = trio.current_time()
+        self._link.set_crash_handlers(
+            self.apply_reports, self.send_to_new_peer, self.send_to_new_process
+        )
 
     def announce(self, subjects: Collection[str]) -> None:
         """Report crashes, cleared subjects or probes to all peers at once."""
         if self._nursery is not None and subjects:
             self._nursery.start_soon(self._send_to_all, tuple(subjects))
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether a peer has sent what is in quarantine, or none seems to be there."""
+        age = trio.current_time() - self._started_at
+        return self._has_received or age >= MAX_START_WAIT_SECONDS
+
+    def send_to_new_process(self, host: str) -> None:
+        """Send a peer that has just started all that is in quarantine.
+
+        It waits for that, so something is sent in any case.
+        """
+        if self._nursery is not None:
+            self._nursery.start_soon(self._send_all_quarantined, host)
+
     def send_to_new_peer(self, host: str) -> None:
         """Send a new peer the quarantined requests; only some gateways do so."""
         peers = self._state.gateway_count - 1
@@ -57,6 +79,7 @@
 
     def apply_reports(self, reports: tuple[CrashReport, ...]) -> None:
         """Merge a peer's reports into the quarantine."""
+        self._has_received = True
         now = trio.current_time()
         corrected = [r.content for r in reports if self._apply_report(r, now)]
         self.announce(corrected)
@@ -93,6 +116,11 @@
             for batch in _batches(list(self._reports(subjects))):
                 await self._send(batch, self._link.living_hosts())
 
+    async def _send_all_quarantined(self, host: str) -> None:
+        quarantined = list(self._state.quarantine.quarantined_reports())
+        for batch in _batches(quarantined) or [[]]:
+            await self._send(batch, [host])
+
     def _reports(self, subjects: tuple[str, ...]) -> Iterator[CrashReport]:
         """Yield the reports about subjects that are still remembered."""
         for subject in dict.fromkeys(subjects):
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -100,6 +100,7 @@
         self._leaving_since: dict[str, float] = {}
         self._membership_changed_at = float("-inf")
         self._on_new_peer: Callable[[str], None] = _ignore
+        self._on_new_process: Callable[[str], None] = _ignore
         self._handlers: dict[bytes, Callable[[bytes], None]] = {}
         self.add_handler(LOAD_UPDATE_PREFIX, self._apply_load_update)
         self.add_handler(CRASH_REPORTS_PREFIX, _ignore)
@@ -115,12 +116,18 @@
         self,
         apply_reports: Callable[[tuple[CrashReport, ...]], None],
         on_new_peer: Callable[[str], None],
+        on_new_process: Callable[[str], None],
     ) -> None:
-        """Set the callbacks for crash reports of peers and for each new peer's host."""
+        """Set the callbacks for crash reports of peers and for each new peer's host.
+
+        `on_new_process` gets the host of a peer whose process has just started and
+        knows no other yet.
+        """
         self.add_handler(
             CRASH_REPORTS_PREFIX, lambda data: apply_reports(decode_reports(data))
         )
         self._on_new_peer = on_new_peer
+        self._on_new_process = on_new_process
 
     async def start(self) -> None:
         """Bind the socket."""
@@ -341,8 +348,11 @@
 
     def _apply_report(self, report: PeerReport) -> None:
         now = trio.current_time()
+        is_from_new_process = self.table.is_from_new_process(report)
         if not self.table.apply_report(report, now):
             return
+        if is_from_new_process and not report.members:
+            self._on_new_process(report.host)
         if report.is_leaving:
             self._leaving_since.setdefault(report.host, now)
         else:
