Gateways lend each other parts of endpoints' rates that they don't use

Cause: each gateway had an equal part of a rate, whoever had the callers. Class: a bound on the sum over all gateways, divided by their number and not by their demand.

A peer gives a part up first, keeps what its own callers want, and takes the part back only when it can't have been used within a window any more; a borrower counts its time from its own request, so that late, lost and repeated messages only leave a part unused. Nothing is sent while callers are spread evenly.

--- a/features/skewed_connections.feature
+++ b/features/skewed_connections.feature
@@ -12,3 +12,13 @@
       | gateways | endpoints | rate | load |
       | 6        | 4         | 12   | 30   |
       | 24       | 8         | 8    | 40   |
+
+  # A part that is used by a borrower and its lender would exceed the rate.
+  Scenario: gateways lend each other parts of a rate, and messages are late or lost
+    Then in any 4 s gateways that lend send at most 4 times the rate, wherever callers are
+
+  Scenario: callers are spread evenly while gateways may lend
+    Then gateways that get as many callers as others lend nothing
+
+  Scenario: peers send any loan messages
+    Then loan messages are decoded or refused with their code
--- a/src/piershore/core/fleet/endpoint_rate_limits.py
+++ b/src/piershore/core/fleet/endpoint_rate_limits.py
@@ -16,7 +16,9 @@
 from dataclasses import dataclass
 from math import inf
 
+from piershore.core.fleet.demand_meter import DemandMeter
 from piershore.core.fleet.endpoint import Endpoint
+from piershore.core.fleet.rate_loans import LoanTerms, RateLoans
 from piershore.core.fleet.rate_shares import RateShares, Share
 from piershore.core.fleet.sent_requests import SentRequests
 from piershore.core.limits.endpoint_rate_limiter import (
@@ -95,6 +97,9 @@
         self._latest: dict[str, AdvertisedRate] = {}
         self._received: dict[str, AdvertisedRate] = {}
         self._sent = SentRequests()
+        self._short_at: dict[str, float] = {}
+        self.loans = RateLoans()
+        self.demand = DemandMeter()
 
     def rate(self, identity: str) -> float:
         """Return the requests a second that an endpoint accepts."""
@@ -179,16 +184,57 @@
         share = self._shares.of(endpoint)
         if share is None:
             return inf
+        identity = endpoint.identity
         quota = self._quota(latest.rate, share)
-        if self._should_probe(endpoint.identity, latest, share, quota.window, now):
+        if self._should_probe(identity, latest, share, quota.window, now):
             return 0.0
-        if not quota.requests:
-            return inf
-        sent_at = self._sent.latest(endpoint.identity, quota.requests)
+        terms = LoanTerms(latest.rate, share.gateways)
+        requests = quota.requests + self.loans.borrowed(identity, terms, now)
+        requests -= self.loans.lent(identity, now)
+        if requests <= 0:
+            return self.loans.seconds_until_return(identity, now) or inf
+        sent_at = self._sent.latest(identity, requests)
         if sent_at is None:
             return 0.0
         return max(0.0, sent_at + quota.window + TRANSIT_JITTER_SECONDS - now)
 
+    def record_shortage(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Record that a request found no quota at any of the endpoints."""
+        for endpoint in endpoints:
+            if self.is_limited(endpoint.identity):
+                self._short_at[endpoint.identity] = now
+
+    def was_short(self, identity: str, since: float) -> bool:
+        """Return whether a request has found no quota after a time."""
+        return self._short_at.get(identity, -inf) > since
+
+    def sent_in_window(self, endpoint: Endpoint, now: float) -> int:
+        """Return how many requests were sent within the window of the quota."""
+        quota = self.quota(endpoint)
+        since = now - quota.window - TRANSIT_JITTER_SECONDS
+        return self._sent.count(endpoint.identity, since)
+
+    def terms(self, endpoint: Endpoint) -> LoanTerms | None:
+        """Return the terms of loans at an endpoint; None if there can't be any."""
+        share = self._shares.of(endpoint)
+        if share is None or not self.is_limited(endpoint.identity):
+            return None
+        return LoanTerms(self.rate(endpoint.identity), share.gateways)
+
+    def fleet_quota(self, endpoint: Endpoint) -> RateQuota:
+        """Return the quota of all gateways together at an endpoint with a limit."""
+        share = self._shares.of(endpoint)
+        gateways = share.gateways if share else len(self._shares)
+        return fleet_quota(self.rate(endpoint.identity), gateways)
+
+    def lend(
+        self, endpoint: Endpoint, borrower: str, requests: int, now: float
+    ) -> None:
+        """Give up requests in each window for a while; another gateway uses them."""
+        window = self.quota(endpoint).window + TRANSIT_JITTER_SECONDS
+        terms = self.terms(endpoint)
+        self.loans.lend(endpoint.identity, borrower, requests, terms, window, now)
+
     def gateway_rate(self, endpoint: Endpoint) -> float:
         """Return the mean rate of one gateway under a limit, in requests a second."""
         share = self._shares.of(endpoint)
@@ -209,6 +255,8 @@
         self._latest.pop(identity, None)
         self._received.pop(identity, None)
         self._sent.forget(identity)
+        self._short_at.pop(identity, None)
+        self.loans.forget(identity)
 
     def drop_expired(self, now: float) -> None:
         """Drop unconfirmed limits, and ended ones that no longer need reporting."""
@@ -216,6 +264,7 @@
             max_age = FORGET_SECONDS if latest.is_limit else REPORTED_SECONDS
             if now - latest.at >= max_age:
                 self.forget(identity)
+        self.loans.drop_expired(now)
 
     def _quota(self, rate: float, share: Share) -> RateQuota:
         """Return this gateway's quota of a rate."""
--- a/src/piershore/core/fleet/rate_shares.py
+++ b/src/piershore/core/fleet/rate_shares.py
@@ -59,6 +59,10 @@
             self._shares[endpoint.identity] = self._share(endpoint)
         return self._shares[endpoint.identity]
 
+    def peers(self, endpoint: Endpoint) -> list[str]:
+        """Return the hosts of the peers that share an endpoint's rate."""
+        return list(self._sharing_peers(endpoint) or ())
+
     def _share(self, endpoint: Endpoint) -> Share | None:
         peers = self._sharing_peers(endpoint)
         if peers is None:
--- a/src/piershore/core/mechanism.py
+++ b/src/piershore/core/mechanism.py
@@ -48,3 +48,5 @@
     """A repeatable call doesn't spend its whole timeout on the first endpoint."""
     ENDPOINT_SPEEDS = "endpoint_speeds"
     """Placement includes how fast each endpoint is, where endpoints differ."""
+    RATE_LOANS = "rate_loans"
+    """Gateways lend each other parts of endpoints' rates that they don't use."""
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -121,7 +121,7 @@
         service = exchange.route.service_for(exchange.identity)
         if service is None:
             return None
-        self._state.retry_budget(service).record_request(trio.current_time())
+        self._state.record_request(service)
         while True:
             now = trio.current_time()
             decision = self._state.placement.for_call(service, now, self._tried)
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -32,6 +32,7 @@
 from piershore.ingress.peers.outage_prober import OutageProber
 from piershore.ingress.peers.peer_documents import PeerDocuments
 from piershore.ingress.peers.peer_link import PeerLink
+from piershore.ingress.peers.rate_loan_exchange import RateLoanExchange
 from piershore.ingress.peers.speed_reporter import SpeedReporter
 from piershore.ingress.ports import (
     ConfigurationFeed,
@@ -163,6 +164,7 @@
         load_updates = LoadUpdateSender(self._state, link)
         self._crash_reporter = crash_reporter = CrashReporter(self._state, link)
         speed_reporter = SpeedReporter(self._state, link)
+        rate_loans = RateLoanExchange(self._state, link)
         if self._state.is_enabled(Mechanism.SUBSETS):
             self._state.announce_load = load_updates.schedule_update
         self._state.seconds_until_accepted = link.seconds_until_accepted
@@ -188,6 +190,9 @@
                 self._moves.start(nursery, link)
                 self._state.crash_detector.start(nursery, crash_reporter.announce)
                 crash_reporter.start(nursery)
+                if self._state.is_enabled(Mechanism.RATE_LOANS):
+                    rate_loans.start(nursery)
+                    nursery.start_soon(self._supervise, rate_loans.run)
                 nursery.start_soon(self._supervise, self._state.crash_detector.sweep)
                 nursery.start_soon(self._supervise, crash_reporter.run)
                 if self._state.is_enabled(Mechanism.ENDPOINT_SPEEDS):
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -108,7 +108,8 @@
         self.crash_detector = CrashDetector(
             self.runs, self.quarantine, self.directory, self.pool, self.log
         )
-        shares = RateShares(self.host, self.subsets, self.configuration)
+        self.rate_shares = RateShares(self.host, self.subsets, self.configuration)
+        shares = self.rate_shares
         self.limits = EndpointRateLimits(shares)
         notice_handler = NoticeHandler(self.directory, self.backoffs, self.limits)
         self.limit_monitor = RateLimitMonitor(self.limits, self.directory, self.log)
@@ -168,6 +169,12 @@
         self.health.record_success(identity)
         self.failures.record(identity, trio.current_time(), failed=False)
 
+    def record_request(self, service: str) -> None:
+        """Record that a caller's request for a service has come."""
+        now = trio.current_time()
+        self.retry_budget(service).record_request(now)
+        self.limits.demand.record(service, now)
+
     def spend_retry(self, service: str) -> bool:
         """Spend a retry of the budget; return False if none is left."""
         if not self.is_enabled(Mechanism.SECOND_RUNS):
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -62,7 +62,7 @@
         service = exchange.route.service_for(exchange.identity)
         if service is None:
             raise self.refusal()
-        self._state.retry_budget(service).record_request(trio.current_time())
+        self._state.record_request(service)
         tried: list[str] = []
         while True:
             decision = await self._choose_with_memory(service, tried)
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -164,6 +164,11 @@
     ["service"],
     registry=REGISTRY,
 )
+LOAN_REQUESTS = Counter(
+    "piershore_ingress_loan_requests",
+    "Requests to peers for parts of endpoints' rates.",
+    registry=REGISTRY,
+)
 PEERS = Gauge("piershore_ingress_peers", "Peers heard of late.", registry=REGISTRY)
 IN_FLIGHT = Gauge(
     "piershore_ingress_in_flight", "Requests under way.", registry=REGISTRY
