Which parts to hold: one crash a moment for known ones, groups found when asked for

Found in virtual time before anyone saw it: where 4 of 9 engines crash together, 5 to 7 in 100 sound requests were held, since three crashes at once accuse a part that all requests have. Crashes that follow each other within 0.1 s count as one for a part with which answers began lately; of traits with as much evidence the one with more crashes goes first.

devtools.bench.part_crash_experiment plays ten kinds of traffic with three kinds of faults; the scenarios take ten of these cases. A caller that names hundreds of parts, and unreadable lists, have scenarios too.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -49,3 +49,39 @@
     When after 6 s with it a gateway starts, and gets 10 requests with the part as soon as it is ready
     Then at most 5 engines crash, and at most 3 runs with the part follow
     And the last 10 are answered 429 with the time of the next probe
+
+  # Parts that many requests have, or that stand beside the one at fault, were held for
+  # crashes that they did not cause.
+  Scenario Outline: <traffic> of prompts in virtual time, <faults>
+    When six fleets get "<traffic>" with <faults>
+    Then a part crashes at most 5 engines of each fleet
+    And at most 0.05 of the sound requests are held
+
+    Examples:
+      | traffic                             | faults                        |
+      | first part                          | no other faults               |
+      | third part, in 0.6                  | no other faults               |
+      | always after another                | no other faults               |
+      | after several                       | a crash by chance each 1.5 s  |
+      | two at once                         | a crash by chance each 1.5 s  |
+      | sound before                        | no other faults               |
+      | an account that names others' parts | a crash by chance each 1.5 s  |
+      | third part                          | 4 engines that crash each 5 s |
+      | none                                | 4 engines that crash each 5 s |
+      | third part                          | 0.3 of the reports lost       |
+
+  Scenario: a caller names hundreds of parts
+    Then of 300 parts 64 are tracked, and a crash under them accuses no others
+    And 5000 accused parts take no more records than allowed, and those held stay
+
+  Scenario Outline: the list of a prompt's parts is <what>
+    When a stream is requested whose prompt has the parts "<parts>"
+    Then it is answered <status>
+
+    Examples:
+      | what                | parts                     | status |
+      | as agreed           | 5c1e07a2:800,91bd3f06:410 | 200    |
+      | empty               |                           | 200    |
+      | without counts      | 5c1e07a2,91bd3f06         | 400    |
+      | no list             | a part                    | 400    |
+      | with a negative one | 5c1e07a2:-3               | 400    |
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -4,10 +4,23 @@
 
 import trio
 from behave import given, step, then, when
+from quarantine_steps import ENGINE_LOST, ManyRetries, ScriptedLinks
 from support.ingress_world import IngressWorld
 from support.part_traffic import CRASHING_PART, FIRST_PART, PartTraffic, SECOND_PART
 from support.stream_reading import wait_for_peers
 
+from devtools.bench.part_crash_experiment import (
+    PartCrashRun,
+    PartCrashSettings,
+    SEEDS,
+    TRAFFIC,
+)
+from piershore.core.quarantine.request_traits import MAX_TRACKED_PARTS, request_traits
+from piershore.core.quarantine.trait_quarantine import MAX_RECORDS, TraitQuarantine
+from piershore.gateway.exceptions import RequestRefusedError
+from piershore.gateway.generation_service import GenerationService
+from piershore.gateway.requested_generation import RequestedGeneration
+from piershore.wire.link_pb2 import Accepted, Ended, StreamTokens
 from standins.published_endpoint import CrashPoint
 
 POSITIONS = {"first": 0, "second": 1, "third": 2}
@@ -105,3 +118,130 @@
     after = traffic.served_share(last + 2 * CONTACT_SECONDS, context.ended_at)
     print(f"served {before:.3f} before, {after:.3f} after")
     assert after >= ratio * before, (before, after)
+
+
+SYSTEM, TOOL, BAD = "digest-system", "digest-tool", "digest-bad"
+ANSWERED = (
+    Accepted(request=1, generation="g"),
+    StreamTokens(request=1, first_index=0, tokens=["a"]),
+    Ended(request=1, next_index=1),
+)
+
+
+@when("orders that differ in their last message lose their engines, and others don't")
+def order_with_parts(context):
+    links = ScriptedLinks(9, ENGINE_LOST)
+    service = GenerationService(links, ManyRetries(), 5.0)
+    context.codes = []
+
+    async def order(number, parts):
+        generation = RequestedGeneration(
+            "surulere", "model", "review", 1, f"{number}", 10, shared_parts=parts
+        )
+        links.frames = ENGINE_LOST if BAD in parts else ANSWERED
+        try:
+            await service.complete(generation)
+            return "served"
+        except RequestRefusedError as error:
+            return error.code
+
+    async def script():
+        for number in range(6):
+            context.codes.append(await order(number, (SYSTEM, BAD, TOOL)))
+            context.codes.append(await order(100 + number, (SYSTEM, TOOL)))
+        context.lost = links.lost
+
+    trio.run(script)
+
+
+@then(
+    "{count:d} engines were lost, and the next order with that message is refused as"
+    " not run"
+)
+def check_orders(context, count):
+    assert context.lost == count, (context.lost, context.codes)
+    assert context.codes[-2] == "quarantined", context.codes
+
+
+@then("orders of the same account without that message are served")
+def check_sound_orders(context):
+    assert context.codes[1::2] == ["served"] * 6, context.codes
+
+
+FAULTS = {
+    "no other faults": {},
+    "a crash by chance each 1.5 s": {"crash_every": 1.5},
+    "4 engines that crash each 5 s": {"crash_every": 5.0, "crash_together": 4},
+    "0.3 of the reports lost": {"lost_share": 0.3},
+}
+BAD_PARTS = {"two at once": 2}
+
+
+@when('six fleets get "{traffic}" with {faults}')
+def play_traffic(context, traffic, faults):
+    settings = PartCrashSettings(TRAFFIC[traffic], **FAULTS[faults])
+    context.bad_parts = BAD_PARTS.get(traffic, 1)
+    context.runs = [PartCrashRun(settings, seed) for seed in SEEDS]
+    for run in context.runs:
+        run.run()
+
+
+@then("a part crashes at most {maximum:d} engines of each fleet")
+def check_fleets(context, maximum):
+    crashes = [len(run.crashes) for run in context.runs]
+    assert max(crashes) <= maximum * context.bad_parts, crashes
+
+
+@then("at most {share:g} of the sound requests are held")
+def check_held(context, share):
+    for run in context.runs:
+        assert run.sound_held <= share * run.sound, (run.sound_held, run.sound)
+
+
+@then(
+    "of {count:d} parts {maximum:d} are tracked, and a crash under them accuses no others"
+)
+def check_many_parts(context, count, maximum):
+    assert maximum == MAX_TRACKED_PARTS
+    many = request_traits("x", "m", [f"{number:x}" for number in range(count)])
+    account = request_traits("x", "m", ["a"]) - request_traits("y", "m", ["a"])
+    assert len(many) == maximum + 1 and account & many
+    quarantine = TraitQuarantine()
+    for engine in ("e-1", "e-2"):
+        quarantine.record_crash(many, engine, 0.0)
+    assert quarantine.is_held(many)
+    others = request_traits("y", "m", ["0", "1"]), request_traits("x", "m", ["0", "a"])
+    assert not any(quarantine.is_held(traits) for traits in others)
+
+
+@then("{count:d} accused parts take no more records than allowed, and those held stay")
+def check_records(context, count):
+    quarantine = TraitQuarantine()
+    held = request_traits("x", "m", ["bad"])
+    for engine in ("e-1", "e-2"):
+        quarantine.record_crash(held, engine, 0.0)
+    for number in range(count):
+        traits = request_traits(f"account-{number}", "m", [f"{number:x}"])
+        quarantine.record_crash(traits, f"f-{number}", 1.0)
+    assert quarantine.is_held(held)
+    assert len(quarantine._records) == MAX_RECORDS
+
+
+@when('a stream is requested whose prompt has the parts "{parts}"')
+@when('a stream is requested whose prompt has the parts ""')
+def request_with_parts(context, parts=""):
+    context.ingress = IngressWorld()
+    context.ingress.add_endpoints("model", 1)
+
+    async def script(world):
+        headers = ("prompt-prefix", parts)
+        context.reply = await world.call("stream", headers, size="100,40")
+
+    context.ingress.run(script)
+
+
+@then("it is answered {status:d}")
+def check_status(context, status):
+    assert context.reply.status == status, vars(context.reply)
+    if status == 400:
+        assert b'"invalid_prompt_parts"' in context.reply.body
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -240,17 +240,17 @@
 
 
 class _Link:
-    """A link to an agent that answers each order with the same frames."""
+    """A link to an agent that answers each order with the frames of all links."""
 
-    def __init__(self, name, frames, sent):
+    def __init__(self, name, links):
         self.state = type("State", (), {"name": name})()
         self.newest_incarnation = "i"
-        self._frames = frames
-        self._sent = sent
+        self._links = links
 
     def open_request(self):
-        self._sent.append(self.state.name)
-        return _Request(self._frames)
+        self._links.sent.append(self.state.name)
+        self._links.lost += self._links.frames is ENGINE_LOST
+        return _Request(self._links.frames)
 
 
 class _Request:
@@ -275,20 +275,21 @@
         return frame
 
 
-class _Links:
-    """Links to agents, chosen one after the other."""
+class ScriptedLinks:
+    """Links to agents, chosen one after the other; all send the same `frames`."""
 
     def __init__(self, count, frames):
-        self.sent = []
+        self.sent, self.lost = [], 0
+        self.frames = frames
         names = (f"agent-{number}" for number in range(count))
-        self._links = [_Link(name, frames, self.sent) for name in names]
+        self._links = [_Link(name, self) for name in names]
 
     def choose(self, service, prompt, excluded):
         remaining = (link for link in self._links if link.state.name not in excluded)
         return next(remaining, None)
 
 
-class _ManyRetries:
+class ManyRetries:
     """A budget with more retries than a request should need."""
 
     def __init__(self):
@@ -304,17 +305,17 @@
 
 @when("an order is sent that loses each of {count:d} engines")
 def send_lost(context, count):
-    send_orders(context, 2, _Links(count, ENGINE_LOST))
+    send_orders(context, 2, ScriptedLinks(count, ENGINE_LOST))
 
 
 @when("an order is sent that each engine of {count:d} refuses")
 def send_refused(context, count):
-    send_orders(context, 1, _Links(count, QUEUE_FULL))
+    send_orders(context, 1, ScriptedLinks(count, QUEUE_FULL))
 
 
 def send_orders(context, times, links):
     context.links = links
-    context.retries = _ManyRetries()
+    context.retries = ManyRetries()
     service = GenerationService(links, context.retries, 5.0)
     order = RequestedGeneration("surulere", "model", "review", 1, "a prompt", 10)
     context.errors = []
@@ -343,7 +344,7 @@
     context.codes = []
     tokens = StreamTokens(request=1, first_index=0, tokens=["a"])
     frames = (ENGINE_LOST[0], tokens, seconds, ENGINE_LOST[1])
-    service = GenerationService(_Links(2, frames), _ManyRetries(), 5.0)
+    service = GenerationService(ScriptedLinks(2, frames), ManyRetries(), 5.0)
     order = RequestedGeneration("surulere", "model", "review", 1, "a prompt", 10)
 
     async def send():
--- a/src/piershore/core/quarantine/request_quarantine.py
+++ b/src/piershore/core/quarantine/request_quarantine.py
@@ -52,17 +52,18 @@
             if group.traits <= request.traits:
                 yield from group.traits
 
-    def record_sent(self, request: RequestFingerprint, now: float) -> Iterator[str]:
-        """Record that a request is sent; yield the subjects that it probes."""
+    def record_sent(self, request: RequestFingerprint, now: float) -> list[str]:
+        """Record that a request is sent; return the subjects that it probes."""
+        probed = self._traits.record_sent(request.traits, now)
         if self._contents.record_sent(request.content, now):
-            yield request.content
-        yield from self._traits.record_sent(request.traits, now)
+            probed.append(request.content)
+        return probed
 
     def record_crash(
         self, request: RequestFingerprint, identity: str, now: float
     ) -> list[str]:
         """Record the crash of an endpoint; return the subjects newly accused."""
-        accused = list(self._traits.record_crash(request.traits, identity, now))
+        accused = self._traits.record_crash(request.traits, identity, now)
         if self._contents.record_crash(request.content, identity, now):
             accused.append(request.content)
         return accused
@@ -74,20 +75,21 @@
 
     def record_completion(
         self, request: RequestFingerprint, began_at: float, now: float
-    ) -> Iterator[str]:
-        """Record that a request completed; yield the subjects that this clears."""
+    ) -> list[str]:
+        """Record that a request completed; return the subjects that this clears."""
+        cleared = self._traits.record_answer(request.traits, began_at, now)
         if self._contents.record_completion(request.content, now):
-            yield request.content
-        yield from self.record_answer(request, began_at, now)
+            cleared.append(request.content)
+        return cleared
 
     def record_answer(
         self, request: RequestFingerprint, began_at: float, now: float
-    ) -> Iterator[str]:
+    ) -> list[str]:
         """Record that an endpoint lived on after it began an answer at `began_at`.
 
-        Yield the traits that this clears.
+        Return the traits that this clears.
         """
-        yield from self._traits.record_answer(request.traits, began_at, now)
+        return self._traits.record_answer(request.traits, began_at, now)
 
     def apply_report(self, report: CrashReport, now: float) -> bool:
         """Apply a gateway's report; return whether any of it is new."""
--- a/src/piershore/core/quarantine/suspect_groups.py
+++ b/src/piershore/core/quarantine/suspect_groups.py
@@ -33,16 +33,21 @@
     suspected only because their request ran beside the one that crashed the endpoint,
     or has another trait that did.
     """
-    unexplained = {t: r.uncleared for t, r in records.items() if r.uncleared}
+    unexplained = {t: r.uncleared for t, r in records.items() if r.may_be_held}
     thresholds = {trait: records[trait].crash_threshold for trait in unexplained}
     groups: list[SuspectGroup] = []
     while True:
-        suspects = {t: c for t, c in unexplained.items() if len(c) >= thresholds[t]}
+        suspects = {
+            t: c
+            for t, c in unexplained.items()
+            if records[t].evidence(c) >= thresholds[t]
+        }
         if not suspects:
             return groups
         # An unknown trait explains as many crashes better than one that had answers.
-        _, threshold, strongest = max(
-            (len(c) - thresholds[t], -thresholds[t], t) for t, c in suspects.items()
+        _, threshold, _, strongest = max(
+            (records[t].evidence(c) - thresholds[t], -thresholds[t], len(c), t)
+            for t, c in suspects.items()
         )
         crashes = suspects[strongest]
         traits = frozenset(t for t, c in suspects.items() if c == crashes)
--- a/src/piershore/core/quarantine/trait_quarantine.py
+++ b/src/piershore/core/quarantine/trait_quarantine.py
@@ -9,18 +9,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
 from math import inf
 
 from piershore.core.bounded_mapping import put_newest
 from piershore.core.quarantine.crash_report import CrashReport
 from piershore.core.quarantine.suspect_groups import find_suspect_groups, SuspectGroup
-from piershore.core.quarantine.trait_record import TraitRecord
+from piershore.core.quarantine.trait_record import (
+    CRASH_THRESHOLD,
+    KNOWN_CRASH_THRESHOLD,
+    TraitRecord,
+)
 
-CRASH_THRESHOLD = 2
-"""Uncleared crashes that put a trait into quarantine, as for a whole request."""
-KNOWN_CRASH_THRESHOLD = 3
-"""The same for a trait with which answers began lately: when several endpoints crash
-at once, many requests have it by chance."""
 KNOWN_SECONDS = 30.0
 """How long a trait counts as known since an answer with it began."""
 PROBE_DELAYS_SECONDS = (30.0, 120.0, 600.0)
@@ -59,10 +59,14 @@
         self._records: dict[str, TraitRecord] = {}
         self._known: dict[str, float] = {}
         self._groups: list[SuspectGroup] = []
+        self._has_changed = False
 
     @property
     def groups(self) -> list[SuspectGroup]:
-        """The groups in quarantine."""
+        """The groups in quarantine, found again after evidence has changed."""
+        if self._has_changed:
+            self._has_changed = False
+            self._groups = self._find_groups()
         return self._groups
 
     def set_rank(self, rank: Callable[[str], int]) -> None:
@@ -71,45 +75,44 @@
 
     def is_held(self, traits: frozenset[str]) -> bool:
         """Return whether requests with these traits are released only as probes."""
-        return any(group.traits <= traits for group in self._groups)
+        return any(group.traits <= traits for group in self.groups)
 
     def seconds_until_release(self, traits: frozenset[str], now: float) -> float | None:
         """Return the seconds until a request may be sent; None if it may be now."""
         waits = [
             seconds
-            for group in self._groups
+            for group in self.groups
             if group.traits <= traits
             and (seconds := self._seconds_until_probe(group, traits, now))
         ]
         return min(max(waits), FORGET_SECONDS) if waits else None
 
-    def record_sent(self, traits: frozenset[str], now: float) -> Iterator[str]:
-        """Record that a request is sent; yield the traits that it probes.
+    def record_sent(self, traits: frozenset[str], now: float) -> list[str]:
+        """Record that a request is sent; return the traits that it probes.
 
         A probe defers the next one, here and at all peers that receive the reports.
         """
-        for group in self._groups:
-            if group.traits <= traits:
-                for trait in group.traits:
-                    record = self._records[trait]
-                    record.probes += 1
-                    record.changed_at = now
-                    yield trait
+        held = (group.traits for group in self.groups if group.traits <= traits)
+        probed = sorted(frozenset().union(*held))
+        for trait in probed:
+            record = self._records[trait]
+            record.probes += 1
+            record.changed_at = now
+        return probed
 
     def record_crash(
         self, traits: Iterable[str], identity: str, now: float
-    ) -> Iterator[str]:
-        """Record the crash of an endpoint; yield the traits that are newly accused."""
-        for trait in traits:
-            if self.apply_report(CrashReport(trait, frozenset({identity})), now):
-                yield trait
+    ) -> list[str]:
+        """Record the crash of an endpoint; return the traits newly accused."""
+        crashed = frozenset({identity})
+        return [t for t in traits if self.apply_report(CrashReport(t, crashed), now)]
 
     def record_answer(
         self, traits: frozenset[str], began_at: float, now: float
-    ) -> Iterator[str]:
+    ) -> list[str]:
         """Record that an endpoint lived on after it began an answer at `began_at`.
 
-        Yield the traits that this clears of earlier crashes.
+        Return the traits that this clears of earlier crashes.
         """
         cleared = []
         for trait in traits:
@@ -118,8 +121,8 @@
             if record is not None and record.clear(began_at, now):
                 cleared.append(trait)
         if cleared:
-            self._find_groups()
-        yield from cleared
+            self._has_changed = True
+        return cleared
 
     def apply_report(self, report: CrashReport, now: float) -> bool:
         """Apply a gateway's report; return whether any of it is new."""
@@ -132,7 +135,7 @@
         record.last_seen_at = now
         self._records.pop(trait, None)
         self._records[trait] = record
-        self._find_groups()
+        self._has_changed = True
         self._evict()
         return True
 
@@ -153,7 +156,7 @@
 
     def quarantined_reports(self) -> Iterator[CrashReport]:
         """Yield the reports for peers about all traits in quarantine."""
-        for group in self._groups:
+        for group in self.groups:
             for trait in sorted(group.traits):
                 yield self._records[trait].report(trait)
 
@@ -164,26 +167,26 @@
             is_old = now - record.last_seen_at > FORGET_SECONDS
             if is_old or not record.crashed:
                 del self._records[trait]
-        self._find_groups()
+        self._has_changed = True
 
     def _evict(self) -> None:
         """Forget the traits accused first, those in quarantine last."""
         excess = len(self._records) - MAX_RECORDS
         if excess <= 0:
             return
-        held = {trait for group in self._groups for trait in group.traits}
-        oldest = sorted(self._records, key=held.__contains__)
-        for trait in oldest[:excess]:
+        held = {trait for group in self.groups for trait in group.traits}
+        oldest = (trait for trait in self._records if trait not in held)
+        for trait in list(islice(oldest, excess)):
             del self._records[trait]
-        self._find_groups()
+        self._has_changed = True
 
     def _threshold(self, trait: str, now: float) -> int:
         if now - self._known.get(trait, -inf) > KNOWN_SECONDS:
             return CRASH_THRESHOLD
         return KNOWN_CRASH_THRESHOLD
 
-    def _find_groups(self) -> None:
-        self._groups = find_suspect_groups(self._records)
+    def _find_groups(self) -> list[SuspectGroup]:
+        return find_suspect_groups(self._records)
 
     def _seconds_until_probe(
         self, group: SuspectGroup, traits: frozenset[str], now: float
--- a/src/piershore/core/quarantine/trait_record.py
+++ b/src/piershore/core/quarantine/trait_record.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from itertools import islice
+from itertools import islice, pairwise
 
 from piershore.core.quarantine.crash_report import CrashReport, MAX_ENDPOINTS
 
+CRASH_THRESHOLD = 2
+"""Uncleared crashes that put a trait into quarantine, as for a whole request."""
+KNOWN_CRASH_THRESHOLD = 3
+"""The same for a trait with which answers began lately: when several endpoints crash
+at once, many requests have it by chance."""
+MOMENT_SECONDS = 0.1
+"""Crashes that follow each other more closely count as one for such a trait."""
+
 
 @dataclass
 class TraitRecord:
@@ -31,11 +39,28 @@
         """The endpoints whose crash the trait may have caused."""
         return frozenset(self.crashed.keys() - self.cleared.keys())
 
+    @property
+    def may_be_held(self) -> bool:
+        """Whether enough crashes are uncleared, so far as their number tells."""
+        return len(self.crashed) - len(self.cleared) >= self.crash_threshold
+
     @property
     def recent_probes(self) -> int:
         """The probes since the trait was last cleared of all crashes."""
         return self.probes - self.probes_before
 
+    def evidence(self, crashes: frozenset[str]) -> int:
+        """Return how many of some crashes count.
+
+        Of those at the same moment only one counts for a trait that many requests have:
+        endpoints that fail together have a cause of their own.
+        """
+        if self.crash_threshold <= CRASH_THRESHOLD:
+            return len(crashes)
+        times = sorted(self.crashed[identity] for identity in crashes)
+        gaps = (later - earlier for earlier, later in pairwise(times))
+        return bool(times) + sum(gap > MOMENT_SECONDS for gap in gaps)
+
     def merge(self, report: CrashReport, now: float) -> bool:
         """Merge a report; return whether any of it is new."""
         before = len(self.crashed), len(self.cleared), self.probes
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 
 import trio
 
@@ -106,7 +106,7 @@
     def record_sent(self, fingerprint: RequestFingerprint) -> None:
         """Record that a request is sent to an endpoint; report a probe to the peers."""
         now = trio.current_time()
-        self._announce(list(self._quarantine.record_sent(fingerprint, now)))
+        self._announce(self._quarantine.record_sent(fingerprint, now))
 
     def record_completion(
         self, request: str, fingerprint: RequestFingerprint, began_at: float
@@ -140,9 +140,8 @@
             if self._quarantine.is_held(run.fingerprint) and not run.is_probe:
                 run.recall()
 
-    def _report_cleared(self, request: str, subjects: Iterable[str]) -> None:
+    def _report_cleared(self, request: str, cleared: Collection[str]) -> None:
         """Log and announce subjects that an answer has cleared of crashes."""
-        cleared = list(subjects)
         for subject in cleared:
             self._log.write(RequestExcused(request, subject), is_failure=True)
         if cleared:
