The product's own interface: hold orders that share a message that crashes engines

Each message but the last, and the account, are traits of an order now. Gateways of this interface still don't report crashes to each other.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -50,6 +50,12 @@
     Then at most 5 engines crash, and at most 3 runs with the part follow
     And the last 10 are answered 429 with the time of the next probe
 
+  # The product's own interface held only the same order again.
+  Scenario: orders of the product's own interface share a message that crashes engines
+    When orders that differ in their last message lose their engines, and others don't
+    Then 2 engines were lost, and the next order with that message is refused as not run
+    And orders of the same account without that message are served
+
   # Parts that many requests have, or that stand beside the one at fault, were held for
   # crashes that they did not cause.
   Scenario Outline: <traffic> of prompts in virtual time, <faults>
--- a/src/piershore/gateway/callers_api.py
+++ b/src/piershore/gateway/callers_api.py
@@ -195,6 +195,7 @@
             prompt=body.prompt,
             max_tokens=body.max_answer_tokens or limit,
             first_token_timeout_seconds=(body.deadline_ms or 0) / MILLISECONDS,
+            shared_parts=body.shared_parts,
         )
 
     def _find_service(
--- a/src/piershore/gateway/chat_request.py
+++ b/src/piershore/gateway/chat_request.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from piershore.core.attempts.request_digest import request_digest
+
 ROLES = ("system", "user", "assistant", "tool")
 DEFAULT_KIND = "default"
 MAX_ANSWER_TOKENS = 131_072
@@ -59,6 +61,14 @@
         """All messages of the conversation as one text."""
         return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of all messages but the last, which is the request's own."""
+        return tuple(
+            request_digest("", message.role.encode(), message.content.encode())
+            for message in self.messages[:-1]
+        )
+
     @property
     def max_answer_tokens(self) -> int | None:
         """The maximum length of the answer in tokens, if the caller sets one."""
--- a/src/piershore/gateway/generation_service.py
+++ b/src/piershore/gateway/generation_service.py
@@ -8,8 +8,11 @@
 import trio
 
 from piershore.core.outcome import Outcome
-from piershore.core.quarantine.endpoint_runs import EndpointRun
-from piershore.core.quarantine.quarantine import Quarantine
+from piershore.core.quarantine.endpoint_runs import (
+    EndpointRun,
+    SUSPECT_WINDOW_SECONDS,
+)
+from piershore.core.quarantine.request_quarantine import RequestQuarantine
 from piershore.core.refusal_reason import RefusalReason
 from piershore.core.streams.event_id import EventId
 from piershore.gateway.agent_link import AgentLink, LinkRequest
@@ -40,7 +43,7 @@
         self._links = links
         self._retries = retries
         self._timeout = timeout
-        self._quarantine = Quarantine()
+        self._quarantine = RequestQuarantine()
 
     async def stream(self, request: RequestedGeneration) -> AsyncIterator[TokenChunk]:
         """Yield each token once, in order, from one generation.
@@ -51,15 +54,15 @@
         self._check_quarantine(request)
         attempts = RequestAttempts(self._links, self._retries)
         while True:
-            run = EndpointRun(request.content, request.content)
+            run = _new_run(request)
             try:
                 async with aclosing(
                     self._attempt(attempts, request, resumable=True)
                 ) as chunks:
                     async for chunk in chunks:
-                        run.record_chunk(trio.current_time())
+                        self._record_chunk(run)
                         yield chunk
-                self._quarantine.record_completion(request.content, trio.current_time())
+                self._record_completion(run)
                 return
             except RequestRefusedError as error:
                 self._record_loss(attempts, run, error)
@@ -73,15 +76,15 @@
         attempts = RequestAttempts(self._links, self._retries)
         while True:
             collected: list[str] = []
-            run = EndpointRun(request.content, request.content)
+            run = _new_run(request)
             try:
                 async with aclosing(
                     self._attempt(attempts, request, resumable=False)
                 ) as chunks:
                     async for chunk in chunks:
-                        run.record_chunk(trio.current_time())
+                        self._record_chunk(run)
                         collected.extend(chunk.tokens)
-                self._quarantine.record_completion(request.content, trio.current_time())
+                self._record_completion(run)
                 return tuple(collected)
             except RequestRefusedError as error:
                 self._record_loss(attempts, run, error)
@@ -111,7 +114,7 @@
         Each retry could crash another engine, with all generations that run there.
         """
         seconds = self._quarantine.seconds_until_release(
-            request.content, trio.current_time()
+            request.fingerprint, trio.current_time()
         )
         if seconds is not None:
             raise RequestRefusedError(
@@ -131,7 +134,7 @@
             return
         # A restarted engine keeps its agent's name; the time tells them apart.
         engine = f"{attempts.endpoint}@{now}"
-        self._quarantine.record_crash(run.content, engine, now)
+        self._quarantine.record_crash(run.fingerprint, engine, now)
 
     def _record_failure(
         self,
@@ -142,9 +145,21 @@
         """Spend a retry; raise `error` if no further attempt is allowed."""
         now = trio.current_time()
         attempts.record_failure(error)
-        if self._quarantine.seconds_until_release(request.content, now) is not None:
+        if self._quarantine.seconds_until_release(request.fingerprint, now) is not None:
             raise error
 
+    def _record_chunk(self, run: EndpointRun) -> None:
+        """Record tokens of an answer; one that goes on for long clears its traits."""
+        now = trio.current_time()
+        run.record_chunk(now)
+        if now - run.first_chunk_at > SUSPECT_WINDOW_SECONDS:
+            self._quarantine.record_answer(run.fingerprint, run.first_chunk_at, now)
+
+    def _record_completion(self, run: EndpointRun) -> None:
+        """Record that a generation completed, which clears it of crashes."""
+        now = trio.current_time()
+        self._quarantine.record_completion(run.fingerprint, run.first_chunk_at, now)
+
     async def _attempt(
         self,
         attempts: RequestAttempts,
@@ -153,7 +168,7 @@
         resumable: bool,
     ) -> AsyncIterator[TokenChunk]:
         link = attempts.next_link(request.service, request.prompt)
-        self._quarantine.record_sent(request.content, trio.current_time())
+        self._quarantine.record_sent(request.fingerprint, trio.current_time())
         reader = _GenerationReader(link, request.account, self._timeout, resumable)
         reader.submit(request)
         async with aclosing(reader.read()) as chunks:
@@ -161,6 +176,10 @@
                 yield chunk
 
 
+def _new_run(request: RequestedGeneration) -> EndpointRun:
+    return EndpointRun(request.content, request.content, request.fingerprint.traits)
+
+
 class _GenerationReader:
     """Read one generation, and attach to it again if its link is lost.
 
--- a/src/piershore/gateway/requested_generation.py
+++ b/src/piershore/gateway/requested_generation.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 from piershore.core.attempts.request_digest import request_digest
+from piershore.core.quarantine.request_fingerprint import RequestFingerprint
+from piershore.core.quarantine.request_traits import request_traits
 
 
 @dataclass(frozen=True)
@@ -12,6 +14,7 @@
     """One caller's request for a generation.
 
     `first_token_timeout_seconds` bounds the time to the first token; 0 sets no limit.
+    `shared_parts` are the parts of the prompt that others may have too, as digests.
     """
 
     account: str
@@ -21,6 +24,13 @@
     prompt: str
     max_tokens: int
     first_token_timeout_seconds: float = 0.0
+    shared_parts: tuple[str, ...] = ()
+
+    @property
+    def fingerprint(self) -> RequestFingerprint:
+        """What the request is recognized by when it, or one like it, is sent again."""
+        traits = request_traits(self.account, self.service, self.shared_parts)
+        return RequestFingerprint(self.content, traits)
 
     @property
     def content(self) -> str:
