--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from random import Random
+from typing import Protocol
 
 import trio
 
@@ -17,10 +18,12 @@
 from devtools.soak.callers import Callers
 from devtools.soak.checks import find_broken
 from devtools.soak.crashing_caller import CrashingCaller
+from devtools.soak.crashing_part_caller import CrashingPartCaller
 from devtools.soak.drill import Drill
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from devtools.soak.limiting_endpoints import LimitingEndpoints
+from devtools.soak.skewed_connections import SkewedConnections
 from devtools.soak.uneven_fleet import UnevenFleet
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
@@ -37,6 +40,13 @@
 MOST_SECONDS = 150.0
 
 
+class Extra(Protocol):
+    """Something that a soak plays beside callers and faults."""
+
+    async def run(self, seconds: float) -> None:
+        """Play for some seconds."""
+
+
 def main() -> int:
     """Play the seeds asked for, and those that ever failed."""
     options = _options()
@@ -67,6 +77,10 @@
     extras = []
     if options.crashing:
         extras.append(CrashingCaller(fleet, callers, seed))
+    if options.crashing_part:
+        extras.append(CrashingPartCaller(fleet, callers, seed))
+    if options.skewed:
+        extras.append(SkewedConnections(fleet, callers, seed))
     if options.asking:
         extras.append(AskingEndpoints(fleet, seed))
     if options.limiting:
@@ -95,16 +109,15 @@
 
 
 def _played_options(options: Namespace) -> list[str]:
-    names = ("crashing", "asking", "limiting", "drill", "uneven")
+    names = ("crashing", "crashing_part", "skewed", "asking", "limiting", "drill")
+    names += ("uneven",)
     return [name for name in names if getattr(options, name)]
 
 
 async def _run(
     fleet: Fleet,
     callers: Callers,
-    extras: list[
-        CrashingCaller | AskingEndpoints | LimitingEndpoints | UnevenFleet | Drill
-    ],
+    extras: list[Extra],
     troubles: Troubles,
     seconds: float,
 ) -> None:
@@ -163,6 +176,16 @@
         action="store_true",
         help="a request comes under which endpoints crash",
     )
+    parser.add_argument(
+        "--crashing-part",
+        action="store_true",
+        help="unlike requests have a part of their prompts that crashes engines",
+    )
+    parser.add_argument(
+        "--skewed",
+        action="store_true",
+        help="most new connections go to one gateway for some seconds",
+    )
     parser.add_argument(
         "--asking",
         action="store_true",
--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -17,6 +17,8 @@
 KINDS = {"once": 5, "again": 5, "stream": 4, "version": 3}
 ALIKE = ("again", "version")
 """Kinds whose requests have the same body."""
+SPARED_SHARE = 0.05
+"""Share of new connections that don't go to a favoured gateway."""
 LEAVE_SHARE = 0.05
 PAUSE_SECONDS = 0.03
 DEADLINE_MS = 9_000
@@ -34,6 +36,7 @@
     sent_at: float
     version: int = 0
     events_wanted: int = 0
+    parts: tuple[str, ...] = ()
     status: int | None = None
     is_whole: bool = False
     headers: dict[str, str] = field(default_factory=dict)
@@ -49,6 +52,8 @@
         self._random = random
         self._count = count
         self._next = 0
+        self.shared_parts: tuple[str, ...] = ()
+        self.favoured: Gateway | None = None
         self.calls: list[Call] = []
 
     async def run(self, seconds: float) -> None:
@@ -65,6 +70,8 @@
             await trio.sleep(self._random.random() * 2 * PAUSE_SECONDS)
             if connection is None:
                 gateway = self._random.choice(self._fleet.gateways)
+                if self.favoured is not None and not self._is_spared():
+                    gateway = self.favoured
                 connection = await self._connect(gateway)
                 if connection is None:
                     continue
@@ -140,6 +147,9 @@
             prompt = self._random.choice([100, 2_000, 9_000])
             usage = f"{prompt},{call.events_wanted * 4}".encode()
             headers.append((b"token-usage", usage))
+            parts = call.parts or (*self.shared_parts, call.identity)
+            prefix = ",".join(f"{part}:40" for part in parts)
+            headers.append((b"prompt-prefix", prefix.encode()))
         return RequestHead(b"POST", f"/{name}/x".encode(), tuple(headers))
 
     async def _exchange(
@@ -174,5 +184,9 @@
         """Return a body: many ask for a page alike, prompts and orders differ."""
         return b"{}" if call.kind in ALIKE else b'{"of": "%s"}' % call.identity.encode()
 
+    def _is_spared(self) -> bool:
+        """Draw whether a new connection goes to any gateway, also a favoured one."""
+        return self._random.random() < SPARED_SHARE
+
     def _leaves(self) -> bool:
         return self._random.random() < LEAVE_SHARE
