--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -29,7 +29,14 @@
 """Of each step that fails, told again at the end: a record of a run may keep no more
 than its last lines."""
 PARALLEL_FEATURES = 3
-SOAK_OPTIONS = ("--crashing", "--asking", "--limiting", "--drill")
+SOAK_OPTIONS = (
+    "--crashing",
+    "--crashing-part",
+    "--asking",
+    "--limiting",
+    "--skewed",
+    "--drill",
+)
 """Played one by one, so that a broken promise tells which of them broke it."""
 BEHAVE_OPTIONS = ("--format=progress3", "--logging-level=WARNING")
 
