--- a/devtools/bench/part_crash_experiment.py
+++ b/devtools/bench/part_crash_experiment.py
@@ -265,7 +265,7 @@
             ]
 
     def _announce(self, sender: int, traits: Iterable[str]) -> None:
-        for trait in traits:
+        for trait in sorted(traits):
             report = self._gateways[sender].report(trait)
             for number in range(self.settings.gateways):
                 is_lost = self._random.random() < self.settings.lost_share
