Traits: crashes carry their age, and probes don't depend on the number of crashes

Found by reading, before anyone saw it: the delay of the first probe grew with the number of crashes, and from five on there was none for an hour. Where all engines fail together and gateways have just started, a part that all requests have would have been held for an hour by mistake. And a gateway that had learned of several crashes by one report took them for one moment.

Reports about traits say how long ago each crash was found, so that all gateways count the same moments; they go in datagrams of their own, since earlier builds reject them. Probes follow 30, 120 and 600 s after each other, or 2, 30 and 120 s where all crashes came at one moment: three in all.

New: all engines crash at once.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -60,7 +60,7 @@
   # crashes that they did not cause.
   Scenario Outline: <traffic> of prompts in virtual time, <faults>
     When six fleets get "<traffic>" with <faults>
-    Then a part crashes at most 5 engines of each fleet
+    Then a part crashes at most 5 engines of each fleet, and 3 as a probe
     And at most 0.05 of the sound requests are held
 
     Examples:
@@ -75,6 +75,7 @@
       | third part                          | 4 engines that crash each 5 s |
       | none                                | 4 engines that crash each 5 s |
       | third part                          | 0.3 of the reports lost       |
+      | none                                | all engines that crash at once |
 
   Scenario: a caller names hundreds of parts
     Then of 300 parts 64 are tracked, and a crash under them accuses no others
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -390,6 +390,9 @@
     def has_unread_bytes(self):
         return self._receiver.statistics().current_buffer_used > 0
 
+    async def was_cut_by_crash(self):
+        return False
+
 
 @given("the mechanism is disabled")
 def disable(context):
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -249,7 +249,6 @@
 
     def open_request(self):
         self._links.sent.append(self.state.name)
-        self._links.lost += self._links.frames is ENGINE_LOST
         return _Request(self._links.frames)
 
 
@@ -279,7 +278,7 @@
     """Links to agents, chosen one after the other; all send the same `frames`."""
 
     def __init__(self, count, frames):
-        self.sent, self.lost = [], 0
+        self.sent = []
         self.frames = frames
         names = (f"agent-{number}" for number in range(count))
         self._links = [_Link(name, self) for name in names]
--- a/src/piershore/core/fleet/rate_lending.py
+++ b/src/piershore/core/fleet/rate_lending.py
@@ -111,8 +111,8 @@
             return 0
         lent = limits.loans.lent(endpoint.identity, now, besides=borrower)
         unused = quota.requests - lent - limits.sent_in_window(endpoint, now)
-        own_loans = limits.loans.lent(endpoint.identity, now) - lent
-        spare = self._spare(endpoint, service, quota.window, now) + own_loans
+        replaced = limits.loans.lent(endpoint.identity, now) - lent
+        spare = self._spare(endpoint, service, quota.window, now) + replaced
         offered = max(0, min(requests, unused, spare))
         if offered:
             limits.lend(endpoint, borrower, offered, now)
--- a/src/piershore/core/quarantine/crash_report.py
+++ b/src/piershore/core/quarantine/crash_report.py
@@ -8,7 +8,7 @@
 import orjson
 
 from piershore.core.fleet.peer_report import InvalidReportError
-from piershore.core.numbers import checked_integer
+from piershore.core.numbers import checked_integer, checked_number
 
 PREFIX = b"!"
 """First byte of a datagram with crash reports; peer reports begin with a bracket, load
@@ -26,20 +26,26 @@
     `content` is the request's digest. `cleared` are the crashes that the request did
     not cause, since it has completed elsewhere; `probes` is how often it was released
     from quarantine as a probe. Sets and count only grow, so reports may be lost,
-    repeated or reordered.
+    repeated or reordered. `ages` is how many seconds ago each endpoint of `crashed`, in
+    the order of their identities, was found to have crashed; empty if that isn't known.
     """
 
     content: str
     crashed: frozenset[str]
     cleared: frozenset[str] = frozenset()
     probes: int = 0
+    ages: tuple[float, ...] = ()
+
+    def age(self, identity: str) -> float:
+        """Return how many seconds ago an endpoint was found to have crashed."""
+        if not self.ages:
+            return 0.0
+        return self.ages[sorted(self.crashed).index(identity)]
 
 
 def encode_reports(reports: Iterable[CrashReport]) -> bytes:
     """Return one datagram with the reports."""
-    return PREFIX + orjson.dumps(
-        [[r.content, sorted(r.crashed), sorted(r.cleared), r.probes] for r in reports]
-    )
+    return PREFIX + orjson.dumps([_fields(report) for report in reports])
 
 
 def decode_reports(data: bytes) -> tuple[CrashReport, ...]:
@@ -50,10 +56,29 @@
         raise InvalidReportError(f"invalid crash reports: {error!r}") from error
 
 
-def _report(content: object, crashed: object, cleared: object, probes: object):
-    return CrashReport(
-        _name(content), _names(crashed), _names(cleared), checked_integer(probes)
+def _fields(report: CrashReport) -> list[object]:
+    crashed, cleared = sorted(report.crashed), sorted(report.cleared)
+    fields = [report.content, crashed, cleared, report.probes]
+    return [*fields, [round(age, 2) for age in report.ages]] if report.ages else fields
+
+
+def _report(
+    content: object,
+    crashed: object,
+    cleared: object,
+    probes: object,
+    ages: object = (),
+) -> CrashReport:
+    report = CrashReport(
+        _name(content),
+        _names(crashed),
+        _names(cleared),
+        checked_integer(probes),
+        tuple(map(checked_number, ages)),
     )
+    if len(report.ages) not in (0, len(report.crashed)):
+        raise ValueError("not one age for each crash")
+    return report
 
 
 def _names(value: object) -> frozenset[str]:
--- a/src/piershore/core/quarantine/request_quarantine.py
+++ b/src/piershore/core/quarantine/request_quarantine.py
@@ -115,14 +115,15 @@
             return None
         return self._contents.seconds_until_release(subject, now)
 
-    def report(self, subject: str) -> CrashReport | None:
+    def report(self, subject: str, now: float) -> CrashReport | None:
         """Return the report for peers about one subject, or None."""
-        subjects = self._traits if is_trait(subject) else self._contents
-        return subjects.report(subject)
+        if is_trait(subject):
+            return self._traits.report(subject, now)
+        return self._contents.report(subject)
 
-    def quarantined_reports(self) -> Iterator[CrashReport]:
+    def quarantined_reports(self, now: float) -> Iterator[CrashReport]:
         """Yield the reports for peers about all that is in quarantine."""
-        yield from self._traits.quarantined_reports()
+        yield from self._traits.quarantined_reports(now)
         yield from self._contents.quarantined_reports()
 
     def drop_expired(self, now: float) -> None:
--- a/src/piershore/core/quarantine/suspect_groups.py
+++ b/src/piershore/core/quarantine/suspect_groups.py
@@ -13,12 +13,13 @@
     """Traits that explain the same crashes, so that any of them may be the cause.
 
     A request that lacks one of them tells which one it is: it crashes its endpoint,
-    or clears the traits it has.
+    or clears the traits it has. `moments` is at how many different ones they came.
     """
 
     traits: frozenset[str]
     crashes: frozenset[str]
     crash_threshold: int
+    moments: int
 
     @property
     def key(self) -> str:
@@ -51,5 +52,6 @@
         )
         crashes = suspects[strongest]
         traits = frozenset(t for t, c in suspects.items() if c == crashes)
-        groups.append(SuspectGroup(traits, crashes, -threshold))
+        moments = records[strongest].moments(crashes)
+        groups.append(SuspectGroup(traits, crashes, -threshold, moments))
         unexplained = {t: c - crashes for t, c in unexplained.items()}
--- a/src/piershore/core/quarantine/trait_quarantine.py
+++ b/src/piershore/core/quarantine/trait_quarantine.py
@@ -25,8 +25,11 @@
 """How long a trait counts as known since an answer with it began."""
 PROBE_DELAYS_SECONDS = (30.0, 120.0, 600.0)
 """Delays after which one request of a group is released as a probe."""
-KNOWN_PROBE_DELAYS_SECONDS = (2.0, *PROBE_DELAYS_SECONDS)
-"""The same for known traits: a mistake would refuse many requests."""
+EARLY_PROBE_DELAYS_SECONDS = (2.0, 30.0, 120.0)
+"""The same if the crashes came at few moments: they may have another cause."""
+KNOWN_SURE_MOMENTS = 5
+"""Moments of crashes from which on a known trait needs no early probe: a mistake would
+refuse many requests."""
 PROBE_STAGGER_SECONDS = 0.1
 """The gateway of the next rank may probe this much later; a probe is reported to all
 gateways within a few milliseconds."""
@@ -149,16 +152,16 @@
             return False
         return bool((report.crashed - report.cleared) & record.cleared.keys())
 
-    def report(self, trait: str) -> CrashReport | None:
+    def report(self, trait: str, now: float) -> CrashReport | None:
         """Return the report for peers about one trait, or None."""
         record = self._records.get(trait)
-        return record and record.report(trait)
+        return record and record.report(trait, now)
 
-    def quarantined_reports(self) -> Iterator[CrashReport]:
+    def quarantined_reports(self, now: float) -> Iterator[CrashReport]:
         """Yield the reports for peers about all traits in quarantine."""
         for group in self.groups:
             for trait in sorted(group.traits):
-                yield self._records[trait].report(trait)
+                yield self._records[trait].report(trait, now)
 
     def drop_expired(self, now: float) -> None:
         """Forget cleared crashes, and traits that no request had for long."""
@@ -196,11 +199,10 @@
         for record in records:
             record.last_seen_at = now
         is_known = group.crash_threshold > CRASH_THRESHOLD
-        delays = KNOWN_PROBE_DELAYS_SECONDS if is_known else PROBE_DELAYS_SECONDS
-        step = max(
-            len(group.crashes) - group.crash_threshold,
-            max(record.recent_probes for record in records),
-        )
+        sure_moments = KNOWN_SURE_MOMENTS if is_known else CRASH_THRESHOLD
+        is_doubtful = group.moments < sure_moments
+        delays = EARLY_PROBE_DELAYS_SECONDS if is_doubtful else PROBE_DELAYS_SECONDS
+        step = max(record.recent_probes for record in records)
         if step >= len(delays):
             return inf
         due = max(record.changed_at for record in records) + delays[step]
--- a/src/piershore/core/quarantine/trait_record.py
+++ b/src/piershore/core/quarantine/trait_record.py
@@ -12,15 +12,15 @@
 KNOWN_CRASH_THRESHOLD = 3
 """The same for a trait with which answers began lately: when several endpoints crash
 at once, many requests have it by chance."""
-MOMENT_SECONDS = 0.1
-"""Crashes that follow each other more closely count as one for such a trait."""
+MOMENT_SECONDS = 0.05
+"""Crashes that follow each other more closely came at the same moment."""
 
 
 @dataclass
 class TraitRecord:
     """The crashes of which a trait is suspected, and those it was cleared of.
 
-    `crashed` has the time at which this gateway learned of each crash, by endpoint.
+    `crashed` has the time at which a gateway found each crash, by endpoint.
     `crash_threshold` is how many uncleared crashes put the trait into quarantine;
     `probes` counts the probes of it, `changed_at` is the time of the last crash or
     probe.
@@ -49,6 +49,12 @@
         """The probes since the trait was last cleared of all crashes."""
         return self.probes - self.probes_before
 
+    def moments(self, crashes: frozenset[str]) -> int:
+        """Return at how many different moments some of the crashes came."""
+        times = sorted(self.crashed[identity] for identity in crashes)
+        gaps = (later - earlier for earlier, later in pairwise(times))
+        return bool(times) + sum(gap > MOMENT_SECONDS for gap in gaps)
+
     def evidence(self, crashes: frozenset[str]) -> int:
         """Return how many of some crashes count.
 
@@ -57,9 +63,7 @@
         """
         if self.crash_threshold <= CRASH_THRESHOLD:
             return len(crashes)
-        times = sorted(self.crashed[identity] for identity in crashes)
-        gaps = (later - earlier for earlier, later in pairwise(times))
-        return bool(times) + sum(gap > MOMENT_SECONDS for gap in gaps)
+        return self.moments(crashes)
 
     def merge(self, report: CrashReport, now: float) -> bool:
         """Merge a report; return whether any of it is new."""
@@ -67,7 +71,7 @@
         new = sorted(report.crashed - self.crashed.keys())[:MAX_ENDPOINTS]
         self._make_room(len(new))
         for identity in islice(new, max(0, MAX_ENDPOINTS - len(self.crashed))):
-            self.crashed[identity] = now
+            self.crashed[identity] = now - report.age(identity)
         for identity in report.cleared & self.crashed.keys():
             self.cleared.setdefault(identity, now)
         self.probes = max(self.probes, report.probes)
@@ -91,10 +95,11 @@
             del self.cleared[identity]
             del self.crashed[identity]
 
-    def report(self, trait: str) -> CrashReport:
+    def report(self, trait: str, now: float) -> CrashReport:
         """Return the report for peers."""
         crashed, cleared = frozenset(self.crashed), frozenset(self.cleared)
-        return CrashReport(trait, crashed, cleared, self.probes)
+        ages = tuple(max(0.0, now - self.crashed[i]) for i in sorted(crashed))
+        return CrashReport(trait, crashed, cleared, self.probes, ages)
 
     def _make_room(self, count: int) -> None:
         """Forget the crashes cleared first, if more don't fit into a report."""
--- a/src/piershore/ingress/peers/crash_reporter.py
+++ b/src/piershore/ingress/peers/crash_reporter.py
@@ -9,6 +9,7 @@
 
 from piershore.core.fleet.report_timing import should_forward
 from piershore.core.quarantine.crash_report import CrashReport, encode_reports
+from piershore.core.quarantine.request_traits import is_trait
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.peers.peer_link import PeerLink
 from piershore.telemetry import ingress_metrics
@@ -117,26 +118,30 @@
                 await self._send(batch, self._link.living_hosts())
 
     async def _send_all_quarantined(self, host: str) -> None:
-        quarantined = list(self._state.quarantine.quarantined_reports())
+        quarantined = list(
+            self._state.quarantine.quarantined_reports(trio.current_time())
+        )
         for batch in _batches(quarantined) or [[]]:
             await self._send(batch, [host])
 
     def _reports(self, subjects: tuple[str, ...]) -> Iterator[CrashReport]:
         """Yield the reports about subjects that are still remembered."""
         for subject in dict.fromkeys(subjects):
-            report = self._state.quarantine.report(subject)
+            report = self._state.quarantine.report(subject, trio.current_time())
             if report is not None:
                 yield report
 
     async def _send_quarantined(self, hosts: list[str]) -> None:
-        quarantined = list(self._state.quarantine.quarantined_reports())
+        quarantined = list(
+            self._state.quarantine.quarantined_reports(trio.current_time())
+        )
         start = self._next_index % len(quarantined) if quarantined else 0
         selected = list(
             islice(quarantined[start:] + quarantined[:start], MAX_RESENT_REQUESTS)
         )
         self._next_index = start + len(selected)
-        if selected:
-            await self._send(selected, hosts)
+        for batch in _batches(selected):
+            await self._send(batch, hosts)
 
     async def _send(self, reports: list[CrashReport], hosts: list[str]) -> None:
         data = encode_reports(reports)
@@ -145,6 +150,13 @@
 
 
 def _batches(reports: list[CrashReport]) -> list[list[CrashReport]]:
-    """Return the reports in lists that fit into a datagram each."""
-    starts = range(0, len(reports), MAX_SENT_REPORTS)
-    return [reports[start : start + MAX_SENT_REPORTS] for start in starts]
+    """Return the reports in lists that fit into a datagram each.
+
+    Gateways of an earlier build reject datagrams with reports about traits.
+    """
+    batches: list[list[CrashReport]] = []
+    for kind in (True, False):
+        of_kind = [r for r in reports if is_trait(r.content) is kind]
+        starts = range(0, len(of_kind), MAX_SENT_REPORTS)
+        batches += [of_kind[start : start + MAX_SENT_REPORTS] for start in starts]
+    return batches
