--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -137,7 +137,7 @@
     Mutant(
         "a lost generation is retried after its first token",
         "gateway/generation_service.py",
-        "                if has_started:\n                    raise\n",
+        "                if run.has_answered:\n                    raise\n",
         "",
         "tokens_once_in_order",
     ),
@@ -399,18 +399,38 @@
     Mutant(
         "crashes aren't reported to peers",
         "ingress/peers/crash_reporter.py",
-        "self._nursery.start_soon(self._send_to_all, content)",
+        "self._nursery.start_soon(self._send_to_all, tuple(subjects))",
         "pass",
         "crashing_requests",
     ),
     Mutant(
         "all requests that run at a crash are suspected",
         "core/quarantine/endpoint_runs.py",
-        "return min(now, self.ended_at) - self.first_chunk_at"
-        " <= SUSPECT_WINDOW_SECONDS",
-        "return True",
+        "if min(now, self.ended_at) - self.first_chunk_at > window:",
+        "if False:",
         "crashing_requests",
     ),
+    Mutant(
+        "parts of prompts aren't recognized",
+        "core/quarantine/request_traits.py",
+        "    if not traits:\n        return traits\n",
+        "    if traits:\n        return frozenset()\n",
+        "crashing_prompt_parts",
+    ),
+    Mutant(
+        "an account goes before a part",
+        "core/quarantine/suspect_groups.py",
+        "return not is_account(trait), beyond",
+        "return True, beyond",
+        "crashing_prompt_parts",
+    ),
+    Mutant(
+        "a lender takes a loan back at once",
+        "core/fleet/rate_loans.py",
+        "now + LOAN_SECONDS + window, terms",
+        "now, terms",
+        "skewed_connections",
+    ),
     Mutant(
         "an answer doesn't clear a request of crashes",
         QUARANTINE,
