Quarantine: an account needs three crashes at different moments

An account has sound requests as a rule, so three crashes at different moments are needed whether it is known or not. An account all of whose requests crash engines crashes up to 6 now (one of them a probe), 4 before. Red before: a step of 'an engine crashes by chance under the account'.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -81,6 +81,7 @@
   # a sound request of it.
   Scenario: an engine crashes by chance under the account whose requests have the part
     Then only the requests with the part are held, and not all of the account
+    And two engines that crash by chance under different requests of an account hold none
 
   Scenario: a caller names hundreds of parts
     Then of 300 parts 64 are tracked, and a crash under them accuses no others
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -267,3 +267,16 @@
     assert quarantine.is_held(bad)
     assert not quarantine.is_held(sound)
     assert not quarantine.is_held(others)
+
+
+@then(
+    "two engines that crash by chance under different requests of an account hold none"
+)
+def check_account_by_chance(context):
+    quarantine = TraitQuarantine()
+    for at, engine in enumerate(("e-1", "e-2")):
+        quarantine.record_crash(
+            request_traits("x", "m", ["a", f"{at}"]), engine, float(at)
+        )
+        quarantine.record_answer(request_traits("y", "m", ["a"]), at + 0.5, at + 0.7)
+    assert not quarantine.is_held(request_traits("x", "m", ["a", "c"]))
--- a/src/piershore/core/quarantine/trait_quarantine.py
+++ b/src/piershore/core/quarantine/trait_quarantine.py
@@ -14,6 +14,7 @@
 
 from piershore.core.bounded_mapping import put_newest
 from piershore.core.quarantine.crash_report import CrashReport
+from piershore.core.quarantine.request_traits import is_account
 from piershore.core.quarantine.suspect_groups import find_suspect_groups, SuspectGroup
 from piershore.core.quarantine.trait_record import (
     CRASH_THRESHOLD,
@@ -184,6 +185,8 @@
         self._has_changed = True
 
     def _threshold(self, trait: str, now: float) -> int:
+        if is_account(trait):
+            return KNOWN_CRASH_THRESHOLD
         if now - self._known.get(trait, -inf) > KNOWN_SECONDS:
             return CRASH_THRESHOLD
         return KNOWN_CRASH_THRESHOLD
--- a/src/piershore/core/quarantine/trait_record.py
+++ b/src/piershore/core/quarantine/trait_record.py
@@ -10,8 +10,8 @@
 CRASH_THRESHOLD = 2
 """Uncleared crashes that put a trait into quarantine, as for a whole request."""
 KNOWN_CRASH_THRESHOLD = 3
-"""The same for a trait with which answers began lately: when several endpoints crash
-at once, many requests have it by chance."""
+"""The same for an account, and for a part with which answers began lately: when several
+endpoints crash at once, many requests have it by chance."""
 MOMENT_SECONDS = 0.05
 """Crashes that follow each other more closely came at the same moment."""
 
