--- a/devtools/mutants.py
+++ b/devtools/mutants.py
@@ -427,8 +427,8 @@
     Mutant(
         "a lender takes a loan back at once",
         "core/fleet/rate_loans.py",
-        "now + LOAN_SECONDS + window, terms",
-        "now, terms",
+        "now + LOAN_SECONDS + window",
+        "now",
         "skewed_connections",
     ),
     Mutant(
--- a/features/steps/skewed_connection_steps.py
+++ b/features/steps/skewed_connection_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
@@ -85,26 +86,20 @@
         limits.record_shortage([self.endpoint], now)
 
     def _request(self, host, now):
-        for request in self._lending[host].requests([self.endpoint], now):
-            self._send(now, self._grant, request, host, now)
-
-    def _grant(self, now, request, borrower, requested_at):
-        requests = self._lending[request.lender].offer(
-            self.endpoint,
-            [self.endpoint],
-            borrower,
-            request.terms,
-            request.requests,
-            now,
+        for lender, wanted in self._lending[host].requests([self.endpoint], now):
+            self._send(now, self._grant, lender, wanted, host, now)
+
+    def _grant(self, now, lender, wanted, borrower, requested_at):
+        requests = self._lending[lender].offer(
+            self.endpoint, [self.endpoint], borrower, wanted, now
         )
         self.lent += requests
         if requests:
-            self._send(now, self._take, request, borrower, requests, requested_at)
+            loan = replace(wanted, requests=requests)
+            self._send(now, self._take, lender, loan, borrower, requested_at)
 
-    def _take(self, now, request, borrower, requests, requested_at):
-        self.limits[borrower].loans.borrow(
-            request.endpoint, request.lender, requests, request.terms, requested_at
-        )
+    def _take(self, now, lender, loan, borrower, requested_at):
+        self.limits[borrower].loans.borrow(lender, loan, requested_at)
 
     def _send(self, now, handler, *arguments):
         if self.random.random() >= self._lost_share:
--- a/src/piershore/core/fleet/endpoint_rate_limits.py
+++ b/src/piershore/core/fleet/endpoint_rate_limits.py
@@ -223,23 +223,19 @@
 
     def fleet_quota(self, endpoint: Endpoint) -> RateQuota:
         """Return the quota of all gateways together at an endpoint with a limit."""
-        share = self._shares.of(endpoint)
-        gateways = share.gateways if share else len(self._shares)
-        return fleet_quota(self.rate(endpoint.identity), gateways)
+        return fleet_quota(self.rate(endpoint.identity), self._gateways(endpoint))
 
     def lend(
         self, endpoint: Endpoint, borrower: str, requests: int, now: float
     ) -> None:
         """Give up requests in each window for a while; another gateway uses them."""
         window = self.quota(endpoint).window + TRANSIT_JITTER_SECONDS
-        terms = self.terms(endpoint)
-        self.loans.lend(endpoint.identity, borrower, requests, terms, window, now)
+        self.loans.lend(endpoint.identity, borrower, requests, window, now)
 
     def gateway_rate(self, endpoint: Endpoint) -> float:
         """Return the mean rate of one gateway under a limit, in requests a second."""
-        share = self._shares.of(endpoint)
-        gateways = share.gateways if share else len(self._shares)
-        return max(self.rate(endpoint.identity), MIN_REQUESTS_PER_SECOND) / gateways
+        rate = max(self.rate(endpoint.identity), MIN_REQUESTS_PER_SECOND)
+        return rate / self._gateways(endpoint)
 
     def quota(self, endpoint: Endpoint) -> RateQuota | None:
         """Return this gateway's quota at an endpoint; None if it has no rate limit."""
@@ -266,6 +262,11 @@
                 self.forget(identity)
         self.loans.drop_expired(now)
 
+    def _gateways(self, endpoint: Endpoint) -> int:
+        """Return how many gateways share the rate of an endpoint."""
+        share = self._shares.of(endpoint)
+        return share.gateways if share else len(self._shares)
+
     def _quota(self, rate: float, share: Share) -> RateQuota:
         """Return this gateway's quota of a rate."""
         quota = fleet_quota(rate, share.gateways)
--- a/src/piershore/core/fleet/rate_lending.py
+++ b/src/piershore/core/fleet/rate_lending.py
@@ -15,14 +15,14 @@
 from piershore.core.fleet.demand_meter import AVERAGING_SECONDS
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
-from piershore.core.fleet.rate_loans import LoanTerms
+from piershore.core.fleet.rate_loans import Loan
 from piershore.core.fleet.rate_shares import RateShares
 
 MIN_REQUEST_INTERVAL_SECONDS = 0.1
 """Interval of requests for loans while this gateway has used up its quota."""
 SECONDS_PER_LENDER = 0.05
 """When nobody lends, the interval doubles up to this for each gateway that is asked:
-where all have used up their quotas, requests are in vain."""
+where all have used up their quotas, nobody can lend."""
 RENEWAL_SECONDS = 0.5
 """Interval at which loans in use are renewed, a third of their time."""
 MAX_LENDERS = 64
@@ -31,7 +31,7 @@
 """Loans are requested if callers want so many times this gateway's own quotas: less is
 chance, and would only take from gateways that are about to get as many callers."""
 SKEW_DEVIATIONS = 2.0
-"""Standard deviations of the measured demand that are taken for chance."""
+"""Standard deviations of the estimated demand that are taken for chance."""
 DEMAND_MARGIN = 1.1
 """The requests that are borrowed for, as a multiple of those that come."""
 SHORTAGE_SECONDS = 2.0
@@ -40,16 +40,6 @@
 """A lender keeps its expected requests and so many standard deviations of them."""
 
 
-@dataclass(frozen=True)
-class LoanRequest:
-    """A request to one gateway to lend some requests in each window."""
-
-    lender: str
-    endpoint: str
-    terms: LoanTerms
-    requests: int
-
-
 @dataclass
 class _Demand:
     """When loans at an endpoint were requested, and the interval of requests."""
@@ -75,8 +65,8 @@
 
     def requests(
         self, endpoints: Iterable[Endpoint], now: float
-    ) -> Iterator[LoanRequest]:
-        """Yield the requests for loans that are due at all limited endpoints."""
+    ) -> Iterator[tuple[str, Loan]]:
+        """Yield the loans to request now at limited endpoints, with their lenders."""
         by_service: dict[str, list[Endpoint]] = defaultdict(list)
         for endpoint in endpoints:
             by_service[endpoint.service].append(endpoint)
@@ -94,18 +84,17 @@
         endpoint: Endpoint,
         service: Iterable[Endpoint],
         borrower: str,
-        terms: LoanTerms,
-        requests: int,
+        wanted: Loan,
         now: float,
     ) -> int:
-        """Lend up to `requests` to another gateway; return how many.
+        """Lend another gateway up to what it wants; return how many requests.
 
         `service` are all endpoints of the same service. What callers who come here may
         want at any of them is kept.
         """
         limits = self._limits
         quota = limits.quota(endpoint)
-        if quota is None or limits.terms(endpoint) != terms:
+        if quota is None or limits.terms(endpoint) != wanted.terms:
             return 0
         if limits.was_short(endpoint.identity, now - quota.window):
             return 0
@@ -113,7 +102,7 @@
         unused = quota.requests - lent - limits.sent_in_window(endpoint, now)
         replaced = limits.loans.lent(endpoint.identity, now) - lent
         spare = self._spare(endpoint, service, quota.window, now) + replaced
-        offered = max(0, min(requests, unused, spare))
+        offered = max(0, min(wanted.requests, unused, spare))
         if offered:
             limits.lend(endpoint, borrower, offered, now)
         return offered
@@ -137,7 +126,7 @@
 
     def _requests_at(
         self, endpoint: Endpoint, missing_rate: float, now: float
-    ) -> Iterator[LoanRequest]:
+    ) -> Iterator[tuple[str, Loan]]:
         limits, identity = self._limits, endpoint.identity
         terms = limits.terms(endpoint)
         demand = self._demands.setdefault(identity, _Demand())
@@ -154,8 +143,7 @@
         demand.interval = self._next_interval(demand, borrowed, wanted, len(lenders))
         demand.borrowed = borrowed
         for lender in lenders:
-            requests = ceil(wanted / len(lenders))
-            yield LoanRequest(lender, identity, terms, requests)
+            yield lender, Loan(identity, terms, ceil(wanted / len(lenders)))
 
     @staticmethod
     def _next_interval(
--- a/src/piershore/core/fleet/rate_loan_messages.py
+++ b/src/piershore/core/fleet/rate_loan_messages.py
@@ -7,7 +7,7 @@
 import orjson
 
 from piershore.core.fleet.peer_report import InvalidReportError
-from piershore.core.fleet.rate_loans import LoanTerms
+from piershore.core.fleet.rate_loans import Loan, LoanTerms
 from piershore.core.numbers import checked_integer, checked_number
 
 LOAN_REQUEST_PREFIX = b"?"
@@ -19,15 +19,6 @@
 """Requests in one loan."""
 
 
-@dataclass(frozen=True)
-class Loan:
-    """Some requests in each window at an endpoint."""
-
-    endpoint: str
-    terms: LoanTerms
-    requests: int
-
-
 @dataclass(frozen=True)
 class LoanMessage:
     """A request for loans, or the grant of them.
--- a/src/piershore/core/fleet/rate_loans.py
+++ b/src/piershore/core/fleet/rate_loans.py
@@ -23,13 +23,22 @@
     gateways: int
 
 
+@dataclass(frozen=True)
+class Loan:
+    """Some requests in each window at an endpoint."""
+
+    endpoint: str
+    terms: LoanTerms
+    requests: int
+
+
 @dataclass(frozen=True)
 class _Loan:
-    """`requests` in each window, until a time."""
+    """`requests` in each window, until a time; under `terms` if they are borrowed."""
 
     requests: int
     until: float
-    terms: LoanTerms
+    terms: LoanTerms | None = None
 
 
 @dataclass
@@ -44,7 +53,6 @@
         identity: str,
         borrower: str,
         requests: int,
-        terms: LoanTerms,
         window: float,
         now: float,
     ) -> None:
@@ -55,7 +63,7 @@
         """
         loans = self._lent.setdefault(identity, {}).setdefault(borrower, [])
         loans[:] = [n for n in loans if n.until > now and n.requests > requests]
-        loans.append(_Loan(requests, now + LOAN_SECONDS + window, terms))
+        loans.append(_Loan(requests, now + LOAN_SECONDS + window))
 
     def lent(self, identity: str, now: float, besides: str = "") -> int:
         """Return how many requests are lent to gateways other than `besides`."""
@@ -71,20 +79,13 @@
         times = (loan.until - now for loan in self._loans_at(identity))
         return min((seconds for seconds in times if seconds > 0), default=0.0)
 
-    def borrow(
-        self,
-        identity: str,
-        lender: str,
-        requests: int,
-        terms: LoanTerms,
-        requested_at: float,
-    ) -> None:
+    def borrow(self, lender: str, loan: Loan, requested_at: float) -> None:
         """Record a loan that was requested at a time; it replaces the lender's last."""
-        loan = _Loan(requests, requested_at + LOAN_SECONDS, terms)
-        loans = self._borrowed.setdefault(identity, {})
+        borrowed = _Loan(loan.requests, requested_at + LOAN_SECONDS, loan.terms)
+        loans = self._borrowed.setdefault(loan.endpoint, {})
         last = loans.get(lender)
-        if last is None or last.until < loan.until:
-            loans[lender] = loan
+        if last is None or last.until < borrowed.until:
+            loans[lender] = borrowed
 
     def borrowed(self, identity: str, terms: LoanTerms, now: float) -> int:
         """Return how many borrowed requests may be used under these terms."""
--- a/src/piershore/ingress/peers/rate_loan_exchange.py
+++ b/src/piershore/ingress/peers/rate_loan_exchange.py
@@ -4,19 +4,19 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from dataclasses import replace
 
 import trio
 
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.rate_lending import MIN_REQUEST_INTERVAL_SECONDS, RateLending
 from piershore.core.fleet.rate_loan_messages import (
-    Loan,
     LOAN_GRANT_PREFIX,
     LOAN_REQUEST_PREFIX,
     LoanMessage,
     MAX_LOANS,
 )
-from piershore.core.fleet.rate_loans import LOAN_SECONDS
+from piershore.core.fleet.rate_loans import Loan, LOAN_SECONDS
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.peers.peer_link import PeerLink
 from piershore.telemetry import ingress_metrics
@@ -52,9 +52,8 @@
         limited = list(self._limited_endpoints())
         self._lending.drop_removed({e.identity for e in limited})
         loans: dict[str, list[Loan]] = defaultdict(list)
-        for request in self._lending.requests(limited, now):
-            loan = Loan(request.endpoint, request.terms, request.requests)
-            loans[request.lender].append(loan)
+        for lender, loan in self._lending.requests(limited, now):
+            loans[lender].append(loan)
         if not loans:
             return
         number = self._link.next_number()
@@ -89,10 +88,8 @@
         if endpoint is None:
             return None
         service = directory.of_service(endpoint.service)
-        requests = self._lending.offer(
-            endpoint, service, borrower, loan.terms, loan.requests, now
-        )
-        return Loan(loan.endpoint, loan.terms, requests) if requests else None
+        requests = self._lending.offer(endpoint, service, borrower, loan, now)
+        return replace(loan, requests=requests) if requests else None
 
     def _receive_grant(self, data: bytes) -> None:
         grant = LoanMessage.decode(data)
@@ -100,6 +97,4 @@
         if requested_at is None:
             return
         for loan in grant.loans:
-            self._state.limits.loans.borrow(
-                loan.endpoint, grant.host, loan.requests, loan.terms, requested_at
-            )
+            self._state.limits.loans.borrow(grant.host, loan, requested_at)
