Quarantine: one set of delays and thresholds, a rank computed once for each fleet

The delays of probes, the first threshold and the time after which suspects are forgotten stood in the quarantine of whole requests and again in that of traits. Two methods built the same list of reports.

--- a/src/piershore/core/fleet/subsetting.py
+++ b/src/piershore/core/fleet/subsetting.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.endpoint import Endpoint
 from piershore.core.fleet.endpoint_directory import EndpointDirectory
 from piershore.core.hashing import stable_hash
@@ -75,6 +76,7 @@
         self._directory = directory
         self._hosts: tuple[str, ...] = (own_host,)
         self._own_rank = 0
+        self._ranks: dict[str, int] = {}
         self._rings: dict[str, list[Endpoint]] = {}
         self._positions: dict[str, int] = {}
         self._placeable_version: tuple[int, frozenset[str]] | None = None
@@ -86,6 +88,7 @@
             return
         self._hosts = tuple(sorted(known, key=stable_hash))
         self._own_rank = self._hosts.index(self._own_host)
+        self._ranks.clear()
 
     @property
     def view(self) -> SubsetView:
@@ -97,6 +100,13 @@
         """The hosts of all other gateways."""
         return [host for host in self._hosts if host != self._own_host]
 
+    def rank(self, key: str) -> int:
+        """Return this gateway's rank among the live ones by a hash of `key`, from 0."""
+        if key not in self._ranks:
+            order = rendezvous_order(key, self._hosts)
+            self._ranks[key] = order.index(self._own_host)
+        return self._ranks[key]
+
     def own(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that this gateway chooses from."""
         ring = self._ring(service)
--- a/src/piershore/core/quarantine/trait_quarantine.py
+++ b/src/piershore/core/quarantine/trait_quarantine.py
@@ -2,7 +2,7 @@
 
 Requests that are all different may have a part of their prompts in common that crashes
 each endpoint. A crash accuses all traits of the requests that had just begun there;
-an answer that begins after it clears the traits of its request. A request is held if
+an answer that begins after it clears the traits of its request. A request is refused if
 it has all traits that explain the same two or more crashes equally well.
 """
 
@@ -14,20 +14,20 @@
 
 from piershore.core.bounded_mapping import put_newest
 from piershore.core.quarantine.crash_report import CrashReport
+from piershore.core.quarantine.quarantine import (
+    CRASHES_BEFORE_QUARANTINE,
+    FORGET_SECONDS,
+    PROBE_DELAYS_SECONDS,
+)
 from piershore.core.quarantine.request_traits import is_account
 from piershore.core.quarantine.suspect_groups import find_suspect_groups, SuspectGroup
-from piershore.core.quarantine.trait_record import (
-    CRASH_THRESHOLD,
-    KNOWN_CRASH_THRESHOLD,
-    TraitRecord,
-)
+from piershore.core.quarantine.trait_record import KNOWN_CRASH_THRESHOLD, TraitRecord
 
 KNOWN_SECONDS = 30.0
 """How long a trait counts as known since an answer with it began."""
-PROBE_DELAYS_SECONDS = (30.0, 120.0, 600.0)
-"""Delays after which one request of a group is released as a probe."""
 EARLY_PROBE_DELAYS_SECONDS = (2.0, 30.0, 120.0)
-"""The same if the crashes came at few moments: they may have another cause."""
+"""Delays after which one request of a group is released as a probe, instead of the
+usual ones, if the crashes came at few moments: they may have another cause."""
 KNOWN_SURE_MOMENTS = 5
 """Moments of crashes from which on a known trait needs no early probe: a mistake would
 refuse many requests."""
@@ -37,8 +37,6 @@
 UNAMBIGUOUS_PROBE_SECONDS = 5.0
 """How long only a request without other suspected traits may be the probe."""
 MIN_RETRY_SECONDS = 0.1
-FORGET_SECONDS = 3_600.0
-"""A trait that no request had for this long is forgotten."""
 CLEARED_SECONDS = 60.0
 """How long cleared crashes are remembered, since reports of them may arrive late."""
 MAX_RECORDS = 4_096
@@ -131,7 +129,7 @@
     def apply_report(self, report: CrashReport, now: float) -> bool:
         """Apply a gateway's report; return whether any of it is new."""
         trait = report.content
-        record = self._records.get(trait) or TraitRecord(CRASH_THRESHOLD)
+        record = self._records.get(trait) or TraitRecord(CRASHES_BEFORE_QUARANTINE)
         if not record.uncleared:
             record.crash_threshold = self._threshold(trait, now)
         if not record.merge(report, now):
@@ -188,7 +186,7 @@
         if is_account(trait):
             return KNOWN_CRASH_THRESHOLD
         if now - self._known.get(trait, -inf) > KNOWN_SECONDS:
-            return CRASH_THRESHOLD
+            return CRASHES_BEFORE_QUARANTINE
         return KNOWN_CRASH_THRESHOLD
 
     def _find_groups(self) -> list[SuspectGroup]:
@@ -201,8 +199,8 @@
         records = [self._records[trait] for trait in group.traits]
         for record in records:
             record.last_seen_at = now
-        is_known = group.crash_threshold > CRASH_THRESHOLD
-        sure_moments = KNOWN_SURE_MOMENTS if is_known else CRASH_THRESHOLD
+        is_known = group.crash_threshold > CRASHES_BEFORE_QUARANTINE
+        sure_moments = KNOWN_SURE_MOMENTS if is_known else CRASHES_BEFORE_QUARANTINE
         is_doubtful = group.moments < sure_moments
         delays = EARLY_PROBE_DELAYS_SECONDS if is_doubtful else PROBE_DELAYS_SECONDS
         step = max(record.recent_probes for record in records)
--- a/src/piershore/core/quarantine/trait_record.py
+++ b/src/piershore/core/quarantine/trait_record.py
@@ -7,11 +7,9 @@
 
 from piershore.core.quarantine.crash_report import CrashReport, MAX_ENDPOINTS
 
-CRASH_THRESHOLD = 2
-"""Uncleared crashes that put a trait into quarantine, as for a whole request."""
 KNOWN_CRASH_THRESHOLD = 3
-"""The same for an account, and for a part with which answers began lately: when several
-endpoints crash at once, many requests have it by chance."""
+"""Crashes that put an account into quarantine, or a part with which answers began
+lately: when several endpoints crash at once, many requests have it by chance."""
 MOMENT_SECONDS = 0.05
 """Crashes that follow each other more closely came at the same moment."""
 
@@ -61,7 +59,7 @@
         Of those at the same moment only one counts for a trait that many requests have:
         endpoints that fail together have a cause of their own.
         """
-        if self.crash_threshold <= CRASH_THRESHOLD:
+        if self.crash_threshold < KNOWN_CRASH_THRESHOLD:
             return len(crashes)
         return self.moments(crashes)
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -10,7 +10,6 @@
 
 from piershore.core.attempts.leaving import IMMEDIATE_RETRY_SECONDS
 from piershore.core.attempts.retry_budget import RetryBudget, RetryLimits
-from piershore.core.configuration.relays import rendezvous_order
 from piershore.core.fleet.cold_starts import ColdStarts
 from piershore.core.fleet.data_hall_stalls import DataHallStalls
 from piershore.core.fleet.endpoint import Endpoint
@@ -103,7 +102,7 @@
 
     def __post_init__(self) -> None:
         self.subsets = EndpointSubsets(self.host, self.directory)
-        self.quarantine.set_rank(self._rank)
+        self.quarantine.set_rank(self.subsets.rank)
         self.expectation = LENGTH_EXPECTATIONS[self.policies.lengths]()
         self.crash_detector = CrashDetector(
             self.runs, self.quarantine, self.directory, self.pool, self.log
@@ -134,11 +133,6 @@
             self.speeds,
         )
 
-    def _rank(self, key: str) -> int:
-        """Return this gateway's rank among the live gateways, by a hash of `key`."""
-        hosts = [self.host, *self.subsets.peers]
-        return rendezvous_order(key, hosts).index(self.host)
-
     def is_enabled(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return mechanism not in self.policies.disabled
--- a/src/piershore/ingress/peers/crash_reporter.py
+++ b/src/piershore/ingress/peers/crash_reporter.py
@@ -118,12 +118,14 @@
                 await self._send(batch, self._link.living_hosts())
 
     async def _send_all_quarantined(self, host: str) -> None:
-        quarantined = list(
-            self._state.quarantine.quarantined_reports(trio.current_time())
-        )
-        for batch in _batches(quarantined) or [[]]:
+        for batch in _batches(self._quarantined_reports()) or [[]]:
             await self._send(batch, [host])
 
+    def _quarantined_reports(self) -> list[CrashReport]:
+        """Return the reports about all that is in quarantine."""
+        now = trio.current_time()
+        return list(self._state.quarantine.quarantined_reports(now))
+
     def _reports(self, subjects: tuple[str, ...]) -> Iterator[CrashReport]:
         """Yield the reports about subjects that are still remembered."""
         for subject in dict.fromkeys(subjects):
@@ -132,9 +134,7 @@
                 yield report
 
     async def _send_quarantined(self, hosts: list[str]) -> None:
-        quarantined = list(
-            self._state.quarantine.quarantined_reports(trio.current_time())
-        )
+        quarantined = self._quarantined_reports()
         start = self._next_index % len(quarantined) if quarantined else 0
         selected = list(
             islice(quarantined[start:] + quarantined[:start], MAX_RESENT_REQUESTS)
