Placement's query no longer records a shortage

Behaviour as before: the three callers that found no endpoint ask the gateway's state, which records that its quotas are used up; the placement only answers.

--- a/src/piershore/core/fleet/placement.py
+++ b/src/piershore/core/fleet/placement.py
@@ -191,11 +191,10 @@
         None means that one accepts work now, or that the service has no endpoints.
         """
         endpoints = self._directory.of_service(service)
-        waits = (self.seconds_until_available(e, now) for e in endpoints)
-        seconds = min(waits, default=0) or None
-        if seconds is not None:
-            self._limits.record_shortage(endpoints, now)
-        return seconds
+        return (
+            min((self.seconds_until_available(e, now) for e in endpoints), default=0)
+            or None
+        )
 
     def limited_rate(self, service: str) -> float:
         """Return the requests per second this gateway may send to limited endpoints."""
--- a/src/piershore/ingress/callers/final_refusal.py
+++ b/src/piershore/ingress/callers/final_refusal.py
@@ -47,7 +47,7 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
     service = exchange.route.service_for(exchange.identity) or ""
     now = trio.current_time()
-    seconds_left = state.placement.seconds_until_any_available(service, now)
+    seconds_left = state.seconds_until_any_available(service)
     rate = state.placement.limited_rate(service)
     if seconds_left is not None and rate:
         return RequestRefusedError(
--- a/src/piershore/ingress/calls/call_forwarder.py
+++ b/src/piershore/ingress/calls/call_forwarder.py
@@ -144,7 +144,7 @@
         Return False if there is none.
         """
         now = trio.current_time()
-        seconds_left = self._state.placement.seconds_until_any_available(service, now)
+        seconds_left = self._state.seconds_until_any_available(service)
         exchange = self._exchange
         max_wait_until = exchange.arrived + max_memory_wait_seconds(
             exchange.route.target_latency
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -169,6 +169,18 @@
         self.retry_budget(service).record_request(now)
         self.limits.demand.record(service, now)
 
+    def seconds_until_any_available(self, service: str) -> float | None:
+        """Return the seconds until any endpoint accepts a request that found none.
+
+        None means that one accepts it now, or that the service has no endpoints. Else
+        the request shows that this gateway's quotas are used up.
+        """
+        now = trio.current_time()
+        seconds = self.placement.seconds_until_any_available(service, now)
+        if seconds is not None:
+            self.limits.record_shortage(self.directory.of_service(service), now)
+        return seconds
+
     def spend_retry(self, service: str) -> bool:
         """Spend a retry of the budget; return False if none is left."""
         if not self.is_enabled(Mechanism.SECOND_RUNS):
--- a/src/piershore/ingress/streams/stream_opening.py
+++ b/src/piershore/ingress/streams/stream_opening.py
@@ -90,17 +90,13 @@
         while True:
             decision = self._placement.choose(service, tried, trio.current_time())
             if decision is None:
-                pause = self._seconds_until_available(service)
+                pause = self._state.seconds_until_any_available(service)
             else:
                 pause = wait.next_pause(has_memory=self._placement.fits(decision))
             if pause is None or trio.current_time() + pause > deadline:
                 return decision
             await trio.sleep(pause)
 
-    def _seconds_until_available(self, service: str) -> float | None:
-        now = trio.current_time()
-        return self._state.placement.seconds_until_any_available(service, now)
-
     def refusal(self, *, timed_out: bool = False) -> RequestRefusedError:
         """Return the refusal to answer with when no endpoint answered."""
         outcomes = list(self._outcomes)
