--- a/review/harness.py
+++ b/review/harness.py
@@ -420,7 +420,8 @@
 
     It makes an event each `pace` seconds, the first one `first_seconds` after the
     request's arrival. If it `drops_closed`, it ends a run whose connection closes. A
-    request with one of the `crashing_parts`, other than as its last part, crashes it.
+    request with the `crashing_note` in its body crashes it `crash_after_seconds` after
+    its first event; it is back `back_after_seconds` later.
     If `unframed`, its streams have neither length nor chunks. If it `notes_events`, the
     record has a line for each event.
     """
@@ -453,7 +454,9 @@
         self.drops_closed = True
         self.unframed = False
         self.notes_events = False
-        self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_note: str | None = None
+        self.crash_after_seconds = 0.1
+        self.back_after_seconds = 3.0
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
         self.crashes: list[float] = []
@@ -520,11 +523,14 @@
         for writer in list(self._writers):
             writer.close()
 
-    async def crash(self, back_after: float) -> None:
-        """Crash, and start again under the same name some seconds later."""
+    async def _crash_under(self, run: Run) -> None:
+        """Crash under a run, and start again under the same name some seconds later."""
+        await asyncio.sleep(self.first_seconds + self.crash_after_seconds)
+        if run.ended_at is not None:
+            return
         self.crashes.append(self._record.now)
         self.stop("crashed")
-        await asyncio.sleep(back_after)
+        await asyncio.sleep(self.back_after_seconds)
         self.born = int(time.time() * 1_000)
         await self.start()
 
@@ -613,11 +619,9 @@
         if "kv-backup" in request.headers:
             backup = run.backup = request.headers["kv-backup"]
             self._memory.copies[f"{backup}/{identity}"] = backup
-        if self.crashing_parts.intersection(shared_parts(request)):
-            await asyncio.sleep(0.1)
-            crash = asyncio.create_task(self.crash(2.0))
-            _keep(crash)
-            return False
+        note = json.loads(request.body)["note"]
+        if self.crashing_note is not None and note == self.crashing_note:
+            _keep(asyncio.create_task(self._crash_under(run)))
         return await self._stream(request, run, reader, writer)
 
     async def _stream(
@@ -799,12 +803,6 @@
             self._record.note(f"{self.name}: {line.decode().strip()}")
 
 
-def shared_parts(request: Message) -> list[str]:
-    """Return the ids of a prompt's parts, without the last one."""
-    parts = request.headers.get("prompt-prefix", "").split(",")
-    return [part.partition(":")[0] for part in parts[:-1]]
-
-
 _tasks: set[asyncio.Task] = set()
 
 
@@ -851,9 +849,12 @@
         return self._writer is not None and not self._reader.at_eof()
 
     async def stream(
-        self, request: str, path: str, events: int, **headers: object
+        self, request: str, path: str, events: int, note: str = "", **headers: object
     ) -> Answer:
-        """Send one request for a stream, and read the answer to its end."""
+        """Send one request for a stream, and read the answer to its end.
+
+        The body holds a `note`; without one it is like no other.
+        """
         answer = Answer(request, self._record.now)
         named = {
             "Host": "ficu95.example",
@@ -864,7 +865,7 @@
             "Content-Type": "application/json",
         }
         named.update({k.replace("_", "-").title(): str(v) for k, v in headers.items()})
-        body = json.dumps({"events": events, "note": request}).encode()
+        body = json.dumps({"events": events, "note": note or request}).encode()
         try:
             if not self.is_connected:
                 self._reader, self._writer = await asyncio.open_connection(
