Review, case 2: a request that crashes its runners late is never held (BUDGET)

Takes the place of the TWICE case, whose harm is less: a generation runs at two engines for 2 s. Cause: a run whose first chunk is over a second old is suspected of no crash.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,125 +1,120 @@
-"""Rule TWICE: a stream goes on elsewhere while the runner that leaves still runs it."""
+"""Rule BUDGET: a request that crashes each of its runners after 2 s is never held."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 
 from harness import (
-    CannotRunError,
+    Answer,
     configuration,
-    Engine,
     engine_service,
     main,
     new_request_id,
-    Run,
     streaming_route,
     World,
 )
 
-CALLERS = 21
-EVENTS = (100, 150)
-PROMPT_TOKENS = 6_000
-"""The most that the deployment's sheet names for a long request."""
-BACKUP_SECONDS = 1.0
-"""A backup is complete some tenths of a second after the first event."""
-MIN_STREAMS = 4
-"""Streams of the runner that leaves: more than their memory can be copied in time."""
-WAVES = 8
-WAIT_SECONDS = 3.0
-TWICE_SECONDS = 0.4
-"""From the rule: so long after a request goes on, the runner before must not run it."""
-SERVES_ON_SECONDS = 2.1
-"""`drain_ms` is 2 s, and the runner serves on "a little longer"."""
+SECONDS = 50.0
+SOUND_PER_SECOND = 7
+SOUND_EVENTS = 60
+PACE_SECONDS = 0.04
+DEADLY_EVERY_SECONDS = 5.0
+"""A share of 0.028 of the requests of the route."""
+DEADLY_EVENTS = 200
+DEADLY_NOTE = "the same body each time"
+CRASH_AFTER_SECONDS = 2.0
+"""From the first event of the request to the crash of its runner."""
+BACK_AFTER_SECONDS = 3.0
+CONTACT_SECONDS = 3.0
+KNOWN_CRASHES, MOST_RETRIES = 3, 3
+"""From the rule: more than three retries, after it has crashed the third runner."""
 
 
 async def case(world: World) -> bool:
-    """Let one of six runners leave; return whether a stream ran at two at once."""
+    """Send a request that crashes its runners; return whether it is sent on."""
     service = "huvo11a"
-    zones = [
-        "amd-hall-a",
-        "amd-hall-a",
-        "amd-hall-b",
-        "amd-hall-b",
-        "gnr-hall",
-        "gnr-hall",
-    ]
     route = streaming_route("review", "/lohu930/", service)
     spec = configuration(7, [route], [engine_service(service)])
     world.store.put("config", "main", spec)
-    engines = await world.add_engines(zones, service)
-    for engine in (engines[0], engines[2]):
-        engine.drops_closed = False
-    await world.start_gateways(["amd-hall-a", "amd-hall-b"])
-    await asyncio.sleep(3.2)
-    leaving, callers = await _load(world)
-    if world.has_trouble:
-        leaving.drain()
-        await asyncio.sleep(SERVES_ON_SECONDS)
-        await leaving.leave()
-    await asyncio.gather(*callers)
-    return any([_ran_twice(world, run) for run in world.runs() if run.is_continued])
-
-
-async def _load(world: World) -> tuple[Engine, list[asyncio.Task]]:
-    """Start streams; return the runner that is to leave, and the callers.
-
-    It doesn't drop what is closed, and has a stream that is backed up.
-    """
-    for _ in range(WAVES):
-        callers = []
-        for number in range(CALLERS):
-            callers.append(asyncio.create_task(_call(world, number)))
-            await asyncio.sleep(0.1)
-        until = world.record.now + WAIT_SECONDS
-        while world.record.now < until:
-            await asyncio.sleep(0.05)
-            for engine in world.engines:
-                if not engine.drops_closed and _has_backup(world, engine):
-                    counts = [len(e.running()) for e in world.engines]
-                    world.record.note(f"runs at the runners: {counts}")
-                    return engine, callers
-        await asyncio.gather(*callers)
-    raise CannotRunError("no stream of the runner that is to leave was backed up")
-
-
-def _has_backup(world: World, engine: Engine) -> bool:
-    runs = [run for run in engine.running() if run.made]
-    now = world.record.now
-    return len(runs) >= MIN_STREAMS and any(
-        run.backup and now - run.began_at > BACKUP_SECONDS for run in runs
-    )
-
-
-async def _call(world: World, number: int) -> None:
+    zones = [*["amd-hall-a"] * 2, *["amd-hall-b"] * 2, *["gnr-hall"] * 2]
+    for engine in await world.add_engines(zones, service):
+        engine.pace = PACE_SECONDS
+        engine.back_after_seconds = BACK_AFTER_SECONDS
+        if world.has_trouble:
+            engine.crashing_note = DEADLY_NOTE
+            engine.crash_after_seconds = CRASH_AFTER_SECONDS
+    await world.start_gateways(["amd-hall-a", "amd-hall-b", "gnr-hall"])
+    await asyncio.sleep(3.5)
+    async with asyncio.TaskGroup() as tasks:
+        deadly = tasks.create_task(_deadly(world))
+        sound = tasks.create_task(_sound(world))
+    return _judge(world, deadly.result(), sound.result())
+
+
+async def _deadly(world: World) -> list[str]:
+    """Send the request again and again, at one gateway after the other."""
+    requests = []
+    until = world.record.now + SECONDS
+    while world.record.now < until:
+        next_at = world.record.now + DEADLY_EVERY_SECONDS
+        gateway = world.gateways[len(requests) % len(world.gateways)]
+        request = new_request_id()
+        requests.append(request)
+        caller = world.caller(gateway)
+        await caller.stream(
+            request,
+            "/lohu930/2f",
+            DEADLY_EVENTS,
+            note=DEADLY_NOTE,
+            token_usage=f"3000,{4 * DEADLY_EVENTS}",
+            prompt_prefix=f"5c1e07a2:47,91bd3f06:32,{request}:2921",
+        )
+        caller.close()
+        await asyncio.sleep(max(0.0, next_at - world.record.now))
+    return requests
+
+
+async def _sound(world: World) -> list[Answer]:
+    """Send other requests of the route; no two are alike."""
+    calls = []
+    until = world.record.now + SECONDS
+    while world.record.now < until:
+        calls.append(asyncio.create_task(_call(world, len(calls))))
+        await asyncio.sleep(1 / SOUND_PER_SECOND)
+    return await asyncio.gather(*calls)
+
+
+async def _call(world: World, number: int) -> Answer:
     caller = world.caller(world.gateways[number % len(world.gateways)])
     request = new_request_id()
-    await caller.stream(
+    answer = await caller.stream(
         request,
         "/lohu930/2f",
-        random.randint(*EVENTS),
-        token_usage=f"{PROMPT_TOKENS},{4 * EVENTS[1]}",
-        prompt_prefix=f"5c1e07a2:47,91bd3f06:32,{request}:{PROMPT_TOKENS - 79}",
+        SOUND_EVENTS,
+        token_usage=f"3000,{4 * SOUND_EVENTS}",
+        prompt_prefix=f"5c1e07a2:47,91bd3f06:32,{request}:2921",
     )
     caller.close()
+    return answer
 
 
-def _ran_twice(world: World, continued: Run) -> bool:
-    """Return whether a runner before worked on the request 0.4 s after it went on."""
-    moment = continued.began_at + TWICE_SECONDS
-    broken = False
-    for run in world.runs():
-        if run is continued or run.request != continued.request:
-            continue
-        if run.began_at < continued.began_at and run.worked_at(moment):
-            broken = True
-            ended = "never" if run.ended_at is None else f"{run.ended_at:.3f}"
-            world.record.note(
-                f"TWICE {run.request}: goes on at {continued.runner} at "
-                f"{continued.began_at:.3f}, {run.runner} works on it until {ended} "
-                f"({run.how}, event {run.made})"
-            )
-    return broken
+def _judge(world: World, deadly: list[str], sound: list[Answer]) -> bool:
+    crashes = sorted(at for engine in world.engines for at in engine.crashes)
+    lost = [answer for answer in sound if not answer.is_complete]
+    world.record.note(
+        f"{len(deadly)} deadly and {len(sound)} sound requests; runners crashed at "
+        f"{[round(at, 1) for at in crashes]}; {len(lost)} sound streams were cut"
+    )
+    if len(crashes) < KNOWN_CRASHES:
+        return False
+    since = crashes[KNOWN_CRASHES - 1] + CONTACT_SECONDS
+    arrivals = (arrival for engine in world.engines for arrival in engine.arrivals)
+    late = sorted(at for at, request in arrivals if request in deadly and at > since)
+    world.record.note(
+        f"BUDGET: {len(late)} retries reached runners later than {CONTACT_SECONDS:g} s "
+        f"after the third crash, at {[round(at, 1) for at in late]}"
+    )
+    return len(late) > MOST_RETRIES
 
 
 if __name__ == "__main__":
