--- a/review/harness.py
+++ b/review/harness.py
@@ -357,7 +357,7 @@
             "bootstrap": "true",
             "limits.cpu_share": 0.817,
             "limits.cpu_cores": 1,
-            "limits.memory_mb": 150,
+            "limits.memory_mb": 300,
             "limits.max_fds": 4100,
             "limits.link_mbps": 1000.0,
             "discovery": "platform",
@@ -372,7 +372,7 @@
             "bounds.config_apply_ms": 2000,
             "bounds.retry_budget_ratio": 0.2,
             "bounds.retry_window_s": 10,
-            "bounds.retry_budget_slack": 58,
+            "bounds.retry_budget_slack": 52,
             "platform.address": store.address,
             "platform.form": "objects",
             "platform.history_s": 20,
@@ -419,9 +419,7 @@
     """A model runner as the pages describe it.
 
     It makes an event each `pace` seconds, the first one `first_seconds` after the
-    request's arrival. If it `drops_closed`, it ends a run whose connection closes. A
-    request with the `crashing_note` in its body crashes it `crash_after_seconds` after
-    its first event; it is back `back_after_seconds` later.
+    request's arrival. If it `drops_closed`, it ends a run whose connection closes.
     If `unframed`, its streams have neither length nor chunks. If it `notes_events`, the
     record has a line for each event.
     """
@@ -454,12 +452,8 @@
         self.drops_closed = True
         self.unframed = False
         self.notes_events = False
-        self.crashing_note: str | None = None
-        self.crash_after_seconds = 0.1
-        self.back_after_seconds = 3.0
         self.runs: list[Run] = []
         self.arrivals: list[tuple[float, str]] = []
-        self.crashes: list[float] = []
         self.host = "127.0.0.1"
         self.port = 0
 
@@ -523,17 +517,6 @@
         for writer in list(self._writers):
             writer.close()
 
-    async def _crash_under(self, run: Run) -> None:
-        """Crash under a run, and start again under the same name some seconds later."""
-        await asyncio.sleep(self.first_seconds + self.crash_after_seconds)
-        if run.ended_at is not None:
-            return
-        self.crashes.append(self._record.now)
-        self.stop("crashed")
-        await asyncio.sleep(self.back_after_seconds)
-        self.born = int(time.time() * 1_000)
-        await self.start()
-
     def _end(self, run: Run, how: str) -> None:
         if run.ended_at is None:
             run.ended_at, run.how = self._record.now, how
@@ -619,9 +602,6 @@
         if "kv-backup" in request.headers:
             backup = run.backup = request.headers["kv-backup"]
             self._memory.copies[f"{backup}/{identity}"] = backup
-        note = json.loads(request.body)["note"]
-        if self.crashing_note is not None and note == self.crashing_note:
-            _keep(asyncio.create_task(self._crash_under(run)))
         return await self._stream(request, run, reader, writer)
 
     async def _stream(
@@ -749,9 +729,10 @@
 
     async def start(self, pace: float) -> None:
         """Start the process, and enter the runner into the store."""
+        self.address = ""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-S",
+            "-SB",
             str(ROOT / "review" / "runner_process.py"),
             self.name,
             self.zone,
@@ -781,10 +762,19 @@
         }
         self._store.put("servers", self.name, entry)
 
-    def kill(self) -> None:
-        """Crash it."""
+    async def crash(self, seconds: float, pace: float) -> None:
+        """Kill it, and start it again under its name so many seconds later.
+
+        Its entry goes after three heartbeats of silence.
+        """
         self._record.note(f"runner {self.name} is killed")
         self._process.kill()
+        lapse = 3 * HEARTBEAT_SECONDS
+        if seconds > lapse:
+            await asyncio.sleep(lapse)
+            self._store.remove("servers", self.name)
+        await asyncio.sleep(max(0.0, seconds - lapse))
+        await self.start(pace)
 
     def close(self) -> None:
         """End the process if it runs."""
@@ -803,14 +793,6 @@
             self._record.note(f"{self.name}: {line.decode().strip()}")
 
 
-_tasks: set[asyncio.Task] = set()
-
-
-def _keep(task: asyncio.Task) -> None:
-    _tasks.add(task)
-    task.add_done_callback(_tasks.discard)
-
-
 @dataclass
 class Answer:
     """What a caller got for one request.
@@ -849,12 +831,9 @@
         return self._writer is not None and not self._reader.at_eof()
 
     async def stream(
-        self, request: str, path: str, events: int, note: str = "", **headers: object
+        self, request: str, path: str, events: int, **headers: object
     ) -> Answer:
-        """Send one request for a stream, and read the answer to its end.
-
-        The body holds a `note`; without one it is like no other.
-        """
+        """Send one request for a stream, and read the answer to its end."""
         answer = Answer(request, self._record.now)
         named = {
             "Host": "ficu95.example",
@@ -865,7 +844,7 @@
             "Content-Type": "application/json",
         }
         named.update({k.replace("_", "-").title(): str(v) for k, v in headers.items()})
-        body = json.dumps({"events": events, "note": note or request}).encode()
+        body = json.dumps({"events": events, "note": request}).encode()
         try:
             if not self.is_connected:
                 self._reader, self._writer = await asyncio.open_connection(
