--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case once; TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=review exec python3 -SB review/2/case.py
