Log: requests that a stopping process cuts off

A gateway that ended in the midst of streams logged `process_stopped` with `cut_off` 0: the count was taken after the tasks of the connections had been cancelled. Nothing named the streams, or told whether they had been accepted before the stop or after it, so that the log could not tell a long stream from one that should have been refused.

`process_stopped` counts them now before they are cancelled, and `request_cut_off` names each with the time at which it came relative to the stop.

Red before: 'a process that ends during a stream doesn't log that it cuts it off' found no such line.

--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -24,7 +24,11 @@
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import CallerRequest
 from piershore.ingress.streams.stream_forwarder import StreamForwarder
-from piershore.telemetry.events import CallerGone, ConnectionsExhausted
+from piershore.telemetry.events import (
+    CallerGone,
+    ConnectionsExhausted,
+    RequestCutOff,
+)
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 """Sent as Retry-After by a gateway that has just started: reading the configuration
@@ -128,12 +132,18 @@
         if self._state.is_leaving:
             connection.must_close = True
         self._state.in_flight += 1
+        is_answered = False
         try:
             await self._answer(connection, request, body, arrived)
+            is_answered = True
         except RequestRefusedError as error:
             await refuse(self._state, connection, request, error, arrived)
+            is_answered = True
         finally:
             self._state.in_flight -= 1
+            # Only the end of the process cancels a connection during a request.
+            if not is_answered and trio.current_effective_deadline() == -inf:
+                self._log_cut_off(request, arrived)
 
     async def _answer(
         self,
@@ -235,6 +245,14 @@
         self._log_caller_gone(exchange)
         exchange.nursery.cancel_scope.cancel()
 
+    def _log_cut_off(self, request: CallerRequest, arrived: float) -> None:
+        leaving_since = self._state.leaving_since
+        if leaving_since is None:
+            return
+        seconds = trio.current_time() - arrived
+        event = RequestCutOff(request.identity, seconds, arrived - leaving_since)
+        self._state.log.write(event, is_failure=True)
+
     def _log_caller_gone(self, exchange: Exchange) -> None:
         self._state.log.write(CallerGone(exchange.identity, exchange.age))
 
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -131,6 +131,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         self._log.start()
+        cut_off = 0
         try:
             async with trio.open_nursery() as nursery:
                 stop = trio.Event()
@@ -140,9 +141,10 @@
                 gc.enable()
                 await stop.wait()
                 await self.leave()
+                cut_off = self._state.in_flight
                 nursery.cancel_scope.cancel()
         finally:
-            self._log.write(ProcessStopped(self._state.in_flight), is_failure=True)
+            self._log.write(ProcessStopped(cut_off), is_failure=True)
             self._log.flush()
 
     async def serve(
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -36,6 +36,19 @@
     cut_off: int
 
 
+@dataclass(frozen=True)
+class RequestCutOff(LogEvent):
+    """The process exits during a request that it had accepted.
+
+    `seconds` since the request arrived; `stopping_seconds` is how long the process had
+    been stopping by then, negative if it arrived before.
+    """
+
+    request: str
+    seconds: float
+    stopping_seconds: float
+
+
 @dataclass(frozen=True)
 class SettingsChanged(LogEvent):
     """The platform signalled that the settings file has changed."""
