--- a/src/piershore/core/attempts/leaving.py
+++ b/src/piershore/core/attempts/leaving.py
@@ -1,16 +1,9 @@
-"""Graceful shutdown: which requests a stopping gateway accepts, and when to retry."""
+"""Graceful shutdown: when callers that a stopping gateway refuses may retry."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from piershore.core.fleet.generation_work import GenerationSize
-
-TOKEN_SECONDS = 0.012
-"""Time for one token on an overloaded engine: 7 ms a step, and 0.12 ms a slot."""
-FIRST_EVENT_SECONDS = 1.5
-"""Time to the first event of a generation: the longest target of the users' routes."""
-
 RESTART_SECONDS = 1.2
 """From the end of a gateway's process until its next process serves; 1.1 to 1.2 s were
 observed on boxes with 0.8 of a core."""
@@ -23,26 +16,6 @@
 may be routed to a stopping gateway again."""
 
 
-def accepts_while_leaving(
-    timeout: float,
-    size: GenerationSize | None,
-    seconds_leaving: float,
-    seconds_left: float,
-) -> bool:
-    """Return whether a gateway that was told to stop accepts a request.
-
-    While callers are still routed here, it accepts all. Later, it accepts only what is
-    sure to end before the process must: within the route's `timeout`, in seconds, or
-    within the time in which a generation makes its maximum number of tokens.
-    """
-    if seconds_leaving <= ROUTING_LAG_SECONDS:
-        return True
-    if size is None:
-        return timeout <= seconds_left
-    max_seconds = FIRST_EVENT_SECONDS + size.max_output_tokens * TOKEN_SECONDS
-    return min(max_seconds, timeout) <= seconds_left
-
-
 def retry_after_seconds(
     leaving_since: Iterable[float], grace: float, now: float, *, others_stay: bool
 ) -> float:
--- a/src/piershore/core/fleet/endpoint_paces.py
+++ b/src/piershore/core/fleet/endpoint_paces.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from piershore.core.streams.stall_detector import StallDetector
@@ -31,6 +32,14 @@
         pace = self._paces.get(identity)
         return (pace.stalls if pace else StallDetector()).threshold
 
+    def slowest(self, identities: Iterable[str]) -> float | None:
+        """Return the longest mean gap in seconds of any of these endpoints.
+
+        Return None if no gap of any of them was recorded.
+        """
+        paces = (self._paces.get(identity) for identity in identities)
+        return max((p.stalls.pace for p in paces if p and p.stalls.pace), default=None)
+
     def last_chunk_at(self, identity: str) -> float:
         """Return when the last chunk of any stream of the endpoint arrived."""
         pace = self._paces.get(identity)
--- a/src/piershore/core/routes/service_spec.py
+++ b/src/piershore/core/routes/service_spec.py
@@ -10,7 +10,8 @@
     """The model engines of a service.
 
     `memory_tokens` is the memory of one engine. Moving a generation to another engine
-    copies `token_bytes` for each token over links of `link_bytes_per_second`.
+    copies `token_bytes` for each token over links of `link_bytes_per_second`. An event
+    of a stream holds `tokens_per_event`, fewer at its end.
     """
 
     slots: int
@@ -19,6 +20,7 @@
     link_bytes_per_second: float
     can_move: bool
     can_back_up: bool
+    tokens_per_event: int = 1
 
     def copy_seconds(self, tokens: float, *, within_data_hall: bool) -> float:
         """Return how long copying the memory of `tokens` takes on an idle link."""
--- a/src/piershore/core/streams/stall_detector.py
+++ b/src/piershore/core/streams/stall_detector.py
@@ -13,6 +13,11 @@
     def __init__(self) -> None:
         self._pace: float | None = None
 
+    @property
+    def pace(self) -> float | None:
+        """Mean gap in seconds; None if none was recorded."""
+        return self._pace
+
     @property
     def threshold(self) -> float:
         """Gap, in seconds, above which a stream has stalled."""
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from piershore.core.attempts.leaving import accepts_while_leaving
 from piershore.core.routes.route import RequestKind, Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -204,14 +203,14 @@
 
     def _check_leaving(self, route: Route, request: CallerRequest) -> None:
         """Refuse a request that may not complete before this process ends."""
-        state, now = self._state, trio.current_time()
-        if state.leaving_since is None:
+        state = self._state
+        if not state.is_leaving:
             return
-        seconds = now - state.leaving_since
-        seconds_left = state.stops_at - now
-        if not accepts_while_leaving(
-            route.timeout, request.size, seconds, seconds_left
-        ):
+        service = route.service_for(request.identity)
+        max_seconds = state.max_answer_seconds(route, service, request.size)
+        if request.time_left is not None:
+            max_seconds = min(max_seconds, request.time_left)
+        if max_seconds > state.stops_at - trio.current_time():
             raise RequestRefusedError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 "leaving",
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -149,6 +149,9 @@
         self._state.paces.record_chunk(attempt.endpoint.identity, gap, now)
         if gap is not None:
             self._state.stalls.record_chunk(attempt.endpoint.data_hall, gap)
+        if not stream.work.has_begun:
+            exchange = stream.exchange
+            self._state.first_events.record(exchange.route.name, exchange.age, now)
         stream.record_events(count, now, TOKENS_PER_EVENT)
 
     def _record_speed(
--- a/src/piershore/platform/routing_codec.py
+++ b/src/piershore/platform/routing_codec.py
@@ -114,6 +114,7 @@
         link_bytes_per_second=bits / BITS_PER_BYTE,
         can_move=bool(item.get("moves")),
         can_back_up=bool(item.get("backups")),
+        tokens_per_event=max(1, checked_integer(item.get("stride") or 1)),
     )
 
 
