--- a/features/stopping_gateway.feature
+++ b/features/stopping_gateway.feature
@@ -22,6 +22,22 @@
     When it has been stopping for 3.5 s and a stream of up to 12 tokens is requested
     Then the stream is whole, and its answer says that the connection ends
 
+  # Regression: idle connections were closed once; one that became idle later stayed open,
+  # and took requests until the process ended.
+  @planned_stop_cuts_nothing
+  Scenario: a connection stays open after an answer that ends late in a stop
+    Given a gateway before engines with an unknown pace
+    When a stream that began before the stop ends 2.6 s after it
+    Then the stream is whole, and its connection is closed at once
+
+  # Regression guard: what has arrived was read, so that only its answer lets a caller know
+  # whether it may be repeated.
+  @planned_stop_cuts_nothing
+  Scenario: a call that arrives during the last answer of a connection goes unanswered
+    Given a gateway before engines with an unknown pace
+    When a call is sent on the connection of a stream that ends 2.6 s after the stop
+    Then the call is answered, and its answer says that the connection ends
+
   # Regression: the process logged that it cut nothing off.
   Scenario: a process that ends during a stream doesn't log that it cuts it off
     Given a gateway process before engines that make an event every 0.2 s
--- a/src/piershore/http1/server_connection.py
+++ b/src/piershore/http1/server_connection.py
@@ -45,6 +45,11 @@
         """Whether sending the current answer has begun."""
         return self._response_started
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of another request, or a close, have arrived."""
+        data, closed = self._connection.trailing_data
+        return bool(data) or closed or self._stream.socket.is_readable()
+
     async def next_request(self) -> RequestHead | None:
         """Read the next request's head; None if the caller closes or stays idle.
 
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -58,12 +58,14 @@
         self._idle: dict[trio.CancelScope, None] = {}
         self._open_count = 0
         self._max_open = max_caller_connections()
+        self._closes_idle = False
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is in progress.
+        """Close connections on which no request is in progress, now and from now on.
 
         Their callers open new ones, which the platform routes to other gateways.
         """
+        self._closes_idle = True
         for scope in list(self._idle):
             scope.cancel()
 
@@ -105,6 +107,8 @@
                 await self._serve_one(connection, head, arrived)
                 if not connection.prepare_next_request():
                     break
+                if self._closes_idle and not connection.has_unread_bytes():
+                    return
         except BadRequestError as error:
             connection.must_close = True
             if connection.response_started:
