Stop: answers that begin after the signal say that their connection ends

What callers saw: a request that had come before SIGTERM and was answered after it was answered without `Connection: close`. Its caller went on using the connection, which the gateway was about to close.

Cause: whether the connection ends was decided when a request was read, not when its answer began.

Red before: 'an answer that begins after the stop doesn't say that its connection ends'.

The signal marks all connections whose answer hasn't begun; the others are closed once they are idle.

--- a/features/stopping_gateway.feature
+++ b/features/stopping_gateway.feature
@@ -38,6 +38,13 @@
     When a call is sent on the connection of a stream that ends 2.6 s after the stop
     Then the call is answered, and its answer says that the connection ends
 
+  # Regression: only answers to requests that came after the stop said so.
+  @planned_stop_cuts_nothing
+  Scenario: an answer that begins after the stop doesn't say that its connection ends
+    Given a gateway before engines with an unknown pace
+    When the first event of a stream comes only after the stop
+    Then the stream is whole, and its answer says that the connection ends
+
   # Regression: the process logged that it cut nothing off.
   Scenario: a process that ends during a stream doesn't log that it cuts it off
     Given a gateway process before engines that make an event every 0.2 s
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -56,10 +56,16 @@
         self._calls = calls
         self._streams = streams
         self._idle: dict[trio.CancelScope, None] = {}
-        self._open_count = 0
+        self._open: set[ServerConnection] = set()
         self._max_open = max_caller_connections()
         self._closes_idle = False
 
+    def announce_close(self) -> None:
+        """Say in all answers that haven't begun that their connection ends."""
+        for connection in self._open:
+            if not connection.response_started:
+                connection.must_close = True
+
     def close_idle(self) -> None:
         """Close connections on which no request is in progress, now and from now on.
 
@@ -71,16 +77,16 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it closes."""
-        self._open_count += 1
-        if self._open_count > self._max_open:
-            self._close_longest_idle()
         connection = ServerConnection(stream, lambda: self._state.configuration.limits)
+        self._open.add(connection)
+        if len(self._open) > self._max_open:
+            self._close_longest_idle()
         try:
             await self._serve_requests(connection)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # The caller has closed the connection, so no answer can be sent.
         finally:
-            self._open_count -= 1
+            self._open.discard(connection)
             with trio.CancelScope(shield=True):
                 await connection.close()
 
@@ -88,7 +94,7 @@
         """Close an idle connection, so that new ones can be accepted."""
         scope = next(iter(self._idle), None)
         self._state.log.write(
-            ConnectionsExhausted(self._open_count, len(self._idle)), is_failure=True
+            ConnectionsExhausted(len(self._open), len(self._idle)), is_failure=True
         )
         if scope is not None:
             del self._idle[scope]
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -396,6 +396,7 @@
             now + self._settings.stop_grace_seconds - STOP_MARGIN_SECONDS
         )
         self._log.write(ProcessStopping(self._state.in_flight), is_failure=True)
+        self._callers.announce_close()
         with trio.move_on_at(self._state.stops_at):
             await trio.sleep_until(now + ROUTING_LAG_SECONDS)
             self._callers.close_idle()
