Own interface: a gateway that leaves says that connections end

What callers saw: while a gateway leaves, its answers said nothing of a close; at the end of the notice it closed their kept connections, and a request that crossed the close failed without an answer.

Cause: the same as on the platform's interface: whether a connection ends wasn't said by the answers on it. This interface cuts nothing, since it waits for all requests, but its callers learned late.

Red before: 'A gateway that leaves tells the callers that keep connections': no answer had `Connection: close`.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -26,6 +26,13 @@
   Scenario: a gateway on the platform gets SIGTERM until its process has ended
     Then it exits with 0 each of 3 times
 
+  # Regression: the answers of a gateway that leaves didn't say that their connections end,
+  # and callers sent the next request at the moment at which they were closed.
+  Scenario: A gateway that leaves tells the callers that keep connections
+    Given a running deployment
+    When gateway-1 answers a caller's requests after SIGTERM
+    Then each of these answers says that its connection ends
+
   Scenario: Rolling restart of all processes under load
     Given a running deployment
     When every agent and gateway is replaced in turn under load
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -16,6 +16,7 @@
 
 CALLS = 20
 LONG_CALL_SECONDS = 10
+NOTICE_SECONDS = 5.0
 STOP_SIGNALS = 5
 STOP_GAP_SECONDS = 0.2
 SIGNAL_GAP_SECONDS = 0.002
@@ -235,6 +236,29 @@
     assert world.values["stopped"].wait() == 0
 
 
+@when("gateway-1 answers a caller's requests after SIGTERM")
+def answer_after_signal(context):
+    world = context.world
+    name = "gateway-1"
+    world.deployment.process(name).terminate()
+    world.deployment.process(name).wait()
+    world.deployment.start_gateway(name, GATEWAYS[name], leave_notice=NOTICE_SECONDS)
+    world.deployment.wait_ready(name)
+    world.wait_until_serving()
+    client = world.caller(name)._client
+    world.deployment.process(name).terminate()
+    wait_until(lambda: client.get("/readyz").is_error, "the gateway to leave")
+    paths = (f"/v1/keys/{SERVICE}", "/v1/keys/unknown")
+    context.answers = [client.get("/readyz"), *(client.post(path) for path in paths)]
+
+
+@then("each of these answers says that its connection ends")
+def check_told(context):
+    assert [answer.status_code for answer in context.answers] == [503, 200, 404]
+    for answer in context.answers:
+        assert answer.headers.get("connection") == "close", answer.headers
+
+
 @when("every agent and gateway is replaced in turn under load")
 def replace_all(context):
     world = context.world
--- a/src/piershore/gateway/daemon.py
+++ b/src/piershore/gateway/daemon.py
@@ -191,7 +191,14 @@
         async def check_headers() -> None:
             reader.check_headers()
 
+        async def announce_close(response: Response) -> Response:
+            """Tell callers that keep connections to use other ones."""
+            if self._leaving:
+                response.headers["Connection"] = "close"
+            return response
+
         app.before_request(check_headers)
+        app.after_request(announce_close)
         app.register_error_handler(RequestRefusedError, self._handle_refusal)
         app.register_error_handler(HTTPException, self._handle_http_error)
         app.register_error_handler(Exception, self._handle_exception)
