Streams go on elsewhere only once the run before was told to stop (TWICE)

Nothing was lost, but a request ran at two engines at a time.

Cause: on most paths on which a stream goes on elsewhere its connection was closed and no more, as if that ended the run. Only a move told the engine to stop, and took that for done whatever the answer, or none.

A move that isn't obeyed leaves the stream where it is.

--- a/features/leaving_in_answers.feature
+++ b/features/leaving_in_answers.feature
@@ -30,6 +30,7 @@
       | the head of a stream       |
       | a report                   |
       | an answer to a move        |
+      | an answer to a stop        |
 
   Scenario Outline: an endpoint stays leaving when <news>
     Given 1 gateway before healthy endpoints
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -131,9 +131,18 @@
     engine.tells_leaving = True
     endpoint = known_endpoint(world, engine)
     async with state_of(world).pool.borrow(endpoint, IDLE_SECONDS) as connection:
-        await EngineMover().move(
-            connection, endpoint.address, "none", target.address, is_last=False
-        )
+        await EngineMover().move(connection, endpoint.address, "none", target.address)
+    return engine
+
+
+async def by_stop(world):
+    engine, target = world.endpoints[3:]
+    engine.tells_leaving = True
+    endpoint, mover = known_endpoint(world, engine), EngineMover()
+    async with state_of(world).pool.borrow(endpoint, IDLE_SECONDS) as connection:
+        source = endpoint.address
+        await mover.send_stop(connection, source, "none", target.address)
+        await mover.read_stop_result(connection, source)
     return engine
 
 
@@ -145,6 +154,7 @@
     "the head of a stream": by_stream,
     "a report": by_report,
     "an answer to a move": by_move,
+    "an answer to a stop": by_stop,
 }
 
 
--- a/src/piershore/core/fleet/evacuation_plan.py
+++ b/src/piershore/core/fleet/evacuation_plan.py
@@ -55,7 +55,8 @@
     """A generation's target; `start` is when its copy begins, in seconds.
 
     A generation whose copy doesn't fit into the time continues at its backup, if it has
-    one.
+    one. Stopping its run copies its memory as well, so it waits for the copies of the
+    others.
     """
 
     request: str
@@ -127,6 +128,7 @@
             method = MoveMethod.COPY
             if self.seconds > COPY_BUDGET_SECONDS and report.has_backup:
                 method = MoveMethod.BACKUP
+                start = min(start, COPY_BUDGET_SECONDS)
             yield PlannedMove(report.request, target, start, method)
             self._planned_tokens[target.identity] += report.held_tokens
 
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -62,6 +62,12 @@
         connection.on_head = partial(self._on_head, endpoint)
         return connection
 
+    async def open(self, endpoint: Endpoint) -> ClientConnection:
+        """Return a new connection; raise `NotConnectedError` if it can't be opened."""
+        connection = await self._open(endpoint.address)
+        connection.on_head = partial(self._on_head, endpoint)
+        return connection
+
     async def _acquire(
         self, address: Address, max_idle_seconds: float
     ) -> ClientConnection:
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -25,7 +25,7 @@
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
 from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import LiveStream, LiveStreams
+from piershore.ingress.live_stream import LiveStream, LiveStreams, RunState
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.ingress.peers.crash_reporter import CrashReporter
 from piershore.ingress.peers.load_update_sender import LoadUpdateSender
@@ -358,7 +358,7 @@
         They continue from their copy or backup, if they have one.
         """
         for stream in streams:
-            stream.give_up_endpoint()
+            stream.give_up_endpoint(RunState.ENDED)
 
     async def _sweep_connections(self) -> None:
         while True:
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 
 import trio
 
@@ -13,6 +14,7 @@
 from piershore.core.streams.delivered_events import DeliveredEvents
 from piershore.core.streams.reader_progress import ReaderProgress
 from piershore.ingress.callers.exchange import Exchange
+from piershore.ingress.moves.stop_order import StopOrder
 from piershore.ingress.ports import MemoryCopy
 
 MAX_RETURN_TO_SOURCE_SECONDS = 1.0
@@ -23,20 +25,34 @@
 to 0.4 s, and newer memory is sent several times a second."""
 
 
+class RunState(Enum):
+    """What is known of a run that is no longer read from.
+
+    `RUNNING`: its endpoint may work on it. `UNREACHABLE`: so it may, but it doesn't
+    answer. `ENDED`: it has ended, or was told to.
+    """
+
+    RUNNING = "running"
+    UNREACHABLE = "unreachable"
+    ENDED = "ended"
+
+
 @dataclass
 class Handover:
     """A move of a stream to another endpoint.
 
-    `copy` is set once `target` holds a copy of the memory, `run_stopped` once the
-    source was told to stop the run, and `is_settled` once no more work is done for the
-    move. `noticed_at` is when the source was known to leave.
+    `copy` is set once `target` holds a copy of the memory, `stop_order` once the source
+    is being told to stop the run, and `is_settled` once no more work is done for the
+    move. `noticed_at` is when the source was known to leave. If it `uses_backup`, the
+    copy was made before the move.
     """
 
     source: Endpoint
     target: Endpoint
     copy: MemoryCopy | None = None
     noticed_at: float = float("-inf")
-    run_stopped: bool = False
+    uses_backup: bool = False
+    stop_order: StopOrder | None = None
     is_settled: trio.Event = field(default_factory=trio.Event)
 
     def continuation_endpoints(self, now: float) -> tuple[Endpoint, ...]:
@@ -52,8 +68,8 @@
 
     `backup` is the endpoint that receives a copy of its memory as it grows.
     `reading_scope` cancels the wait for the next chunk from the current endpoint,
-    `waiting_since` is when that wait started. `is_given_up` is set when the stream is
-    to continue at another endpoint.
+    `waiting_since` is when that wait started. `given_up_run` is set when the stream is
+    to continue at another endpoint, to what is known of its run.
     """
 
     exchange: Exchange
@@ -63,7 +79,7 @@
     reader: ReaderProgress = field(default_factory=ReaderProgress)
     handover: Handover | None = None
     backup: Endpoint | None = None
-    is_given_up: bool = False
+    given_up_run: RunState | None = None
     reading_scope: trio.CancelScope | None = None
     waiting_since: float | None = None
     moves: int = 0
@@ -72,9 +88,14 @@
     longest_pause: float = 0.0
     first_seconds: float = 0.0
 
-    def give_up_endpoint(self) -> None:
+    @property
+    def is_given_up(self) -> bool:
+        """Whether nothing more is read from the current endpoint."""
+        return self.given_up_run is not None
+
+    def give_up_endpoint(self, run: RunState) -> None:
         """Stop reading from the current endpoint; what was read is forwarded."""
-        self.is_given_up = True
+        self.given_up_run = run
         if self.reading_scope is not None:
             self.reading_scope.cancel()
 
@@ -83,7 +104,7 @@
         self.endpoint = endpoint
         self.backup = backup
         self.handover = None
-        self.is_given_up = False
+        self.given_up_run = None
         self.endpoint_first_event_at = float("inf")
         self.waiting_since = None
         self.moves += 1
@@ -117,9 +138,9 @@
 
 
 def backup_handover(stream: LiveStream) -> Handover:
-    """Return the move of a stream to its backup, without stopping its run first."""
+    """Return the move of a stream to its backup, which has a copy of its memory."""
     copy = MemoryCopy(stream.backup.address, stream.exchange.identity)
-    handover = Handover(stream.endpoint, stream.backup, copy)
+    handover = Handover(stream.endpoint, stream.backup, copy, uses_backup=True)
     handover.is_settled.set()
     return handover
 
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 
 import trio
 
@@ -30,22 +31,35 @@
     Handover,
     LiveStream,
     LiveStreams,
+    RunState,
 )
 from piershore.ingress.moves.move_client import MoveClient
+from piershore.ingress.moves.run_stopper import RunStopper
+from piershore.ingress.moves.stop_order import StopOrder
 from piershore.ingress.peers.peer_link import PeerLink
-from piershore.ingress.ports import GenerationMover, MoveResult
+from piershore.ingress.ports import (
+    GenerationMover,
+    MoveResult,
+    StopOutcome,
+    StopResult,
+)
 from piershore.telemetry import ingress_metrics
-from piershore.telemetry.events import MoveStarted
+from piershore.telemetry.events import MoveEnded, MoveStarted
 
 REPORTS_EXCHANGE_SECONDS = 0.02
 """Wait until all gateways have reported their streams to each other: a datagram takes
 about 1 ms, and a notice reaches all watches within a few ms."""
+END_CHECK_INTERVAL_SECONDS = 0.02
+"""Interval between checks whether a stopped run has ended."""
 BEGIN_CHECK_INTERVAL_SECONDS = 0.04
 """Interval between checks whether a generation has begun."""
 STOPPED_RUN_TIMEOUT_SECONDS = 0.25
 """Maximum wait for the end of a stopped run: it arrives within a few ms, or 0.2 s after
 a lost packet. On a connection that has gone silent permanently it never arrives:
 without this limit, the stream was lost although its memory had been moved."""
+STOP_WAIT_SECONDS = 0.05
+"""Maximum wait until an order to stop is on its way, before a broken stream continues
+elsewhere; connecting within a region takes a few ms."""
 MAX_TARGETS_IN_A_ROW = 3
 """Maximum number of targets tried for one stream in a row; a refusal takes a few ms."""
 NO_MEMORY_PAUSE_SECONDS = 0.15
@@ -89,6 +103,7 @@
         self._state = state
         self._live = live
         self._client = MoveClient(state, mover)
+        self._stopper = RunStopper(state, mover)
         self._nursery: trio.Nursery | None = None
         self._peers: PeerLink | None = None
 
@@ -112,6 +127,33 @@
         if stream.handover is None:
             self._start(stream.endpoint, [stream], reason)
 
+    async def stop_run(
+        self, request: str, endpoint: Endpoint, target: Endpoint, run: RunState
+    ) -> None:
+        """Tell an endpoint to stop a run before the stream continues at `target`.
+
+        Return once the order is on its way, or after `STOP_WAIT_SECONDS`; the order is
+        repeated until the run is over. An endpoint that isn't reachable isn't waited
+        for.
+        """
+        engine = self._engine_of(endpoint.service)
+        if run is RunState.ENDED or engine is None or not engine.can_move:
+            return
+        order = StopOrder(request, endpoint)
+        self._nursery.start_soon(self._stop_and_release, order, target)
+        if run is RunState.RUNNING:
+            with trio.move_on_after(STOP_WAIT_SECONDS):
+                await order.is_told.wait()
+
+    async def _stop_and_release(self, order: StopOrder, target: Endpoint) -> None:
+        """Stop a run; free the copy that was made of its memory, which isn't used."""
+        try:
+            result = await self._stopper.stop(order, target.address)
+            if result.copy is not None:
+                await self._client.release(order.request, order.endpoint, result.copy)
+        except Exception as error:
+            self._state.log.write_internal_error("MoveCoordinator", error)
+
     def _start(
         self, source: Endpoint, streams: list[LiveStream], reason: MoveReason
     ) -> None:
@@ -166,15 +208,12 @@
         self, stream: LiveStream, evacuation: Evacuation, planned: PlannedMove | None
     ) -> None:
         """Copy the stream's memory, then continue it at the target."""
-        if (
-            planned is not None
-            and planned.method is MoveMethod.BACKUP
-            and stream.has_backup
-        ):
-            self._switch_to_backup(stream, evacuation)
-            return
         if planned is not None:
             await trio.sleep_until(evacuation.noticed_at + planned.start)
+            uses_backup = planned.method is MoveMethod.BACKUP and stream.has_backup
+            if uses_backup and self._is_at(stream, evacuation.source):
+                await self._switch_to_backup(stream, evacuation, planned.target)
+                return
         if not await self._wait_for_first_event(stream, evacuation.source):
             return
         target = planned.target if planned else None
@@ -218,10 +257,9 @@
             handover.copy = copied.copy
             request = stream.exchange.identity
             if self._is_at(stream, handover.source):
-                await self._client.stop(request, handover, evacuation.noticed_at)
-                self._nursery.start_soon(self._stop_reading, stream, handover)
+                await self._stop_source(stream, evacuation, handover, target)
             elif not self._live.is_live(stream):
-                await self._client.release(request, handover, copied.copy)
+                await self._client.release(request, handover.source, copied.copy)
             return True
         finally:
             self._state.fleet_load.remove(target.identity, reservation)
@@ -229,32 +267,80 @@
             if handover.copy is None and stream.handover is handover:
                 stream.handover = None
 
-    async def _stop_reading(self, stream: LiveStream, handover: Handover) -> None:
+    async def _stop_source(
+        self,
+        stream: LiveStream,
+        evacuation: Evacuation,
+        handover: Handover,
+        target: Endpoint,
+    ) -> StopResult:
+        """Stop the run, so that its stream ends and continues elsewhere.
+
+        Its memory is copied to `target`. The endpoint that continues reads again the
+        tokens that its own copy lacks, a few tens: that is faster than waiting until
+        the source's link has copied them as well.
+        """
+        order = StopOrder(stream.exchange.identity, handover.source)
+        handover.stop_order = order
+        self._nursery.start_soon(self._stop_reading, stream, handover, order)
+        result = await self._stopper.stop(order, target.address)
+        outcome = "moved" if result.outcome is StopOutcome.STOPPED else "refused"
+        ingress_metrics.MOVES.labels(outcome).inc()
+        seconds = trio.current_time() - evacuation.noticed_at
+        event = MoveEnded(
+            order.request,
+            order.endpoint.identity,
+            handover.target.identity,
+            outcome,
+            seconds,
+        )
+        self._state.log.write(event, is_failure=outcome != "moved")
+        return result
+
+    async def _stop_reading(
+        self, stream: LiveStream, handover: Handover, order: StopOrder
+    ) -> None:
         """Stop waiting for the end of a stopped run whose connection is silent.
 
         The target generates again the events that were not received.
         """
-        await trio.sleep(STOPPED_RUN_TIMEOUT_SECONDS)
-        is_waiting = self._is_at(stream, handover.source)
-        if is_waiting and stream.handover is handover and not stream.is_given_up:
-            stream.give_up_endpoint()
+        await order.is_told.wait()
+        told_at = trio.current_time()
+        while self._is_at(stream, handover.source) and stream.handover is handover:
+            await trio.sleep(END_CHECK_INTERVAL_SECONDS)
+            silent_since = max(stream.waiting_since or inf, told_at)
+            if trio.current_time() - silent_since <= STOPPED_RUN_TIMEOUT_SECONDS:
+                continue
+            if order.is_obeyed:
+                stream.give_up_endpoint(RunState.ENDED)
+            elif order.outcome is StopOutcome.UNANSWERED:
+                stream.give_up_endpoint(RunState.UNREACHABLE)
 
     async def _stop_and_copy(
-        self, stream: LiveStream, evacuation: Evacuation, handover: Handover
+        self,
+        stream: LiveStream,
+        evacuation: Evacuation,
+        handover: Handover,
     ) -> bool:
         """Move without a copy before the stop; used when `FIRST_COPIES` is disabled."""
-        result = await self._client.stop(
-            stream.exchange.identity, handover, evacuation.noticed_at
-        )
-        handover.copy = result.copy if result else None
+        result = await self._stop_source(stream, evacuation, handover, handover.target)
+        handover.copy = result.copy
         return True
 
-    def _switch_to_backup(self, stream: LiveStream, evacuation: Evacuation) -> None:
-        """Continue the stream at its backup, which already has its memory."""
-        stream.handover = backup_handover(stream)
+    async def _switch_to_backup(
+        self, stream: LiveStream, evacuation: Evacuation, target: Endpoint
+    ) -> None:
+        """Continue the stream at its backup, which already has its memory.
+
+        Stopping its run copies the memory to `target` as well; that copy is freed.
+        """
+        handover = stream.handover = backup_handover(stream)
         self._log_start(stream, evacuation, stream.backup)
         ingress_metrics.MOVES.labels("backup").inc()
-        stream.give_up_endpoint()
+        result = await self._stop_source(stream, evacuation, handover, target)
+        if result.copy is not None:
+            request = stream.exchange.identity
+            await self._client.release(request, handover.source, result.copy)
 
     async def _copy(self, stream: LiveStream, handover: Handover) -> MoveResult | None:
         """Copy the present memory while the stream continues."""
--- a/src/piershore/ingress/ports.py
+++ b/src/piershore/ingress/ports.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from piershore.core.documents.document import Document, DocumentChunk
 from piershore.core.fleet.drained_halls import DrainedHalls
@@ -85,6 +86,34 @@
     copy: MemoryCopy
 
 
+class StopOutcome(StrEnum):
+    """What came of the order to stop a run.
+
+    `STOPPED`: it was stopped. `NO_RUN`: the endpoint doesn't run it. `GONE`: the
+    endpoint has ended. `REFUSED`: it goes on. `UNANSWERED`: the endpoint couldn't be
+    reached, or the connection broke before its answer.
+    """
+
+    STOPPED = "stopped"
+    NO_RUN = "no_run"
+    GONE = "gone"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the endpoint certainly doesn't work on the run any more."""
+        return self in (StopOutcome.STOPPED, StopOutcome.NO_RUN, StopOutcome.GONE)
+
+
+@dataclass(frozen=True)
+class StopResult:
+    """The outcome, and the copy of the run's memory if one is named."""
+
+    outcome: StopOutcome
+    copy: MemoryCopy | None = None
+
+
 class RequestDialect(ABC):
     """Decodes and encodes the heads of requests and answers."""
 
@@ -135,14 +164,34 @@
         source: Address,
         request_id: str,
         target: Address,
-        *,
-        is_last: bool,
     ) -> MoveResult | None:
-        """Copy the memory that is new; with `is_last`, stop the run first.
+        """Copy the memory that is new, while the run goes on.
 
         Return None if the generation can't be moved. Raise `ExchangeBrokenError`.
         """
 
+    @abstractmethod
+    async def send_stop(
+        self,
+        connection: ClientConnection,
+        source: Address,
+        request_id: str,
+        target: Address,
+    ) -> None:
+        """Order to stop a run and to copy its memory; raise `ExchangeBrokenError`.
+
+        The run stops as the order arrives.
+        """
+
+    @abstractmethod
+    async def read_stop_result(
+        self, connection: ClientConnection, source: Address
+    ) -> StopResult:
+        """Read the answer to `send_stop`; raise `ExchangeBrokenError`.
+
+        An engine that stops a run answers when its memory is copied.
+        """
+
     @abstractmethod
     async def release(self, connection: ClientConnection, copy: MemoryCopy) -> None:
         """Free a copy that will not be used."""
--- a/src/piershore/ingress/streams/silence_watch.py
+++ b/src/piershore/ingress/streams/silence_watch.py
@@ -19,7 +19,7 @@
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.ingress.attempts.attempt_log import log_ejection
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import LiveStream, LiveStreams
+from piershore.ingress.live_stream import LiveStream, LiveStreams, RunState
 from piershore.ingress.moves.move_coordinator import MoveCoordinator, MoveReason
 from piershore.ingress.ports import EndpointProber
 from piershore.telemetry import ingress_metrics
@@ -182,7 +182,9 @@
         if decision is SilenceDecision.MOVE:
             self._moves.evacuate_one(stream, MoveReason.EVENTS_LOST)
         elif decision is SilenceDecision.GIVE_UP:
-            stream.give_up_endpoint()
+            # An endpoint that answers has restarted without the run.
+            run = RunState.UNREACHABLE if report is None else RunState.ENDED
+            stream.give_up_endpoint(run)
 
     async def _can_continue_elsewhere(self, stream: LiveStream) -> bool:
         """Return whether the stream can continue at an endpoint that can be reached.
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -10,7 +10,12 @@
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.exceptions import AttemptFailedError
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import backup_handover, Handover, LiveStream
+from piershore.ingress.live_stream import (
+    backup_handover,
+    Handover,
+    LiveStream,
+    RunState,
+)
 from piershore.ingress.moves.move_coordinator import MoveCoordinator
 from piershore.ingress.ports import MemoryCopy
 from piershore.ingress.streams.stream_opening import MAX_IDLE_SECONDS
@@ -39,11 +44,14 @@
         moves: MoveCoordinator,
         placement: StreamPlacement,
         stream: LiveStream,
+        run: RunState,
     ) -> None:
         self._state = state
         self._moves = moves
         self._placement = placement
         self._stream = stream
+        self._run_at = stream.endpoint
+        self._run = run
         self.failure = ""
 
     async def resume(self) -> EndpointAttempt | None:
@@ -70,13 +78,15 @@
         """Run a resumable stream again elsewhere; it resumes after its last event."""
         exchange = self._stream.exchange
         service = exchange.route.service_for(exchange.identity)
-        tried = [self._stream.endpoint.identity]
-        while service is not None and len(tried) <= MAX_RERUNS:
+        tried = [self._stream.endpoint.identity, self._run_at.identity]
+        reruns = 0
+        while service is not None and reruns < MAX_RERUNS:
             decision = self._placement.choose(service, tried, trio.current_time())
             if decision is None or not self._state.spend_retry(service):
                 break
             endpoint = decision.endpoint
-            log_attempt(self._state, exchange, decision, len(tried) + 1)
+            reruns += 1
+            log_attempt(self._state, exchange, decision, reruns + 1)
             attempt = await self._resume_at(endpoint, None)
             if attempt is not None:
                 return attempt
@@ -90,7 +100,7 @@
             attempt = await self._resume_at(handover.target, handover.copy)
             if attempt is not None:
                 return attempt
-        if not handover.run_stopped:
+        if handover.stop_order is None or handover.uses_backup:
             return None
         with trio.move_on_after(HANDOVER_TIMEOUT_SECONDS):
             await handover.is_settled.wait()
@@ -110,6 +120,7 @@
         if self._state.directory.is_drained(endpoint):
             return None
         await self._wait_until_available(endpoint)
+        await self._stop_run(endpoint)
         exchange = self._stream.exchange
         last = self._stream.delivered.last_number
         backup = self._placement.choose_backup(endpoint, trio.current_time())
@@ -130,6 +141,8 @@
             is_open = True
         except AttemptFailedError as error:
             record_failed_attempt(self._state, exchange, endpoint, error, 0.0)
+            if attempt.is_unanswered:
+                self._run_at, self._run = endpoint, RunState.RUNNING
             return None
         finally:
             if not is_open:
@@ -137,6 +150,14 @@
         self._continue_at(endpoint, backup)
         return attempt
 
+    async def _stop_run(self, next_endpoint: Endpoint) -> None:
+        """Tell the endpoint that may still work on the stream to stop, once."""
+        run, self._run = self._run, RunState.ENDED
+        stream, target = self._stream, next_endpoint
+        if target.identity == self._run_at.identity:
+            target = stream.endpoint
+        await self._moves.stop_run(stream.exchange.identity, self._run_at, target, run)
+
     async def _wait_until_available(self, endpoint: Endpoint) -> None:
         """Wait until an endpoint accepts work, if that is soon.
 
--- a/src/piershore/ingress/streams/stream_forwarder.py
+++ b/src/piershore/ingress/streams/stream_forwarder.py
@@ -106,14 +106,14 @@
         Raise `AttemptFailedError` if it can't be continued.
         """
         relay = StreamRelay(self._state, stream)
-        while (reason := await relay.run(attempt)) is not None:
+        while (broken := await relay.run(attempt)) is not None:
             continuation = StreamContinuation(
-                self._state, self._moves, placement, stream
+                self._state, self._moves, placement, stream, broken.run
             )
             attempt = await continuation.resume()
             if attempt is None:
-                outcome = AttemptOutcome.BROKEN_OFF
-                raise AttemptFailedError(outcome, f"{reason}{continuation.failure}")
+                message = f"{broken.reason}{continuation.failure}"
+                raise AttemptFailedError(AttemptOutcome.BROKEN_OFF, message)
         if not stream.exchange.connection.response_started:
             raise AttemptFailedError(AttemptOutcome.BROKEN_OFF, "no event was received")
         attempt.record_served()
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass
 
 import trio
 
@@ -14,7 +15,8 @@
 from piershore.http1.exceptions import ExchangeBrokenError
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.gateway_state import GatewayState
-from piershore.ingress.live_stream import LiveStream
+from piershore.ingress.live_stream import LiveStream, RunState
+from piershore.ingress.ports import StopOutcome
 
 TOKENS_PER_EVENT = 4
 """Tokens assumed per event, as endpoints don't report them; used for estimates only."""
@@ -28,6 +30,14 @@
 """A shorter wait is for a chunk that had already arrived."""
 
 
+@dataclass(frozen=True)
+class StreamBreak:
+    """Why a stream can't be read further, and what is known of its run."""
+
+    reason: str
+    run: RunState = RunState.RUNNING
+
+
 class StreamRelay:
     """Relays complete events as they arrive, each once and in order."""
 
@@ -40,48 +50,56 @@
         self._learns_speeds = state.is_enabled(Mechanism.ENDPOINT_SPEEDS)
         self._unrecorded_gap: tuple[float, int, float] | None = None
 
-    async def run(self, attempt: EndpointAttempt) -> str | None:
+    async def run(self, attempt: EndpointAttempt) -> StreamBreak | None:
         """Relay all events; return None when complete, or why the stream broke."""
         splitter = EventSplitter()
         chunks = attempt.read_chunks()
         self._unrecorded_gap = None
         self._was_awaited = True
-        stream = self._stream
         try:
             while (chunk := await self._next_chunk(attempt, chunks)) is not None:
                 await self._relay(attempt, splitter.feed(chunk))
                 if len(splitter.remainder) > MAX_EVENT_BYTES:
-                    return f"an event has over {MAX_EVENT_BYTES} bytes"
-            cut = await self._find_cut(attempt, splitter)
+                    return StreamBreak(f"an event has over {MAX_EVENT_BYTES} bytes")
+            return await self._find_break(attempt, splitter)
         except ExchangeBrokenError as error:
-            return error.message
+            return StreamBreak(error.message, self._stopped_run)
         except MissingEventError as error:
-            return f"an event is missing: {error}"
+            return StreamBreak(f"an event is missing: {error}")
         finally:
             await attempt.close()
-        if stream.is_given_up:
-            return "the endpoint was given up"
-        if self._is_stopped:
-            return "the run was stopped for a move"
-        return cut
 
-    async def _find_cut(
+    async def _find_break(
         self, attempt: EndpointAttempt, splitter: EventSplitter
-    ) -> str | None:
+    ) -> StreamBreak | None:
         """Return why an answer that ended is incomplete; None if it seems complete."""
+        given_up_run = self._stream.given_up_run
+        if given_up_run is not None:
+            return StreamBreak("the endpoint was given up", given_up_run)
         if splitter.remainder:
             if not self._is_stopped:
                 attempt.record_truncation()
-            return "the last event was truncated"
+            return StreamBreak("the last event was truncated", self._stopped_run)
+        if self._is_stopped:
+            return StreamBreak("the run was stopped for a move", RunState.ENDED)
         if await attempt.was_cut_by_crash():
-            return "the endpoint crashed as its answer ended"
+            reason = "the endpoint crashed as its answer ended"
+            return StreamBreak(reason, RunState.ENDED)
         return None
 
     @property
     def _is_stopped(self) -> bool:
-        """Whether the endpoint has confirmed that it stopped the run for a move."""
+        """Whether the endpoint was told to stop the run, and doesn't say otherwise."""
         handover = self._stream.handover
-        return handover is not None and handover.run_stopped
+        order = handover.stop_order if handover is not None else None
+        if order is None or not order.is_obeyed:
+            return False
+        return order.outcome is not StopOutcome.NO_RUN
+
+    @property
+    def _stopped_run(self) -> RunState:
+        """What is known of the run when its answer ends early."""
+        return RunState.ENDED if self._is_stopped else RunState.RUNNING
 
     async def _next_chunk(
         self, attempt: EndpointAttempt, chunks: AsyncIterator[bytes]
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -433,6 +433,16 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class RunStopEnded(LogEvent):
+    """An endpoint was told to stop a run whose stream goes on elsewhere."""
+
+    request: str
+    endpoint: str
+    outcome: str
+    seconds: float
+
+
 @dataclass(frozen=True)
 class StreamContinued(LogEvent):
     """A stream continues at another endpoint, after event `last_event`."""
--- a/src/piershore/telemetry/ingress_metrics.py
+++ b/src/piershore/telemetry/ingress_metrics.py
@@ -33,6 +33,12 @@
     ["result"],
     registry=REGISTRY,
 )
+STOPS = Counter(
+    "piershore_ingress_stops_total",
+    "Runs that an endpoint was told to stop, by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 SILENCES = Counter(
     "piershore_ingress_silences_total",
     "Streams that paused far longer than their endpoint's pace, by what was done.",
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 import h11
 import orjson
@@ -95,6 +96,24 @@
     rate: str
 
 
+@dataclass(eq=False)
+class EngineRun:
+    """One generation at an engine.
+
+    Times are of trio's clock; `ended_at` is infinite while it runs. `is_continued` is
+    whether it goes on from a copy or after an event.
+    """
+
+    identity: str
+    began_at: float
+    is_continued: bool
+    ended_at: float = inf
+
+    def is_running_at(self, moment: float) -> bool:
+        """Whether the engine worked on it then."""
+        return self.began_at <= moment < self.ended_at
+
+
 class EngineMemory:
     """Copies of generations by `HOST:PORT/NAME`: where each lies."""
 
@@ -114,7 +133,11 @@
     stream that remains unread for `unread_seconds`. Unless it `reads_bodies`, it reads
     no more of a request than its head. A stream whose prompt has one of the
     `crashing_parts`, other than as its last part, crashes it at `crash_point`. If it
-    `ends_with_connection`, its streams have neither length nor chunks.
+    `ends_with_connection`, its streams have neither length nor chunks. Unless it
+    `drops_closed`, it works on a stream whose connection has closed. If it
+    `resets_continued`, it closes the connection of a stream that goes on here, and runs
+    it. The first `busy_stops` moves that stop a run are answered 409, and one takes
+    effect after `stop_delay_seconds`.
     """
 
     def __init__(
@@ -157,9 +180,16 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self.crash_point = CrashPoint.BEFORE_HEAD
         self.ends_with_connection = False
+        self.drops_closed = True
+        self.resets_continued = False
+        self.busy_stops = 0
+        self.stop_delay_seconds = 0.0
         self.made: dict[str, int] = {}
+        self.engine_runs: list[EngineRun] = []
         self._memory = memory
         self._running: dict[str, trio.CancelScope] = {}
+        self._open: dict[str, trio.SocketStream] = {}
+        self._skipped: set[str] = set()
         self._scope = trio.CancelScope()
         self.port = 0
         self.listed_as = lambda: self.address
@@ -192,6 +222,15 @@
         self.made.clear()
         self.silence = Silence.PAUSED
 
+    async def reset_streams(self) -> None:
+        """Close the connections of all streams, as a reset does."""
+        for stream in list(self._open.values()):
+            await trio.aclose_forcefully(stream)
+
+    def skip_event(self) -> None:
+        """Leave out the next event of each stream."""
+        self._skipped.update(self._open)
+
     def crash(self) -> None:
         """Close all connections and stop listening."""
         self._scope.cancel()
@@ -214,7 +253,7 @@
         try:
             while await self._exchange(stream, connection):
                 connection.start_next_cycle()
-        except (trio.BrokenResourceError, h11.ProtocolError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             pass
         finally:
             await trio.aclose_forcefully(stream)
@@ -265,6 +304,9 @@
         name = self.faults.pop(0) if self.faults else ""
         if name:
             return await FAULTS[name](self, arrival)
+        if self.resets_continued and "kv-from" in arrival.headers:
+            await self._reset_and_run(arrival)
+            return False
         if self.crashing_body and arrival.body.startswith(self.crashing_body):
             await self._crash_under(arrival)
             return False
@@ -364,15 +406,26 @@
         self.note_run(arrival)
         if (backup := arrival.headers.get("kv-backup")) is not None:
             self._memory.copies[f"{backup}/{arrival.identity}"] = backup
+        await self._run_engine(arrival, first, most)
+
+    async def _run_engine(self, arrival: Arrival, first: int, most: int) -> None:
+        """Run a generation until it is complete, stopped or dropped."""
+        identity = arrival.identity
+        is_continued = not {"kv-from", "last-event-id"}.isdisjoint(arrival.headers)
+        run = EngineRun(identity, trio.current_time(), is_continued)
+        self.engine_runs.append(run)
         self.open_streams += 1
+        self._open[identity] = arrival.stream
         try:
             with trio.CancelScope() as scope:
-                self._running[arrival.identity] = scope
+                self._running[identity] = scope
                 await self._send_events(arrival, first, most)
         finally:
+            run.ended_at = trio.current_time()
             self.open_streams -= 1
-            self._running.pop(arrival.identity, None)
-            self.made.pop(arrival.identity, None)
+            self._running.pop(identity, None)
+            self._open.pop(identity, None)
+            self.made.pop(identity, None)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("stopped for a move")
 
@@ -385,12 +438,16 @@
             while self.silence in (Silence.PAUSED, Silence.GONE):
                 await trio.sleep(self.pace)
             self.made[arrival.identity] = number
-            if self.ends_with_connection:
+            if arrival.identity in self._skipped:
+                self._skipped.discard(arrival.identity)
+            elif self.ends_with_connection:
                 data += event
             else:
                 data += connection.send(h11.Data(event))
             if self.silence is not Silence.EVENTS_LOST:
-                await self._send_in_time(stream, data)
+                if not await self._send_event(stream, data):
+                    await trio.sleep(self.pace * (most - number))
+                    return
                 data = b""
             await trio.sleep(self.pace)
         if not self.ends_with_connection:
@@ -399,12 +456,30 @@
         if self.ends_with_connection:
             await stream.send_eof()
 
-    async def _send_in_time(self, stream, data: bytes) -> None:
-        """Cut the connection if the data remain unread for too long."""
-        with trio.move_on_after(self.unread_seconds) as scope:
-            await stream.send_all(data)
+    async def _send_event(self, stream, data: bytes) -> bool:
+        """Send data; return False if the connection is closed and the run works on.
+
+        Cut the connection if the data remain unread for too long.
+        """
+        try:
+            with trio.move_on_after(self.unread_seconds) as scope:
+                await stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            if self.drops_closed:
+                raise
+            return False
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the answer remains unread")
+        return True
+
+    async def _reset_and_run(self, arrival: Arrival) -> None:
+        """Close the connection of a stream that goes on here, and run it."""
+        self._take_copy(arrival.headers["kv-from"])
+        self.note_run(arrival)
+        await trio.aclose_forcefully(arrival.stream)
+        most = int(arrival.headers["token-usage"].split(",")[1]) // TOKENS_AN_EVENT
+        first = int(arrival.headers.get("last-event-id", "0")) + 1
+        await self._run_engine(arrival, first, most)
 
     def _take_copy(self, name: str) -> bool:
         holder = self._memory.copies.get(name)
@@ -423,6 +498,8 @@
 
     async def _move(self, arrival: Arrival) -> None:
         order = orjson.loads(arrival.body)
+        if order["last"]:
+            await trio.sleep(self.stop_delay_seconds)
         scope = self._running.get(order["id"])
         if scope is None:
             await self.respond(arrival, 404, b"{}")
@@ -430,10 +507,14 @@
         if trio.current_time() < self.moves_refused_until:
             await self.respond(arrival, 503, b"{}")
             return
-        await trio.sleep(self.move_seconds)
+        if order["last"] and self.busy_stops:
+            self.busy_stops -= 1
+            await self.respond(arrival, 409, b"{}")
+            return
         if order["last"]:
             scope.cancel()
             await trio.sleep(self.stop_answer_seconds)
+        await trio.sleep(self.move_seconds)
         handle = f"h-{order['id']}"
         self._memory.copies[f"{self.listed_as()}/{handle}"] = order["target_version"]
         answer = orjson.dumps({"handle": handle, "made": 1})
