A run that ended well isn't taken for a stopped one

What engines saw: a stream whose last event had come went on at another engine, which had nothing left to make.

Cause: after the order to stop, the end of an answer counted as the stop's doing. A run that ends while the order is on its way ends as every other; only its framing tells.

Red before: 'a stream that ends while its engine is told to stop it is continued', once.

An answer whose head says how to find its end, and that has come to it, is complete.

--- a/features/stopped_runs.feature
+++ b/features/stopped_runs.feature
@@ -52,6 +52,15 @@
     Then all events came once and in order, from 2 runs
     And no two engines worked on it at a time
 
+  # Regression: a run that ended well while it was being stopped was taken for a stopped one,
+  # and continued elsewhere.
+  @at_most_once @tokens_once_in_order @planned_stop_cuts_nothing
+  Scenario: a stream that ends while its engine is told to stop it is continued
+    Given 3 engines, which work on after a close, with stops that arrive after 0.5 s
+    When a stream of 60 events is read and its engine leaves after 20
+    Then all events came once and in order, from 1 run
+    And it was continued at other endpoints 0 times
+
   # The caller gives a stream up after a pause of two seconds, and one of 0.18 s makes it
   # late: a stop that can't arrive must not add to it.
   @tokens_once_in_order
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -63,6 +63,11 @@
         """Whether the request was sent and no head of an answer was received."""
         return self.may_have_run and self.head is None
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer's head says how to find its end."""
+        return self.head is not None and not self.head.ends_with_connection
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether a part of the answer has arrived that wasn't read."""
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -80,6 +80,8 @@
             if not self._is_stopped:
                 attempt.record_truncation()
             return StreamBreak("the last event was truncated", self._stopped_run)
+        if attempt.is_framed:
+            return None
         if self._is_stopped:
             return StreamBreak("the run was stopped for a move", RunState.ENDED)
         if await attempt.was_cut_by_crash():
