Soak: engines that work on after a close, and planned work alone

Neither of the review's cases could show in the soak: its engines ended a run when its connection closed, its streams were short beside a gateway's grace, and what a gateway cut when it ended was never looked for.

A third of the engines work on after a close, by the seed. `--planned` plays stops of gateways, engines that leave, and changes of settings and configuration, in series that overlap; callers go on with the connections that they have. Some engines are three times as slow, so that streams last longer than a grace. Checked: no two engines work on a stream for over 0.4 s, and no request that came after a stop and reached an endpoint is cut at the process's end.

--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -36,6 +36,7 @@
     "--limiting",
     "--skewed",
     "--drill",
+    "--planned",
 )
 """Played one by one, so that a broken promise tells which of them broke it."""
 BEHAVE_OPTIONS = ("--format=progress3", "--logging-level=WARNING")
--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -16,11 +16,11 @@
 
 from devtools.soak.asking_endpoints import AskingEndpoints
 from devtools.soak.callers import Callers
-from devtools.soak.checks import find_broken
+from devtools.soak.checks import find_broken, find_broken_by_planned_work
 from devtools.soak.crashing_caller import CrashingCaller
 from devtools.soak.crashing_part_caller import CrashingPartCaller
 from devtools.soak.drill import Drill
-from devtools.soak.faults import Troubles
+from devtools.soak.faults import PLANNED_WORK, Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from devtools.soak.limiting_endpoints import LimitingEndpoints
 from devtools.soak.skewed_connections import SkewedConnections
@@ -28,6 +28,7 @@
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead
+from standins.published_endpoint import PACE_SECONDS
 
 CASES = Path(__file__).with_name("cases.txt")
 """Seeds that ever failed, each with a line on the cause."""
@@ -38,6 +39,8 @@
 CALL_SECONDS = 2.0
 QUIET_SECONDS = 1.0
 MOST_SECONDS = 150.0
+SLOW_PACES_SECONDS = (PACE_SECONDS, 3 * PACE_SECONDS)
+"""With the slower one, some streams last longer than a gateway's grace."""
 
 
 class Extra(Protocol):
@@ -50,7 +53,8 @@
 def main() -> int:
     """Play the seeds asked for, and those that ever failed."""
     options = _options()
-    seeds = [*_case_seeds(), *range(options.first, options.first + options.seeds)]
+    cases = [] if options.planned else _case_seeds()
+    seeds = [*cases, *range(options.first, options.first + options.seeds)]
     broken = []
     with ProcessPoolExecutor(options.jobs) as pool:
         runs = [pool.submit(play, seed, options) for seed in dict.fromkeys(seeds)]
@@ -70,10 +74,13 @@
 def play(seed: int, options: Namespace) -> tuple[str, bool]:
     """Play one seed; return what to print and whether a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    fleet = Fleet(folder, options.gateways, {"desk": 3, "model": 3})
+    services = {"desk": 3, "model": 3}
+    paces = SLOW_PACES_SECONDS if options.planned else (PACE_SECONDS,)
+    fleet = Fleet(folder, options.gateways, services, seed, paces)
     random = Random(seed)
     callers = Callers(fleet, random, options.callers)
-    troubles = Troubles(fleet, random, options.gap)
+    names = PLANNED_WORK if options.planned else ()
+    troubles = Troubles(fleet, random, options.gap, names)
     extras = []
     if options.crashing:
         extras.append(CrashingCaller(fleet, callers, seed))
@@ -92,6 +99,8 @@
     try:
         trio.run(_run, fleet, callers, extras, troubles, options.seconds)
         findings = list(find_broken(fleet, callers, troubles))
+        if options.planned:
+            findings += find_broken_by_planned_work(fleet, callers)
     finally:
         fleet.close()
     served = sum(call.status == 200 for call in callers.calls)
@@ -110,7 +119,7 @@
 
 def _played_options(options: Namespace) -> list[str]:
     names = ("crashing", "crashing_part", "skewed", "asking", "limiting", "drill")
-    names += ("uneven",)
+    names += ("uneven", "planned")
     return [name for name in names if getattr(options, name)]
 
 
@@ -206,6 +215,11 @@
         action="store_true",
         help="engines differ in speed, and some callers read slowly",
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="nothing but planned work, by which nothing may be cut or run twice",
+    )
     return parser.parse_args()
 
 
--- a/devtools/soak/callers.py
+++ b/devtools/soak/callers.py
@@ -40,6 +40,7 @@
     shares_parts: bool = False
     status: int | None = None
     is_whole: bool = False
+    has_left: bool = False
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     ended_at: float = 0.0
@@ -164,7 +165,7 @@
     ) -> bool:
         """Make one call; tell whether the connection may be used again."""
         try:
-            with trio.move_on_after(leaves_after):
+            with trio.move_on_after(leaves_after) as patience:
                 await connection.send(self._head(call, len(body)), body)
                 head = await connection.read_head()
                 call.status = head.status
@@ -175,6 +176,7 @@
                         await trio.sleep(pause)
                         pause = 0.0
                 call.is_whole = True
+            call.has_left = patience.cancelled_caught
         except ExchangeBrokenError:
             call.is_whole = False
         call.ended_at = trio.current_time()
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from math import inf
 
+from devtools.overlapping_runs import overlapping_runs
 from devtools.rate_window import allowed_requests, most_in_window, TOLD_SECONDS
 from devtools.soak.callers import Call, Callers
 from devtools.soak.crashing_caller import KIND as CRASHING
@@ -25,6 +26,8 @@
 so many later."""
 NEWS_SECONDS = 1.0
 """Gateways know of a crash so long after it."""
+END_SECONDS = 0.3
+"""What breaks so long before a process is seen to have ended was cut by its end."""
 LEAST_SERVED_SHARE = 0.25
 MOST_HELD_SHARE = 0.05
 """Sound requests that may be held because they share parts with others: what they have
@@ -55,6 +58,27 @@
     yield from _faults_of_the_program(fleet)
 
 
+def find_broken_by_planned_work(fleet: Fleet, callers: Callers) -> Iterator[str]:
+    """Yield each promise that was broken where nothing but planned work was played."""
+    for overlap in overlapping_runs(fleet.standins()):
+        yield (
+            f"{overlap.earlier.identity}: {overlap.engine} worked on it for "
+            f"{overlap.seconds:.2f} s after it went on at {overlap.later_engine}"
+        )
+    reached = {a.identity for s in fleet.standins() for a in s.arrivals}
+    stops = {(g.name, stop.life): stop for g in fleet.gateways for stop in g.stops}
+    for call in callers.calls:
+        stop = stops.get((call.gateway, call.life))
+        if stop is None or call.is_whole or call.has_left:
+            continue
+        was_cut = call.ended_at > stop.ended_at - END_SECONDS
+        is_late = call.sent_at > stop.told_at and call.identity in reached
+        if was_cut and is_late:
+            after = call.sent_at - stop.told_at
+            place = f"{call.kind} {call.identity} at {call.gateway}"
+            yield f"{place}: taken {after:.2f} s after the stop, and cut at its end"
+
+
 def _one_call(call: Call, runs: int) -> Iterator[str]:
     place = f"{call.kind} {call.identity} at {call.gateway}"
     most = 2 if call.kind in ("again", "version") else 1
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -18,6 +18,8 @@
 OF_STORE_SHARE = 0.3
 LOOK_SECONDS = 0.05
 STANDSTILL_SECONDS = 0.3
+PLANNED_WORK = ("stop", "settings_change", "configuration", "endpoint_leaves")
+"""Faults by which no request may be cut, and no generation run twice at a time."""
 BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 BAD_STORES = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 
@@ -29,12 +31,22 @@
 
 
 class Troubles:
-    """Draws faults and lets them overlap; `told` names the `played` ones."""
-
-    def __init__(self, fleet: Fleet, random: Random, gap: float) -> None:
+    """Draws faults and lets them overlap; `told` names the `played` ones.
+
+    Only those of `names` are drawn, if there are any.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        random: Random,
+        gap: float,
+        names: tuple[str, ...] = (),
+    ) -> None:
         self.fleet = fleet
         self.random = random
         self._gap = gap
+        self._names = names or tuple(FAULTS)
         self.told: list[str] = []
         self.played = 0
         self.bad_exits: list[str] = []
@@ -46,7 +58,7 @@
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 await trio.sleep(self.random.random() * 2 * self._gap)
-                name = self.random.choice(list(FAULTS))
+                name = self.random.choice(self._names)
                 self.played += 1
                 self.told.append(f"{trio.current_time() - end + seconds:.2f} {name}")
                 nursery.start_soon(FAULTS[name], self)
--- a/devtools/soak/fleet.py
+++ b/devtools/soak/fleet.py
@@ -4,7 +4,10 @@
 
 import os
 import signal
+from dataclasses import dataclass
+from math import inf
 from pathlib import Path
+from random import Random
 from subprocess import DEVNULL, Popen
 from sys import executable
 
@@ -12,7 +15,12 @@
 
 from devtools.ports import free_port
 from devtools.soak.fault_proxy import FaultProxy, LinkFault
-from standins.published_endpoint import EngineMemory, PublishedEndpoint
+from standins.published_endpoint import (
+    EngineMemory,
+    PACE_SECONDS,
+    PublishedEndpoint,
+    TOKENS_AN_EVENT,
+)
 from standins.published_store import PublishedStore
 
 HOST = "api.example"
@@ -22,6 +30,17 @@
 DRAIN_SECONDS = 2.0
 START = Path(__file__).parents[2] / "deploy" / "run.py"
 START_LINE = '"event":"process_started"'
+DROPPING_SHARE = 0.67
+"""Share of the engines that drop a run once its connection closes."""
+
+
+@dataclass
+class Stop:
+    """The end of one life of a gateway that was told to stop, by trio's clock."""
+
+    life: int
+    told_at: float
+    ended_at: float = inf
 
 
 class Gateway:
@@ -38,6 +57,7 @@
         self.store_link = FaultProxy(lambda: ("127.0.0.1", fleet.store.port))
         self._process: Popen | None = None
         self.lives = 0
+        self.stops: list[Stop] = []
         self.undisturbed_since = 0.0
         self._starts_told = 0
 
@@ -84,14 +104,23 @@
         """Send a signal if the process runs."""
         if self.is_running:
             self.disturb()
+            if number is signal.SIGTERM and not self._is_told_to_stop:
+                self.stops.append(Stop(self.lives, trio.current_time()))
             self._process.send_signal(number)
 
+    @property
+    def _is_told_to_stop(self) -> bool:
+        return bool(self.stops) and self.stops[-1].life == self.lives
+
     async def wait_end(self, seconds: float) -> int | None:
         """Wait for the end of the present process; None if it didn't come."""
         process = self._process
         with trio.move_on_after(seconds):
             while process.poll() is None:
                 await trio.sleep(0.02)
+        if process.poll() is not None and self._is_told_to_stop:
+            stop = self.stops[-1]
+            stop.ended_at = min(stop.ended_at, trio.current_time())
         return process.poll()
 
     def close(self) -> None:
@@ -125,13 +154,23 @@
 class SoakEndpoint:
     """An endpoint behind its link; a restart is another endpoint.
 
-    It `is_listed` once its present incarnation has been.
+    It `is_listed` once its present incarnation has been. `paces` are those that its
+    incarnations may have.
     """
 
-    def __init__(self, number: int, service: str, memory: EngineMemory) -> None:
+    def __init__(
+        self,
+        number: int,
+        service: str,
+        memory: EngineMemory,
+        random: Random,
+        paces: tuple[float, ...],
+    ) -> None:
         self._number = number
         self._service = service
         self._memory = memory
+        self._random = random
+        self._paces = paces
         self._lives = 0
         self.link = FaultProxy(lambda: ("127.0.0.1", self.standin.port))
         self.past: list[PublishedEndpoint] = []
@@ -145,6 +184,8 @@
         identity = f"i-{self._number}-{self._lives}"
         standin = PublishedEndpoint(identity, self._service, self._memory)
         standin.listed_as = lambda: f"127.0.0.1:{self.link.port}"
+        standin.drops_closed = self._random.random() < DROPPING_SHARE
+        standin.pace = self._random.choice(self._paces)
         return standin
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -170,7 +211,14 @@
 class Fleet:
     """All processes and stand-ins of one run."""
 
-    def __init__(self, folder: Path, gateways: int, services: dict[str, int]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        gateways: int,
+        services: dict[str, int],
+        seed: int = 0,
+        paces: tuple[float, ...] = (PACE_SECONDS,),
+    ) -> None:
         self.store = PublishedStore()
         self.peer_port = free_port()
         self.gateways: list[Gateway] = []
@@ -178,7 +226,10 @@
             self.gateways.append(Gateway(self, number, folder))
         memory = EngineMemory()
         names = [name for name, count in services.items() for _ in range(count)]
-        self.endpoints = [SoakEndpoint(n, s, memory) for n, s in enumerate(names)]
+        self.endpoints = [
+            SoakEndpoint(number, service, memory, Random(f"{seed}-{number}"), paces)
+            for number, service in enumerate(names)
+        ]
         self.config_version = 0
         self._nursery: trio.Nursery | None = None
 
@@ -284,6 +335,7 @@
             "moves": True,
             "backups": True,
             "handle_ttl_s": 5.0,
+            "stride": TOKENS_AN_EVENT,
         }
         return {
             "version": version,
