--- a/src/piershore/core/attempts/answer_time.py
+++ b/src/piershore/core/attempts/answer_time.py
@@ -36,12 +36,11 @@
     A generation is assumed to make all tokens that it may, as slowly as its route
     allows for an answer in time, or as the observed engines are, if that is slower.
     """
-    paces = [
-        *([route.longest_pause] if route.longest_pause is not None else []),
-        *([PACE_MARGIN * observed.event_seconds] if observed.event_seconds else []),
-    ]
-    if route.kind is not RequestKind.STREAM or size is None or not paces:
+    event_seconds = max(
+        route.longest_pause or 0.0, PACE_MARGIN * (observed.event_seconds or 0.0)
+    )
+    if route.kind is not RequestKind.STREAM or size is None or not event_seconds:
         return route.timeout
     first_event_seconds = max(route.target_latency, observed.first_event_seconds or 0.0)
     events = ceil(size.max_output_tokens / tokens_per_event)
-    return min(route.timeout, first_event_seconds + events * max(paces))
+    return min(route.timeout, first_event_seconds + events * event_seconds)
--- a/src/piershore/ingress/callers/caller_service.py
+++ b/src/piershore/ingress/callers/caller_service.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from piershore.core.attempts.answer_time import max_answer_seconds, ObservedTimes
 from piershore.core.routes.route import RequestKind, Route
 from piershore.core.routes.serving_configuration import (
     AccountRef,
@@ -124,14 +125,18 @@
             await connection.close_gracefully()
 
     async def _wait_for_request(self, connection: ServerConnection) -> bool:
-        """Wait for bytes on an idle connection; return False if it is to be closed."""
+        """Wait for bytes on an idle connection; return False if it is to be closed.
+
+        A request that has arrived by then is answered: without an answer its caller
+        couldn't know whether it has run.
+        """
         with trio.CancelScope() as scope:
             self._idle[scope] = None
             try:
                 return await connection.wait_for_bytes()
             finally:
                 self._idle.pop(scope, None)
-        return False
+        return connection.has_unread_bytes()
 
     async def _serve_one(
         self, connection: ServerConnection, head: RequestHead, arrived: float
@@ -216,10 +221,7 @@
         state = self._state
         if not state.is_leaving:
             return
-        service = route.service_for(request.identity)
-        max_seconds = state.max_answer_seconds(route, service, request.size)
-        if request.time_left is not None:
-            max_seconds = min(max_seconds, request.time_left)
+        max_seconds = self._max_answer_seconds(route, request)
         if max_seconds > state.stops_at - trio.current_time():
             raise RequestRefusedError(
                 HTTPStatus.SERVICE_UNAVAILABLE,
@@ -228,6 +230,21 @@
                 state.seconds_until_accepted(),
             )
 
+    def _max_answer_seconds(self, route: Route, request: CallerRequest) -> float:
+        """Return how long the answer to a request may take."""
+        state = self._state
+        service = route.service_for(request.identity) or ""
+        spec = state.configuration.service(service)
+        engine = spec.engine if spec else None
+        endpoints = state.directory.of_service(service)
+        observed = ObservedTimes(
+            state.first_events.longest(route.name, trio.current_time()),
+            state.paces.slowest(endpoint.identity for endpoint in endpoints),
+        )
+        tokens_per_event = engine.tokens_per_event if engine else 1
+        seconds = max_answer_seconds(route, request.size, tokens_per_event, observed)
+        return seconds if request.time_left is None else min(seconds, request.time_left)
+
     def _check_quarantine(self, exchange: Exchange) -> None:
         """Refuse a quarantined request.
 
--- a/src/piershore/ingress/gateway_state.py
+++ b/src/piershore/ingress/gateway_state.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from piershore.core.attempts.answer_time import max_answer_seconds, ObservedTimes
 from piershore.core.attempts.leaving import IMMEDIATE_RETRY_SECONDS
 from piershore.core.attempts.retry_budget import RetryBudget, RetryLimits
 from piershore.core.fleet.cold_starts import ColdStarts
@@ -20,7 +19,6 @@
 from piershore.core.fleet.endpoint_rate_limits import EndpointRateLimits
 from piershore.core.fleet.endpoint_speeds import EndpointSpeeds
 from piershore.core.fleet.fleet_load import FleetLoad
-from piershore.core.fleet.generation_work import GenerationSize
 from piershore.core.fleet.length_estimate import LENGTH_EXPECTATIONS
 from piershore.core.fleet.notice_handler import NoticeHandler
 from piershore.core.fleet.output_lengths import OutputLengths
@@ -36,7 +34,6 @@
 from piershore.core.quarantine.endpoint_runs import EndpointRuns
 from piershore.core.quarantine.request_quarantine import RequestQuarantine
 from piershore.core.routes.current_configuration import CurrentConfiguration
-from piershore.core.routes.route import Route
 from piershore.core.streams.first_event_times import FirstEventTimes
 from piershore.http1.connection_pool import ConnectionPool
 from piershore.ingress.attempts.crash_detector import CrashDetector
@@ -163,21 +160,6 @@
         for service, budget in self._retry_budgets.items():
             yield service, budget.remaining(now, self.gateway_count)
 
-    def max_answer_seconds(
-        self, route: Route, service: str | None, size: GenerationSize | None
-    ) -> float:
-        """Return how long the answer to a request for a service may take."""
-        spec = self.configuration.service(service) if service else None
-        engine = spec.engine if spec else None
-        endpoints = self.directory.of_service(service) if service else ()
-        observed = ObservedTimes(
-            self.first_events.longest(route.name, trio.current_time()),
-            self.paces.slowest(endpoint.identity for endpoint in endpoints),
-        )
-        return max_answer_seconds(
-            route, size, engine.tokens_per_event if engine else 1, observed
-        )
-
     def record_success(self, identity: str) -> None:
         """Record an attempt that an endpoint answered successfully."""
         self.health.record_success(identity)
