Orders to stop are repeated at growing intervals

An address that accepts and closes connections at once, as a balancer without an engine does, got some 40 connections in the 2 s for which an order is repeated; now 6.

--- a/src/piershore/ingress/moves/run_stopper.py
+++ b/src/piershore/ingress/moves/run_stopper.py
@@ -15,8 +15,9 @@
 
 STOP_TIMEOUT_SECONDS = 2.5
 """Timeout for an answer, which comes once the memory of the run is copied."""
-RETRY_INTERVAL_SECONDS = 0.05
-"""Interval between tries: an endpoint refuses an order while it copies the memory."""
+FIRST_RETRY_SECONDS = 0.05
+"""Pause before the second try, which doubles with each further one: an endpoint refuses
+an order while it copies the memory."""
 MAX_RETRY_SECONDS = 2.0
 """How long an order is repeated; a leaving endpoint seldom lives longer."""
 
@@ -31,6 +32,7 @@
     async def stop(self, order: StopOrder, target: Address) -> StopResult:
         """Stop a run, and copy its memory to `target`; return the last result."""
         started = trio.current_time()
+        pause = FIRST_RETRY_SECONDS
         try:
             while True:
                 result = await self._try_stop(order, target)
@@ -38,7 +40,8 @@
                 seconds = trio.current_time() - started
                 if result.outcome.is_over or seconds > MAX_RETRY_SECONDS:
                     break
-                await trio.sleep(RETRY_INTERVAL_SECONDS)
+                await trio.sleep(pause)
+                pause *= 2
         finally:
             order.is_told.set()
         if result.outcome is StopOutcome.STOPPED:
