A stopped run isn't suspected of a crash during its copy

What callers saw: a stream that had gone on at another engine was quarantined for 30 s when two engines crashed that it had left.

Cause: a run counted as stopped once the engine had answered the stop. It answers when the copy of the memory is done, and may crash before.

When the stream goes on elsewhere and the answer to the stop is still due, its connection has outlived the run: the run is over. The test's relayed stream has what the relay reads now.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -61,7 +61,7 @@
     Then the same call is served by another endpoint
 
   # A stream was refused for 30 s after two engines crashed that it had been moved away
-  # from before.
+  # from before, also if they hadn't yet copied its memory and answered the stop.
   Scenario: engines crash after they stopped a run for a move
     Given 4 endpoints of the model behind 1 gateway
     When a stream is moved away from two engines whose events are lost, which then crash
--- a/features/steps/endpoint_speed_steps.py
+++ b/features/steps/endpoint_speed_steps.py
@@ -364,10 +364,11 @@
 class RelayedStream:
     """A stream that keeps the times which the relay reads."""
 
-    is_given_up, handover = False, None
+    is_given_up, given_up_run, handover = False, None, None
     endpoint_first_event_at = float("inf")
 
     def __init__(self, connection, nursery):
+        self.work = SimpleNamespace(has_begun=True)
         self.exchange = SimpleNamespace(connection=connection, nursery=nursery)
         self.delivered = SimpleNamespace(filter_new=list)
         self.reader = ReaderProgress()
@@ -380,6 +381,8 @@
 class RelayedAttempt:
     """An attempt whose answer comes over a memory channel."""
 
+    is_framed = True
+
     def __init__(self, endpoint, receiver):
         self.endpoint = endpoint
         self.read_chunks = receiver.__aiter__
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -306,21 +306,20 @@
         """
         await order.is_told.wait()
         told_at = trio.current_time()
-        while self._is_at(stream, handover.source) and stream.handover is handover:
+        while self._is_at(stream, handover.source) and not stream.is_given_up:
             await trio.sleep(END_CHECK_INTERVAL_SECONDS)
+            if stream.handover is not handover:
+                return
             silent_since = max(stream.waiting_since or inf, told_at)
             if trio.current_time() - silent_since <= STOPPED_RUN_TIMEOUT_SECONDS:
                 continue
-            if order.is_obeyed:
+            if order.is_presumed_over:
                 stream.give_up_endpoint(RunState.ENDED)
             elif order.outcome is StopOutcome.UNANSWERED:
                 stream.give_up_endpoint(RunState.UNREACHABLE)
 
     async def _stop_and_copy(
-        self,
-        stream: LiveStream,
-        evacuation: Evacuation,
-        handover: Handover,
+        self, stream: LiveStream, evacuation: Evacuation, handover: Handover
     ) -> bool:
         """Move without a copy before the stop; used when `FIRST_COPIES` is disabled."""
         result = await self._stop_source(stream, evacuation, handover, handover.target)
--- a/src/piershore/ingress/moves/stop_order.py
+++ b/src/piershore/ingress/moves/stop_order.py
@@ -24,8 +24,8 @@
     is_told: trio.Event = field(default_factory=trio.Event)
 
     @property
-    def is_obeyed(self) -> bool:
-        """Whether the run has stopped, unless an answer that is due says otherwise."""
+    def is_presumed_over(self) -> bool:
+        """Whether the run is over, unless an answer that is due says otherwise."""
         if self.outcome is None:
             return self.is_told.is_set()
         return self.outcome.is_over
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -150,6 +150,17 @@
         self._continue_at(endpoint, backup)
         return attempt
 
+    def _record_stopped(self) -> None:
+        """Record that the source has survived the stop, if its answer is still due.
+
+        It answers once it has copied the memory. A crash until then isn't the run's
+        doing.
+        """
+        handover = self._stream.handover
+        order = handover.stop_order if handover is not None else None
+        if order is not None and order.is_told.is_set() and order.outcome is None:
+            self._state.runs.end_stopped(order.endpoint.identity, order.request)
+
     async def _stop_run(self, next_endpoint: Endpoint) -> None:
         """Tell the endpoint that may still work on the stream to stop, once."""
         run, self._run = self._run, RunState.ENDED
@@ -172,6 +183,7 @@
     def _continue_at(self, endpoint: Endpoint, backup: Endpoint | None) -> None:
         """Record that the stream now runs at another endpoint."""
         stream = self._stream
+        self._record_stopped()
         self._placement.place(endpoint)
         self._placement.place_backup(backup)
         stream.continue_at(endpoint, backup)
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -94,7 +94,7 @@
         """Whether the endpoint was told to stop the run, and doesn't say otherwise."""
         handover = self._stream.handover
         order = handover.stop_order if handover is not None else None
-        if order is None or not order.is_obeyed:
+        if order is None or not order.is_presumed_over:
             return False
         return order.outcome is not StopOutcome.NO_RUN
 
