--- a/review/4/case.py
+++ b/review/4/case.py
@@ -106,7 +106,11 @@
                 self.ends = True
                 callers.cancel_scope.deadline = trio.current_time() + 1
             nursery.cancel_scope.cancel()
-        whole = [(i, r) for i, r in self.replies.items() if r.is_whole]
+        whole = [
+            (identity, reply)
+            for identity, reply in self.replies.items()
+            if reply.status == 200 and reply.is_whole
+        ]
         complete = list(range(1, EVENTS + 1))
         broken = [(i, r) for i, r in whole if r.event_numbers() != complete]
         for identity, reply in broken:
