A stopped stream isn't complete, whichever task runs first after the order

Cause: the order to stop counted as given only once the task that sends it ran again. The engine closes the stream within that turn; if the relay reads the end first, nothing says that the stream was stopped. Orders that were sent to stop an earlier run before a continuation weren't looked at: at an endpoint to which the stream came back, they may stop the later run.

Now an order is recorded as pending before its first byte is sent, and stays so until an answer says what came of it; an answer that was lost counts as a stop for good, also if a later try finds no run. A stream knows all orders for its runs, those before continuations too, and the relay asks only the stream.

Red before: 'the end of a stopped stream is read while the order is still being sent' (a sender that runs again 0.05 s late) ended as complete.

--- /dev/null
+++ b/features/unframed_answers.feature
@@ -0,0 +1,22 @@
+Feature: An answer that ends with its connection is complete only if nothing says otherwise
+
+  # A stopped stream looked complete if its end was read before the task that had sent the
+  # order ran again.
+  @tokens_once_in_order @planned_stop_cuts_nothing
+  Scenario: the end of a stopped stream is read while the order is still being sent
+    Given 3 engines, which work on after a close, with answers that end with the connection
+    When a stream of 200 events is read and its engine leaves after 20, with a slow sender
+    Then all events came once and in order, from 1 run
+    And it was continued at other endpoints 1 times
+
+  # An order to stop an earlier run of a stream, sent again, also stops a later one.
+  @tokens_once_in_order
+  Scenario Outline: a stream is back at an endpoint to which an order <state>
+    Then the end of its answer there <meaning>
+
+    Examples:
+      | state                     | meaning          |
+      | is still being sent       | may be a stop    |
+      | was answered by a refusal | is the run's own |
+      | found no run              | is the run's own |
+      | was never answered        | may be a stop    |
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -69,7 +69,8 @@
     `backup` is the endpoint that receives a copy of its memory as it grows.
     `reading_scope` cancels the wait for the next chunk from the current endpoint,
     `waiting_since` is when that wait started. `given_up_run` is set when the stream is
-    to continue at another endpoint, to what is known of its run.
+    to continue at another endpoint, to what is known of its run. `stop_orders` are the
+    orders to stop its runs, at this endpoint or at earlier ones.
     """
 
     exchange: Exchange
@@ -80,6 +81,7 @@
     handover: Handover | None = None
     backup: Endpoint | None = None
     given_up_run: RunState | None = None
+    stop_orders: list[StopOrder] = field(default_factory=list)
     reading_scope: trio.CancelScope | None = None
     waiting_since: float | None = None
     moves: int = 0
@@ -93,6 +95,15 @@
         """Whether nothing more is read from the current endpoint."""
         return self.given_up_run is not None
 
+    @property
+    def may_have_been_stopped(self) -> bool:
+        """Whether the run may have ended early because it was told to stop."""
+        return any(
+            order.may_have_ended_run
+            for order in self.stop_orders
+            if order.endpoint.identity == self.endpoint.identity
+        )
+
     def give_up_endpoint(self, run: RunState) -> None:
         """Stop reading from the current endpoint; what was read is forwarded."""
         self.given_up_run = run
@@ -100,7 +111,11 @@
             self.reading_scope.cancel()
 
     def continue_at(self, endpoint: Endpoint, backup: Endpoint | None) -> None:
-        """Continue at another endpoint."""
+        """Continue at another endpoint.
+
+        Orders that are still being sent may stop the run there, too.
+        """
+        self.stop_orders = [o for o in self.stop_orders if not o.is_settled]
         self.endpoint = endpoint
         self.backup = backup
         self.handover = None
--- a/src/piershore/ingress/moves/move_coordinator.py
+++ b/src/piershore/ingress/moves/move_coordinator.py
@@ -128,7 +128,7 @@
             self._start(stream.endpoint, [stream], reason)
 
     async def stop_run(
-        self, request: str, endpoint: Endpoint, target: Endpoint, run: RunState
+        self, stream: LiveStream, endpoint: Endpoint, target: Endpoint, run: RunState
     ) -> None:
         """Tell an endpoint to stop a run before the stream continues at `target`.
 
@@ -139,7 +139,8 @@
         engine = self._engine_of(endpoint.service)
         if run is RunState.ENDED or engine is None or not engine.can_move:
             return
-        order = StopOrder(request, endpoint)
+        order = StopOrder(stream.exchange.identity, endpoint)
+        stream.stop_orders.append(order)
         self._nursery.start_soon(self._stop_and_release, order, target)
         if run is RunState.RUNNING:
             with trio.move_on_after(STOP_WAIT_SECONDS):
@@ -282,6 +283,7 @@
         """
         order = StopOrder(stream.exchange.identity, handover.source)
         handover.stop_order = order
+        stream.stop_orders.append(order)
         self._nursery.start_soon(self._stop_reading, stream, handover, order)
         result = await self._stopper.stop(order, target.address)
         outcome = "moved" if result.outcome is StopOutcome.STOPPED else "refused"
--- a/src/piershore/ingress/moves/run_stopper.py
+++ b/src/piershore/ingress/moves/run_stopper.py
@@ -36,14 +36,14 @@
         try:
             while True:
                 result = await self._try_stop(order, target)
-                order.outcome = result.outcome
+                order.record_outcome(result.outcome)
                 seconds = trio.current_time() - started
                 if result.outcome.is_over or seconds > MAX_RETRY_SECONDS:
                     break
                 await trio.sleep(pause)
                 pause *= 2
         finally:
-            order.is_told.set()
+            order.settle()
         if result.outcome is StopOutcome.STOPPED:
             self._state.runs.end_stopped(order.endpoint.identity, order.request)
         self._record(order, result.outcome, seconds)
@@ -72,6 +72,7 @@
         self, connection: ClientConnection, order: StopOrder, target: Address
     ) -> StopResult:
         source = order.endpoint.address
+        order.begin_sending()
         try:
             await self._mover.send_stop(connection, source, order.request, target)
             order.record_sent()
--- a/src/piershore/ingress/streams/stream_continuation.py
+++ b/src/piershore/ingress/streams/stream_continuation.py
@@ -167,7 +167,7 @@
         stream, target = self._stream, next_endpoint
         if target.identity == self._run_at.identity:
             target = stream.endpoint
-        await self._moves.stop_run(stream.exchange.identity, self._run_at, target, run)
+        await self._moves.stop_run(stream, self._run_at, target, run)
 
     async def _wait_until_available(self, endpoint: Endpoint) -> None:
         """Wait until an endpoint accepts work, if that is soon.
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -16,7 +16,6 @@
 from piershore.ingress.attempts.endpoint_attempt import EndpointAttempt
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, RunState
-from piershore.ingress.ports import StopOutcome
 
 TOKENS_PER_EVENT = 4
 """Tokens assumed per event, as endpoints don't report them; used for estimates only."""
@@ -72,36 +71,38 @@
     async def _find_break(
         self, attempt: EndpointAttempt, splitter: EventSplitter
     ) -> StreamBreak | None:
-        """Return why an answer that ended is incomplete; None if it seems complete."""
+        """Return why an answer that ended is incomplete; None if it is complete."""
         given_up_run = self._stream.given_up_run
         if given_up_run is not None:
             return StreamBreak("the endpoint was given up", given_up_run)
         if splitter.remainder:
-            if not self._is_stopped:
+            if not self._stream.may_have_been_stopped:
                 attempt.record_truncation()
             return StreamBreak("the last event was truncated", self._stopped_run)
         if attempt.is_framed:
             return None
-        if self._is_stopped:
+        return await self._find_unframed_break(attempt)
+
+    async def _find_unframed_break(
+        self, attempt: EndpointAttempt
+    ) -> StreamBreak | None:
+        """Return why an answer that ended with its connection is incomplete.
+
+        The connection of a run that is stopped closes in the same way as after the
+        last event.
+        """
+        if self._stream.may_have_been_stopped:
             return StreamBreak("the run was stopped for a move", RunState.ENDED)
         if await attempt.was_cut_by_crash():
             reason = "the endpoint crashed as its answer ended"
             return StreamBreak(reason, RunState.ENDED)
         return None
 
-    @property
-    def _is_stopped(self) -> bool:
-        """Whether the endpoint was told to stop the run, and doesn't say otherwise."""
-        handover = self._stream.handover
-        order = handover.stop_order if handover is not None else None
-        if order is None or not order.is_presumed_over:
-            return False
-        return order.outcome is not StopOutcome.NO_RUN
-
     @property
     def _stopped_run(self) -> RunState:
         """What is known of the run when its answer ends early."""
-        return RunState.ENDED if self._is_stopped else RunState.RUNNING
+        is_over = self._stream.may_have_been_stopped
+        return RunState.ENDED if is_over else RunState.RUNNING
 
     async def _next_chunk(
         self, attempt: EndpointAttempt, chunks: AsyncIterator[bytes]
