An unframed answer is complete only if its endpoint serves on

Cause: the end of such a stream was checked only while its run was suspect of a crash, that is for a second after its first chunk, and what no probe told counted as alive. The window is right for blaming a request, and says nothing of whether the answer is whole.

Now each answer that only its connection ended counts as complete only if a probe finds its endpoint listening afterwards; one that leaves must answer two probes 0.1 s apart, since it may close its connections before its port. A planned end isn't recorded as a crash. The new log line `unframed_answer_ended` tells for each such answer whether its endpoint served on. This costs one connection and 30 ms at the end of each unframed answer.

Red before: four scenarios of features/unframed_answers.feature ('the engine of a stream ... after the stream's first second'): crash, planned end, end without a notice, end with the port closed later.

--- a/features/steps/stopped_run_steps.py
+++ b/features/steps/stopped_run_steps.py
@@ -14,6 +14,9 @@
 BACKUP_SECONDS = 1.2
 """From the first event until the backup is complete for certain."""
 STOP_DELAY_SECONDS = 0.5
+NOTICE_SECONDS = 0.3
+PORT_SECONDS = 0.05
+"""From the end of an engine's connections to that of its port."""
 
 
 @given("{count:d} engines, which work on after a close, with {condition}")
@@ -97,12 +100,35 @@
     source.silence = Silence.GONE
 
 
+async def leave_and_end(world, source):
+    await leave(world, source)
+    await trio.sleep(NOTICE_SECONDS)
+    source.crash()
+
+
+async def leave_and_linger(world, source):
+    await leave(world, source)
+    await trio.sleep(NOTICE_SECONDS)
+    await source.reset_streams()
+    await trio.sleep(PORT_SECONDS)
+    source.crash()
+
+
+async def vanish_and_end(world, source):
+    world.store.remove("servers", source.identity)
+    await trio.sleep(NOTICE_SECONDS)
+    source.crash()
+
+
 FAULTS = {
     "leaves": leave,
     "resets its connection": reset_connection,
     "leaves out an event": leave_out,
     "crashes": crash,
     "stops responding": stop_responding,
+    "leaves and ends": leave_and_end,
+    "leaves, ends and closes its port": leave_and_linger,
+    "is removed and ends": vanish_and_end,
 }
 
 
--- a/features/steps/unframed_answer_steps.py
+++ b/features/steps/unframed_answer_steps.py
@@ -5,9 +5,10 @@
 from unittest.mock import patch
 
 import trio
-from behave import then, when
+from behave import given, then, when
 from stopped_run_steps import read_disturbed
 from support.endpoint_entries import VALID_ENTRY
+from support.ingress_world import IngressWorld
 from support.stream_reading import SMALL_SIZE, StreamReading
 
 from piershore.ingress.live_stream import LiveStream
@@ -20,6 +21,16 @@
 """How late the task that sends an order runs again; a busy gateway has such turns."""
 
 
+@given("engines without moves or backups, with answers that end with the connection")
+def given_unframed(context):
+    world = context.ingress = IngressWorld()
+    world.add_endpoints("model", 3)
+    engine = world.configuration["services"][1]["engine"]
+    engine["moves"] = engine["backups"] = False
+    for endpoint in world.endpoints:
+        endpoint.ends_with_connection = True
+
+
 @when(
     "a stream of {count:d} events is read and its engine leaves after {after:d}, "
     "with a slow sender"
@@ -35,6 +46,13 @@
         read_disturbed(context, StreamReading, SMALL_SIZE, count, "leaves", after)
 
 
+@then("the caller sees that its stream is incomplete")
+def check_incomplete(context):
+    reply = context.reading.reply
+    assert len(reply.events) < context.count
+    assert not reply.is_whole, len(reply.events)
+
+
 def start_sending(order):
     order.begin_sending()
 
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -72,21 +72,27 @@
         self._checks[identity] = trio.Event()
         self._nursery.start_soon(self._check, endpoint)
 
-    async def has_crashed(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint crashed before now; probe it if that isn't known.
+    async def is_serving(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is found to serve now; probe it to find out.
 
-        It counts as alive if no probe tells.
+        It doesn't count as serving if no probe tells. One that leaves must answer two
+        probes: it may close its connections shortly before its port.
         """
+        identity = endpoint.identity
+        answers_due = 1 + self._directory.is_leaving(identity)
         for delay in PROBE_DELAYS_SECONDS:
             await trio.sleep(delay)
-            if endpoint.identity in self._crashed:
-                return True
+            if identity in self._crashed:
+                return False
             is_there = await self._pool.is_listening(endpoint.address)
             if is_there is False:
-                self._record_crash(endpoint.identity)
-            elif is_there:
+                if not self._directory.is_leaving(identity):
+                    self._record_crash(identity)
                 return False
-        return endpoint.identity in self._crashed
+            answers_due -= bool(is_there)
+            if not answers_due:
+                return True
+        return False
 
     def record_removal(self, endpoint: Endpoint, *, is_restarted: bool) -> None:
         """Check an endpoint whose entry was removed without a notice.
--- a/src/piershore/ingress/attempts/endpoint_attempt.py
+++ b/src/piershore/ingress/attempts/endpoint_attempt.py
@@ -19,6 +19,7 @@
 from piershore.ingress.exceptions import AttemptFailedError
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.ports import EndpointAnswer, ForwardingOptions
+from piershore.telemetry.events import UnframedAnswerEnded
 
 MAX_SENT_FIRST_BYTES = 8_192
 """Larger bodies are sent while the answer is awaited, which may arrive early. Whether
@@ -124,9 +125,9 @@
             raise AttemptFailedError(AttemptOutcome.MAYBE_RUN, error.message) from error
         self._run.record_chunk(self._record_answer())
         self._is_complete = True
-        if await self.was_cut_by_crash():
+        if await self.ended_with_endpoint():
             raise AttemptFailedError(
-                AttemptOutcome.MAYBE_RUN, "the endpoint crashed as its answer ended"
+                AttemptOutcome.MAYBE_RUN, "the endpoint ended with its answer"
             )
         return body
 
@@ -150,19 +151,24 @@
         self._is_broken = self._is_broken or self._is_complete
         self._is_complete = False
 
-    async def was_cut_by_crash(self) -> bool:
-        """Return whether the end of the answer was its endpoint's crash.
+    async def ended_with_endpoint(self) -> bool:
+        """Return whether the endpoint ended, or seems to have, as its answer did.
 
-        Only an answer that has just begun and ends with its connection is checked,
-        which takes some 30 ms.
+        Such an answer may be incomplete if only its connection ended it. Others aren't
+        checked: that takes some 30 ms, and longer if the endpoint leaves.
         """
-        may_be_cut = self._is_complete and self.head.ends_with_connection
-        if not may_be_cut or not self._run.is_suspect(trio.current_time()):
+        if not self._is_complete or not self.head.ends_with_connection:
             return False
-        has_crashed = await self._state.crash_detector.has_crashed(self.endpoint)
-        if has_crashed:
+        is_serving = await self._state.crash_detector.is_serving(self.endpoint)
+        self._state.log.write(
+            UnframedAnswerEnded(
+                self._exchange.identity, self.endpoint.identity, is_serving
+            ),
+            is_failure=not is_serving,
+        )
+        if not is_serving:
             self._is_broken, self._is_complete = True, False
-        return has_crashed
+        return not is_serving
 
     async def close(self) -> None:
         """Return the connection to the pool; close it if the answer is incomplete."""
--- a/src/piershore/ingress/streams/stream_relay.py
+++ b/src/piershore/ingress/streams/stream_relay.py
@@ -88,14 +88,15 @@
     ) -> StreamBreak | None:
         """Return why an answer that ended with its connection is incomplete.
 
-        The connection of a run that is stopped closes in the same way as after the
-        last event.
+        The connection of a run that is stopped, or whose endpoint ends, closes in the
+        same way as after the last event.
         """
         if self._stream.may_have_been_stopped:
             return StreamBreak("the run was stopped for a move", RunState.ENDED)
-        if await attempt.was_cut_by_crash():
-            reason = "the endpoint crashed as its answer ended"
-            return StreamBreak(reason, RunState.ENDED)
+        if await attempt.ended_with_endpoint():
+            return StreamBreak("the endpoint ended with its answer", RunState.ENDED)
+        if self._stream.given_up_run is not None:
+            return StreamBreak("the endpoint has restarted", self._stream.given_up_run)
         return None
 
     @property
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -320,6 +320,18 @@
     content: str
 
 
+@dataclass(frozen=True)
+class UnframedAnswerEnded(LogEvent):
+    """An answer without length or chunks ended with its connection.
+
+    It counts as complete only if its endpoint `is_serving` afterwards.
+    """
+
+    request: str
+    endpoint: str
+    is_serving: bool
+
+
 @dataclass(frozen=True)
 class RequestRefused(LogEvent):
     """The gateway refused a request itself, with this status and code."""
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -17,6 +17,8 @@
 """Bytes of an answer that the kernel holds for an endpoint, and doubles: few, so that
 what has left an endpoint is held by others."""
 PACE_SECONDS = 0.01
+SLOW_SECONDS = 1.2
+"""How long a slow answer takes."""
 BODY = b'{"from":"%s","request":"%s"}'
 CRASHING_BODY = b"crash whoever runs this"
 """What the body of a request under which endpoints crash begins with."""
@@ -610,6 +612,16 @@
     return False
 
 
+@fault("unframed as it ends")
+async def _unframed_end(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
+    endpoint.note_run(arrival)
+    await arrival.stream.send_all(_plain_head(endpoint, arrival))
+    await arrival.stream.send_all(endpoint.body(arrival)[:10])
+    await trio.sleep(SLOW_SECONDS)
+    endpoint.crash()
+    return False
+
+
 @fault("unframed and reset")
 async def _unframed_reset(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
     endpoint.note_run(arrival)
