One badly written entry no longer hides all others of the store

Cause: an answer of the store was decoded as a whole. orjson refuses it for either entry; the second try with the standard decoder hits its recursion limit, or refuses control characters in texts. The whole list or watch then counted as a failure of the store.

Now the second try takes control characters, and values that are nested more than 64 levels deep become null before it: a pass over the brackets outside of texts, which doesn't recurse.

Red before: in features/foreign_entries.feature 'a list of 1500 levels', 'an object of 90000 levels' and 'control characters' in the list, while a gateway runs, and as the last entry on a page.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -21,6 +21,10 @@
       | a name that can't be sent          |
       | a number of 401 digits             |
       | a start time that is a fraction    |
+      | a list of 1500 levels              |
+      | an object of 90000 levels          |
+      | control characters in a text       |
+      | a port of 5000 digits              |
 
   Scenario: an entry becomes invalid, and valid again
     Given a gateway before healthy endpoints
@@ -29,3 +33,26 @@
 
   Scenario: arbitrary answers of the store
     Then decoding an answer of the store raises only errors with a code
+
+  # One entry that a decoder refuses hid all changes from a gateway that ran.
+  Scenario Outline: <entry> while a gateway runs
+    Given a gateway before healthy endpoints
+    When <entry> is written, and then an endpoint comes
+    Then the endpoint that came serves requests
+
+    Examples:
+      | entry                        |
+      | a list of 1500 levels        |
+      | control characters in a text |
+
+  # The name of the last entry on a page tells where the next page starts.
+  Scenario Outline: <entry> as the last entry on a page of the list
+    Given 60 listed endpoints, of which entry 50 has <entry>
+    When a gateway starts and serves requests
+    Then it knows the 59 other endpoints
+
+    Examples:
+      | entry                        |
+      | a list of 1500 levels        |
+      | control characters in a text |
+      | bytes that aren't UTF-8      |
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -13,15 +13,22 @@
 from support.core_checks import check_coded_errors, checked
 from support.endpoint_entries import VALID_ENTRY
 from support.ingress_world import IngressWorld
-from support.stream_reading import IN_FORCE_SECONDS
+from support.stream_reading import IN_FORCE_SECONDS, wait_for_peers
 
 from piershore.core.fleet.endpoint import EndpointStage
-from piershore.platform import object_client
+from piershore.platform import http_platform_store, object_client
 from piershore.platform.endpoint_codec import decode_endpoint
 from piershore.platform.exceptions import InvalidObjectError
+from piershore.platform.http_platform_store import (
+    CONFIGURATION_KIND,
+    HttpPlatformStore,
+)
 from standins import published_store
+from standins.published_store import PublishedStore
 
 MISSING = object()
+REPORTED_SECONDS = 2.5
+"""Longer than a peer may be silent until it counts as lost."""
 SCALARS = (
     st.none()
     | st.booleans()
@@ -72,15 +79,29 @@
     "a name that can't be sent": VALID_ENTRY,
     "a number of 401 digits": {**VALID_ENTRY, "slots": "%ENDLESS%"},
     "a start time that is a fraction": {**VALID_ENTRY, "born": 1.5},
+    "a list of 1500 levels": {**VALID_ENTRY, "slots": "%LIST%"},
+    "an object of 90000 levels": {**VALID_ENTRY, "slots": "%OBJECT%"},
+    "control characters in a text": {**VALID_ENTRY, "service": "%CONTROL%"},
+    "a port of 5000 digits": {**VALID_ENTRY, "address": "10.0.0.1:" + "7" * 5_000},
+}
+RAW_TEXTS = {
+    b'"%BYTES%"': b'"de\xff\xfesk"',
+    b'"%ENDLESS%"': b"1" + b"0" * 400,
+    b'"%LIST%"': b"[" * 1_500 + b"]" * 1_500,
+    b'"%OBJECT%"': b'{"a":' * 90_000 + b"1" + b"}" * 90_000,
+    b"%SURROGATE%": b"\\ud800",
+    b'"%CONTROL%"': b'"de\x00\x1b\x9dsk"',
 }
+"""Bytes that no correct encoder writes, by the text in whose place they stand."""
 FOREIGN_NAMES = {"a name that can't be sent": "i-9\r\nHost: other"}
 
 
 def _raw_dumps(value):
     """Encode as the store does, but also bytes that no correct encoder writes."""
     data = orjson.dumps(value)
-    data = data.replace(b'"%BYTES%"', b'"de\xff\xfesk"')
-    return data.replace(b'"%ENDLESS%"', b"1" + b"0" * 400)
+    for mark, raw in RAW_TEXTS.items():
+        data = data.replace(mark, raw)
+    return data
 
 
 class _RawJson:
@@ -123,6 +144,132 @@
     assert context.lines.count(b'"invalid_entry"') == 1, context.lines
 
 
+@when("{entry} is written, and then an endpoint comes")
+def write_while_running(context, entry):
+    async def script(world):
+        world.store.put("servers", "i-foreign", FOREIGN_ENTRIES[entry])
+        world.add_endpoints("desk", 1)
+        context.newcomer = world.endpoints[-1]
+        await world.nursery.start(context.newcomer.serve)
+        world.list_endpoint(context.newcomer)
+        with trio.move_on_after(IN_FORCE_SECONDS):
+            await _wait_listed(world, context.newcomer, is_listed=True)
+        for _ in range(40):
+            await world.call("once")
+
+    with patch.object(published_store, "orjson", _RawJson):
+        context.ingress.run(script)
+
+
+@then("the endpoint that came serves requests")
+def check_newcomer(context):
+    assert context.newcomer.runs.total() > 0
+
+
+@given("{count:d} listed endpoints, of which entry {place:d} has {entry}")
+def given_pages(context, count, place, entry):
+    world = context.ingress = IngressWorld()
+    names = [f"i-{number:03}" for number in range(count)]
+    for name in names:
+        world.store.put("servers", name, VALID_ENTRY)
+    world.store.put("servers", names[place - 1], FOREIGN_ENTRIES[entry])
+    del names[place - 1]
+    context.names = set(names)
+
+
+@when("a gateway starts and serves requests")
+def start_gateway(context):
+    async def script(world):
+        _, daemon = world.gateways[0]
+        context.known = {e.name for e in daemon._state.directory}
+
+    with patch.object(published_store, "orjson", _RawJson):
+        context.ingress.run(script)
+
+
+@then("it knows the {count:d} other endpoints")
+def check_known(context, count):
+    assert len(context.names) == count
+    assert context.known == context.names
+
+
+VALID_OBJECT = {"value": "e30=", "write_ids": ["w-1"]}
+FOREIGN_OBJECTS = {
+    "a spec that is a string": ("ClientAccount:odd", "accounts"),
+    "no value": ("ClientAccount:odd", {"write_ids": []}),
+    "a value that isn't base64": ("ClientAccount:odd", {**VALID_OBJECT, "value": "%"}),
+    "write ids that aren't": ("ClientAccount:odd", {**VALID_OBJECT, "write_ids": 7}),
+    "a list of 1500 levels": ("ClientAccount:odd", {**VALID_OBJECT, "era": "%LIST%"}),
+    "a kind that is unknown": ("shelf:odd", VALID_OBJECT),
+    "a name that can't be sent": ("ClientAccount:%SURROGATE%", VALID_OBJECT),
+}
+VALID_BOX = {
+    "role": "gateway",
+    "data_hall": "ikeja",
+    "peer_address": "127.0.0.1:9",
+    "state": "live",
+}
+
+
+async def _read_beside(name, spec):
+    """Return what the store's list, watch and list of boxes hold beside an object."""
+    store = PublishedStore()
+    platform = None
+    async with trio.open_nursery() as nursery:
+        await nursery.start(store.serve)
+        platform = HttpPlatformStore(f"http://127.0.0.1:{store.port}")
+        store.put(CONFIGURATION_KIND, "ClientAccount:a", VALID_OBJECT)
+        store.put(CONFIGURATION_KIND, name, spec)
+        listed = await platform.list()
+        store.put(CONFIGURATION_KIND, name, {"again": spec})
+        store.remove(CONFIGURATION_KIND, name)
+        store.put(CONFIGURATION_KIND, "ClientAccount:b", VALID_OBJECT)
+        watched = []
+        async for item in platform.watch(listed.revision):
+            if isinstance(item, int):
+                break
+            watched.append(item)
+        for box, fields in (("a", VALID_BOX), (name, spec), ("b", VALID_BOX)):
+            store.put("crates", box, fields)
+        with patch.object(http_platform_store, "BOX_KIND", "crates"):
+            boxes = await platform.boxes()
+        await platform.close()
+        nursery.cancel_scope.cancel()
+    live = [item.name.name for item in watched if item.value is not None]
+    return [item.name.name for item in listed.objects], live, [b.name for b in boxes]
+
+
+@then(
+    "its list, its watch and its list of boxes hold all other objects beside {content}"
+)
+def check_own_store(context, content):
+    name, spec = FOREIGN_OBJECTS[content]
+    with patch.object(published_store, "orjson", _RawJson):
+        listed, watched, boxes = trio.run(_read_beside, name, spec)
+    is_content_valid = content == "a list of 1500 levels"
+    assert listed == (["a", "odd"] if is_content_valid else ["a"]), listed
+    assert watched == ["b"], watched
+    assert boxes == ["a", "b"], boxes
+
+
+@when("a drain of a data hall with a lone surrogate in its name is written")
+def write_drain(context):
+    async def script(world):
+        await wait_for_peers(world)
+        world.store.put("evacuations", "%SURROGATE%", {})
+        await trio.sleep(REPORTED_SECONDS)
+        context.states = [daemon._state for _, daemon in world.gateways.values()]
+        context.counts = [state.gateway_count for state in context.states]
+
+    with patch.object(published_store, "orjson", _RawJson):
+        context.ingress.run(script)
+
+
+@then("both gateways go on reporting to each other")
+def check_reporting(context):
+    assert context.counts == [2, 2], context.counts
+
+
 @when("the entry of a desk endpoint is overwritten and repaired")
 def overwrite_and_repair(context):
     async def script(world):
--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import AsyncIterator, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
-from math import isfinite
 from typing import Any
 from urllib.parse import quote
 
@@ -25,6 +23,7 @@
     WatchGapError,
     WriteUncertainError,
 )
+from piershore.platform.lenient_json import decode_json
 
 ERA_HEADER = b"store-era"
 CONNECT_SECONDS = 0.6
@@ -37,8 +36,6 @@
 STALL_TIMEOUT_SECONDS = 1.5
 """An answer is abandoned if no bytes arrive for this long. Its total time is not
 limited: with such a limit, an object of 0.8 MB never arrived over a 5 Mbit/s link."""
-MAX_INTEGER_CHARACTERS = 19
-"""Characters of an integer that fits 64 bits, with or without a sign."""
 ANSWERING_STATUSES = frozenset(
     {
         HTTPStatus.OK,
@@ -294,7 +291,7 @@
         raise WatchGapError("the store no longer has these changes")
     if status not in ANSWERING_STATUSES:
         raise PlatformUnavailableError(f"the store answered {status}")
-    body = _decode_json(data) if data else {}
+    body = _decode_body(data) if data else {}
     if not isinstance(body, Mapping):
         raise PlatformUnavailableError("the store's answer is not an object")
     return ObjectAnswer(status, body, era)
@@ -304,34 +301,11 @@
     return StoreRevision.of(answer.era, _revision(answer.body.get("at")))
 
 
-def _decode_json(data: bytes) -> Any:
-    """Decode JSON, replacing bytes that are not valid UTF-8.
-
-    Numbers that JSON can't represent, or that are too large, become texts, which no
-    decoder accepts as numbers. Only such values are affected: one invalid entry, which
-    any process may write, must not make the whole list of endpoints unreadable.
-    """
+def _decode_body(data: bytes) -> Any:
     try:
-        return orjson.loads(data)
-    except orjson.JSONDecodeError:
-        try:
-            return json.loads(
-                data.decode("utf-8", "replace"),
-                parse_int=_decode_integer,
-                parse_float=_decode_float,
-                parse_constant=str,
-            )
-        except (ValueError, RecursionError) as error:
-            raise PlatformUnavailableError("the store's answer is not JSON") from error
-
-
-def _decode_integer(text: str) -> int | str:
-    return int(text) if len(text) <= MAX_INTEGER_CHARACTERS else text
-
-
-def _decode_float(text: str) -> float | str:
-    value = float(text)
-    return value if isfinite(value) else text
+        return decode_json(data)
+    except ValueError as error:
+        raise PlatformUnavailableError("the store's answer is not JSON") from error
 
 
 def _entries(body: Mapping, field: str) -> list:
