The product's own store client passes over objects that others wrote badly

What operators would see: one object of another writer among the configuration or the boxes, without a value, with a spec that isn't an object, of an unknown kind or with a name that can't be encoded, ends the task that lists or watches them, and with it the gateway's or agent's process, again at each start.

Cause: the decoders of the own interface raised KeyError, TypeError and ValueError, which nobody expects there.

Now they raise `InvalidObjectError`; lists, watches and the list of boxes leave such objects out, and each finding is logged once. A removed object is a tombstone whatever it held.

Red before: seven rows of 'the product's own store has an object with ...'.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -56,3 +56,17 @@
       | a list of 1500 levels        |
       | control characters in a text |
       | bytes that aren't UTF-8      |
+
+  # One bad object ended the processes of the product's own interface that list objects.
+  Scenario Outline: the product's own store has an object with <content>
+    Then its list, its watch and its list of boxes hold all other objects beside <content>
+
+    Examples:
+      | content                   |
+      | a spec that is a string   |
+      | no value                  |
+      | a value that isn't base64 |
+      | write ids that aren't     |
+      | a list of 1500 levels     |
+      | a kind that is unknown    |
+      | a name that can't be sent |
--- a/src/piershore/platform/http_platform_store.py
+++ b/src/piershore/platform/http_platform_store.py
@@ -20,12 +20,17 @@
 from piershore.core.fleet.store_era import StoreEra
 from piershore.core.fleet.store_revision import MAX_ERA, StoreRevision
 from piershore.core.ports import Box, BoxList, BoxRole, BoxState, PlatformStore
-from piershore.platform.exceptions import ObjectConflictError, StaleVersionError
+from piershore.platform.exceptions import (
+    InvalidObjectError,
+    ObjectConflictError,
+    StaleVersionError,
+)
 from piershore.platform.object_client import (
     ObjectChange,
     ObjectClient,
     PlatformObject,
 )
+from piershore.platform.object_findings import ObjectFindings
 
 WATCH_SECONDS = 1.0
 """Maximum duration of one watch call; it returns then even without changes."""
@@ -41,6 +46,8 @@
 """Number of write ids kept in an object. By them a writer whose answer was lost finds
 out whether its write took effect, even after later writes."""
 MAX_IDLE_CLIENTS = 8
+MAX_VERSION = 2**63 - 1
+"""Versions are signed 64-bit integers on the wire."""
 
 Result = TypeVar("Result")
 
@@ -59,6 +66,7 @@
     def __init__(self, base_url: str) -> None:
         self._address = Address.parse(urlsplit(base_url).netloc)
         self._era = StoreEra()
+        self._findings = ObjectFindings()
         self._idle: list[ObjectClient] = []
         self._write_ids: dict[ObjectName, tuple[int, tuple[str, ...]]] = {}
 
@@ -73,7 +81,10 @@
             await self._idle.pop().close()
 
     async def get(self, name: ObjectName) -> StoredObject | None:
-        """Read one object; the answer may be stale."""
+        """Read one object; the answer may be stale.
+
+        Raise `InvalidObjectError` if another program has overwritten it.
+        """
         kind, key = _store_key(name)
         found = await self._with_client(lambda client: client.get(kind, key))
         return None if found is None else self._decode(found)
@@ -81,7 +92,8 @@
     async def list(self) -> Snapshot:
         """Read all configuration objects; the answer may be stale."""
         listed = await self._with_client(lambda client: client.list(CONFIGURATION_KIND))
-        return Snapshot(listed.revision, tuple(map(self._decode, listed.objects)))
+        objects = self._findings.readable(self._decode, listed.objects)
+        return Snapshot(listed.revision, tuple(objects))
 
     async def put(
         self, name: ObjectName, value: bytes | None, version: int, write_id: str
@@ -119,15 +131,15 @@
                     CONFIGURATION_KIND, after, WATCH_SECONDS
                 )
             )
-            for change in batch.changes:
-                yield self._decode_change(change)
+            for change in self._findings.readable(self._decode_change, batch.changes):
+                yield change
             reached = batch.revision
             yield reached
 
     async def boxes(self) -> tuple[Box, ...]:
         """Return the boxes that the platform knows of."""
         listed = await self._with_client(lambda c: c.list(BOX_KIND))
-        return tuple(_decode_box(item) for item in listed.objects)
+        return tuple(self._findings.readable(_decode_box, listed.objects))
 
     async def _write(
         self,
@@ -186,18 +198,16 @@
         )
 
     def _decode_change(self, change: ObjectChange) -> StoredObject:
-        decoded = self._decode(change.object)
         if not change.is_gone:
-            return decoded
+            return self._decode(change.object)
         # A tombstone: newer than this object, older than a later one of its name.
-        return StoredObject(decoded.name, decoded.version + 1, None)
+        name, version = _object_name(change.object), _version_of(change.object)
+        return StoredObject(name, version + 1, None)
 
     def _decode(self, item: PlatformObject) -> StoredObject:
-        name = _object_name(item)
-        ids = tuple(item.spec["write_ids"])
-        version = _version_of(item)
+        name, version = _object_name(item), _version_of(item)
+        value, ids = _content_of(item)
         self._write_ids[name] = (version, ids)
-        value = base64.b64decode(item.spec["value"])
         return StoredObject(name, version, value, ids)
 
     async def _with_client(
@@ -234,25 +244,54 @@
 
 def _version_of(item: PlatformObject) -> StoreRevision:
     """Return the version under which an object was accepted."""
-    accepted = item.spec.get("version")
-    if type(accepted) is int and accepted > 0:
+    spec = item.spec if isinstance(item.spec, Mapping) else {}
+    accepted = spec.get("version")
+    if type(accepted) is int and 0 < accepted <= MAX_VERSION:
         return StoreRevision(accepted)
-    era = item.spec.get("era", 0)
+    era = spec.get("era", 0)
     is_era = type(era) is int and 0 <= era <= MAX_ERA
     return StoreRevision.of(era if is_era else 0, item.revision)
 
 
+def _content_of(item: PlatformObject) -> tuple[bytes, tuple[str, ...]]:
+    """Return an object's value and write ids; raise `InvalidObjectError`."""
+    try:
+        value = base64.b64decode(item.spec["value"], validate=True)
+        ids = tuple(item.spec["write_ids"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise InvalidObjectError(f"{item.name!r} has no valid content") from error
+    if not all(isinstance(write_id, str) for write_id in ids):
+        raise InvalidObjectError(f"{item.name!r} has invalid write ids")
+    return value, ids
+
+
 def _object_name(item: PlatformObject) -> ObjectName:
+    """Return an object's kind and name; raise `InvalidObjectError`."""
     kind, _, name = item.name.partition(KIND_SEPARATOR)
-    return ObjectName(ObjectKind(kind), name)
+    try:
+        _check_encodable(name)
+        return ObjectName(ObjectKind(kind), name)
+    except ValueError as error:
+        raise InvalidObjectError(f"{item.name!r} is of an unknown kind") from error
+
+
+def _check_encodable(*texts: str) -> None:
+    """Raise ValueError if a text can't be sent to other boxes (a lone surrogate)."""
+    for text in texts:
+        text.encode()
 
 
 def _decode_box(item: PlatformObject) -> Box:
-    spec: Mapping = item.spec
-    return Box(
-        name=item.name,
-        role=BoxRole(spec["role"]),
-        data_hall=spec["data_hall"],
-        peer_address=spec["peer_address"],
-        state=BoxState(spec["state"]),
-    )
+    """Decode an entry of the box list; raise `InvalidObjectError`."""
+    try:
+        spec: Mapping = item.spec
+        _check_encodable(item.name, spec["data_hall"])
+        return Box(
+            name=item.name,
+            role=BoxRole(spec["role"]),
+            data_hall=spec["data_hall"],
+            peer_address=str(Address.parse(spec["peer_address"])),
+            state=BoxState(spec["state"]),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise InvalidObjectError(f"box {item.name!r} is invalid") from error
