A drained data hall whose name can't be encoded is passed over

What operators would see: an object with a lone surrogate in its name among the drains stops all reports between gateways, and nobody follows drains any more.

Cause: the name was taken as it came; neither reports to peers nor log lines can hold it.

Now only names that an endpoint could have as its data hall count as drains.

Red before: 'a drained data hall whose name can't be sent to other gateways' (internal errors of PeerLink.send and of the follower, ten a second).

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -70,3 +70,9 @@
       | a list of 1500 levels     |
       | a kind that is unknown    |
       | a name that can't be sent |
+
+  # The name stopped all reports to peers, and the following of drains.
+  Scenario: a drained data hall whose name can't be sent to other gateways
+    Given 2 gateways before healthy endpoints
+    When a drain of a data hall with a lone surrogate in its name is written
+    Then both gateways go on reporting to each other
--- a/src/piershore/platform/endpoint_codec.py
+++ b/src/piershore/platform/endpoint_codec.py
@@ -51,13 +51,13 @@
 
     def entry_name(self) -> str:
         """Return the entry's name; it must be valid in the header of a request."""
-        if not _is_word(self._name):
+        if not is_word(self._name):
             raise _invalid(self._name, "the name is not valid in a header")
         return self._name
 
     def word(self, field: str) -> str:
         value = self._spec.get(field)
-        if not isinstance(value, str) or not _is_word(value):
+        if not isinstance(value, str) or not is_word(value):
             raise self._found(field, "is not a word of visible ASCII characters")
         return value
 
@@ -101,6 +101,6 @@
     return InvalidObjectError(f"endpoint {name!r} is invalid: {fault}")
 
 
-def _is_word(text: str) -> bool:
+def is_word(text: str) -> bool:
     """Return whether a text is not empty and has only visible ASCII characters."""
     return bool(text) and text.isascii() and text.isprintable() and " " not in text
--- a/src/piershore/platform/feeds.py
+++ b/src/piershore/platform/feeds.py
@@ -21,7 +21,7 @@
     EndpointFeed,
     StoreFeed,
 )
-from piershore.platform.endpoint_codec import decode_endpoint
+from piershore.platform.endpoint_codec import decode_endpoint, is_word
 from piershore.platform.exceptions import InvalidObjectError
 from piershore.platform.object_client import (
     ObjectChange,
@@ -112,7 +112,11 @@
 
 
 class StoredDrainFeed(_StoredFeed, DrainFeed):
-    """The operators' requests to drain data halls, which then get no new work."""
+    """The operators' requests to drain data halls, which then get no new work.
+
+    A name that no endpoint could have as its data hall is passed over. Some of them
+    can't be encoded, neither in reports to peers nor in log lines.
+    """
 
     def __init__(self, store: Address) -> None:
         super().__init__(store)
@@ -121,7 +125,8 @@
     async def read(self) -> DrainedHalls:
         """Return the drained data halls."""
         listed = await self._client.list(DRAIN_KIND)
-        self._data_halls = {item.name for item in listed.objects}
+        names = (item.name for item in listed.objects)
+        self._data_halls = set(filter(is_word, names))
         return self._drained(listed.revision)
 
     async def changes(self, revision: StoreRevision, wait: float) -> DrainedHalls:
@@ -130,7 +135,7 @@
         for change in batch.changes:
             if change.is_gone:
                 self._data_halls.discard(change.object.name)
-            else:
+            elif is_word(change.object.name):
                 self._data_halls.add(change.object.name)
         return self._drained(_next_revision(batch, revision))
 
