Gateways notice in time that the store is silent to those that watch for them

Cause: a gateway that doesn't watch relies on two that do as long as they report that they read the store, and they report so until two of their calls have failed or the last answer is 5.5 s old. A watch that is never answered fails only 5.4 s after it began. That an answer was overdue was known, and not used for this. A gateway that had ended counted for 2 s.

Now a gateway on which others rely watches endpoints for at most the bound for a change less 1 s at a time (1 s with a bound of 2 s; the bound is read from the settings), and says at once if the answer is overdue by 0.3 s; the others then watch by themselves. A watcher whose last report is older than 1 s, or two and a half report intervals in large fleets, doesn't count either. The log line `store_access_changed` tells both moments.

Red before: of features/silent_watchers.feature a route, a leaving and a removed endpoint and a drained hall 0.05 s after the silence, and watchers that end.

--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -23,6 +23,10 @@
 from piershore.ingress.followers.configuration_follower import ConfigurationFollower
 from piershore.ingress.followers.drain_follower import DrainFollower
 from piershore.ingress.followers.endpoint_follower import EndpointFollower
+from piershore.ingress.followers.store_access import (
+    relied_on_watch_seconds,
+    StoreAccess,
+)
 from piershore.ingress.followers.store_follower import StoreFollower
 from piershore.ingress.gateway_state import GatewayState
 from piershore.ingress.live_stream import LiveStream, LiveStreams, RunState
@@ -59,7 +63,8 @@
 
 WATCH_SECONDS = 4.0
 """Timeout of a watch. A connection that was cut silently is detected after it; a
-shorter timeout would need more calls, and each call has a price."""
+shorter timeout would need more calls, and each call has a price. Only a gateway on
+which others rely watches for less (`relied_on_watch_seconds`)."""
 DRAIN_WATCH_SECONDS = 12.0
 """Longer than `WATCH_SECONDS`, since drains are rare and each call has a price. TCP
 probes detect a silent connection after 2 s, and peers report what a watcher misses."""
@@ -122,6 +127,11 @@
         )
         for follower in self._followers:
             follower.set_era_callback(self._on_new_era)
+        self._store_access = StoreAccess(
+            (self._configuration.health, self._endpoints.health),
+            self._announce_to_peers,
+            self._log,
+        )
         self._endpoint_prober = endpoint_prober
         self._status = StatusService(self._is_ready)
         self._metrics_port = metrics_port
@@ -173,6 +183,10 @@
         self._configuration.set_watch_condition(link.should_watch)
         self._endpoints.set_watch_condition(link.should_watch)
         self._drains.set_watch_condition(link.should_watch)
+        # The answers to one kind of watch show that the store answers the others, too.
+        self._endpoints.set_watch_limit(
+            link.is_relied_on, relied_on_watch_seconds(self._settings.change_seconds)
+        )
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
         )
@@ -238,6 +252,7 @@
             self._configuration.run,
             self._endpoints.run,
             self._endpoints.sweep,
+            self._store_access.run,
             link.receive,
             link.send,
             load_updates.run,
@@ -257,10 +272,10 @@
             await trio.sleep(RESTART_DELAY_SECONDS)
 
     def _reads_store(self) -> bool:
-        health = self._endpoints.health
-        return not health.is_out and health.is_fresh(
+        is_fresh = self._endpoints.health.is_fresh(
             WATCH_SECONDS + FRESHNESS_SLACK_SECONDS
         )
+        return is_fresh and not self._store_access.is_silent
 
     def _store_liveness(self) -> StoreLiveness:
         observations = (
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -25,7 +25,12 @@
     triggered_report_interval,
 )
 from piershore.core.fleet.store_silence import is_store_silent, StoreLiveness
-from piershore.core.fleet.watchers import should_watch_store, WatchCandidate
+from piershore.core.fleet.watchers import (
+    is_relied_on,
+    max_watcher_report_age,
+    should_watch_store,
+    WatchCandidate,
+)
 from piershore.core.mechanism import Mechanism
 from piershore.core.quarantine.crash_report import (
     CrashReport,
@@ -215,20 +220,32 @@
         """Return whether this gateway should watch the store itself."""
         if not self._state.is_enabled(Mechanism.FEW_WATCHERS):
             return True
-        own = WatchCandidate(
+        return should_watch_store(self._own_candidate, self._watch_candidates())
+
+    def is_relied_on(self) -> bool:
+        """Return whether other gateways rely on this one's watch of the store."""
+        if not self._state.is_enabled(Mechanism.FEW_WATCHERS):
+            return False
+        return is_relied_on(self._own_candidate, self._watch_candidates())
+
+    @property
+    def _own_candidate(self) -> WatchCandidate:
+        return WatchCandidate(
             self.host, self._data_hall, self._reads_store(), self._link_megabits
         )
-        peers = (
-            WatchCandidate(
-                peer.host,
-                peer.report.data_hall,
-                peer.report.reads_store,
-                peer.report.link_megabits,
-            )
-            for peer in self.table.live_peers(trio.current_time())
-            if not peer.report.is_leaving
-        )
-        return should_watch_store(own, peers)
+
+    def _watch_candidates(self) -> Iterator[WatchCandidate]:
+        now = trio.current_time()
+        oldest = now - max_watcher_report_age(len(self._live_hosts))
+        for peer in self.table.live_peers(now):
+            report = peer.report
+            if not report.is_leaving:
+                yield WatchCandidate(
+                    peer.host,
+                    report.data_hall,
+                    report.reads_store and peer.report_received_at >= oldest,
+                    report.link_megabits,
+                )
 
     async def send_now(self) -> None:
         """Send one report to each peer."""
--- a/src/piershore/platform/box_settings_file.py
+++ b/src/piershore/platform/box_settings_file.py
@@ -22,6 +22,7 @@
 from piershore.settings.finding import Finding
 
 DEFAULT_LINK_MEGABITS = 1_000.0
+DEFAULT_CHANGE_MILLISECONDS = 2_000.0
 
 
 def load_box_settings() -> BoxSettings:
@@ -55,6 +56,10 @@
         stop_grace_seconds=reader.number("bounds.grace_s", 8.0),
         contact_seconds=reader.milliseconds("bounds.contact_ms", 3_000.0),
         drain_seconds=reader.optional_milliseconds("bounds.evacuate_ms"),
+        change_seconds=min(
+            reader.milliseconds(name, DEFAULT_CHANGE_MILLISECONDS)
+            for name in ("bounds.config_apply_ms", "bounds.drain_ms")
+        ),
         link_megabits=reader.number("limits.link_mbps", DEFAULT_LINK_MEGABITS),
         retry_limits=RetryLimits(
             ratio=reader.number("bounds.retry_budget_ratio", 0.2),
--- a/src/piershore/settings/box_settings.py
+++ b/src/piershore/settings/box_settings.py
@@ -17,6 +17,7 @@
     `link_megabits` is the capacity of the box's link in Mbit/s in each direction.
     `drain_seconds` is the time within which no new requests may reach a data hall that
     operators drain; None where the platform doesn't drain data halls.
+    `change_seconds` is the time within which a change in the store must be in force.
     """
 
     name: str
@@ -32,5 +33,6 @@
     retry_limits: RetryLimits
     link_megabits: float = 1_000.0
     drain_seconds: float | None = None
+    change_seconds: float = 2.0
     service: str | None = None
     endpoint_address: Address | None = None
--- a/src/piershore/telemetry/events.py
+++ b/src/piershore/telemetry/events.py
@@ -320,6 +320,13 @@
     content: str
 
 
+@dataclass(frozen=True)
+class StoreAccessChanged(LogEvent):
+    """The store has turned silent towards this gateway, or answers it again."""
+
+    is_answering: bool
+
+
 @dataclass(frozen=True)
 class UnframedAnswerEnded(LogEvent):
     """An answer without length or chunks ended with its connection.
