A list of several pages is one state of the store

Cause: a list counted as complete up to the revision of its last page, and the watch went on from there. What changed meanwhile on a page that had been read before was in neither.

Now a list whose first and last page differ in their revision is brought up to date by the changes since the first one, and counts up to the revision that these reach. An older change of an object that was read later is left out, by its revision. That is one more call, for a list of several pages during which something changed. All lists pass through it: after a lost history, in another era, of each kind, and those of the product's own interface.

--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -33,6 +33,8 @@
 """Maximum wait until an answer starts. A slow store takes 60 times its usual 4 ms."""
 WATCH_GRACE_SECONDS = 0.8
 """Maximum delay of a watch's answer beyond the requested wait."""
+CATCH_UP_SECONDS = 0.001
+"""Wait of a watch that only asks for changes so far."""
 STALL_TIMEOUT_SECONDS = 1.5
 """An answer is abandoned if no bytes arrive for this long. Its total time is not
 limited: with such a limit, an object of 0.8 MB never arrived over a 5 Mbit/s link."""
@@ -125,12 +127,27 @@
         return self._era
 
     async def list(self, kind: str) -> ObjectList:
-        """Read all objects of a kind, page by page.
+        """Read all objects of a kind as of one revision.
 
-        Raise `PlatformUnavailableError` if the store doesn't answer, and
-        `WatchGapError` if it was restored from an older copy between two pages.
+        A list of several pages is read at several moments: the changes since its first
+        page are applied to it. Raise `PlatformUnavailableError` if the store doesn't
+        answer, and `WatchGapError` if it was restored from an older copy between two
+        pages, or no longer has the changes since the first one.
         """
-        objects: list[PlatformObject] = []
+        pages = [page async for page in self._read_pages(kind)]
+        objects = {item.name: item for page in pages for item in page.objects}
+        reached, last = pages[0].revision, pages[-1].revision
+        while reached < last:
+            later = await self.watch(kind, reached, CATCH_UP_SECONDS)
+            if not later.changes:
+                # This doesn't prove that there were none: the next watch starts here.
+                break
+            _apply_changes(objects, later.changes)
+            reached = later.revision
+        return ObjectList(tuple(objects.values()), reached)
+
+    async def _read_pages(self, kind: str) -> AsyncIterator[ObjectList]:
+        """Yield the pages of a list, each with the revision at which it was read."""
         after = ""
         era: int | None = None
         while True:
@@ -142,11 +159,11 @@
                     "the store was restored from an older copy during the read"
                 )
             era = answer.era
-            page = list(_objects(_entries(answer.body, "items")))
-            objects.extend(page)
-            if not answer.body.get("more") or not page:
-                return ObjectList(tuple(objects), _answer_revision(answer))
-            after = page[-1].name
+            objects = tuple(_objects(_entries(answer.body, "items")))
+            yield ObjectList(objects, _answer_revision(answer))
+            if not answer.body.get("more") or not objects:
+                return
+            after = objects[-1].name
 
     async def watch(
         self, kind: str, revision: StoreRevision, wait: float
@@ -343,6 +360,21 @@
             yield PlatformObject(name, item.get("spec"), known)
 
 
+def _apply_changes(
+    objects: dict[str, PlatformObject], changes: Iterable[ObjectChange]
+) -> None:
+    """Apply changes, in their order, to objects that may be newer than some of them."""
+    for change in changes:
+        changed = change.object
+        known = objects.get(changed.name)
+        if known is not None and 0 < changed.revision < known.revision:
+            continue
+        if change.is_gone:
+            objects.pop(changed.name, None)
+        else:
+            objects[changed.name] = changed
+
+
 def _changes(events: Iterable[Any]) -> Iterator[ObjectChange]:
     for event in events:
         if not isinstance(event, Mapping):
--- a/standins/published_store.py
+++ b/standins/published_store.py
@@ -96,10 +96,15 @@
 Answer = tuple[int, object]
 
 
+def _do_nothing(kind: str) -> None:
+    """Do nothing between two pages of a list."""
+
+
 class PublishedStore:
     """Objects by kind and name, one counter of revisions, and watches.
 
     Its answers tell the `era`, unless that is None; `era_text` is told in its place.
+    `after_page` is called with the kind after each page of a list but the last one.
     """
 
     def __init__(self) -> None:
@@ -109,6 +114,7 @@
         self.calls = 0
         self.watch_times: list[tuple[str, float]] = []
         self.is_deaf = False
+        self.after_page: Callable[[str], None] = _do_nothing
         self.era: int | None = 0
         self.era_text: str | None = None
         self.port = 0
@@ -256,7 +262,10 @@
         if rest:
             item = self._readable()[0].get(kind, {}).get(rest[0])
             return (HTTPStatus.OK, item) if item else (HTTPStatus.NOT_FOUND, {})
-        return HTTPStatus.OK, self._list(kind, call.query)
+        listed = self._list(kind, call.query)
+        if listed["more"]:
+            self.after_page(kind)
+        return HTTPStatus.OK, listed
 
     def _is_within_rate(self, call: Call) -> bool:
         second = int(trio.current_time())
