An answer that is reset while its request is being sent isn't whole

Cause: the kernel reports a reset once, to whichever of the two tasks calls next. If the send gets it, the next read returns an orderly end, which ends an answer without a length. The failed send was passed over, since 'the task that reads the answer detects the failure'.

Now a connection remembers that a send failed, and an end that is read while a send is under way waits 0.1 s at most for its result: after a reset it fails at once, since the exception may already be on its way to the sending task. An end after a failed send is a reset. Answers with a length or chunks aren't affected, nor is an endpoint that closes only its own direction.

--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -16,6 +16,9 @@
 MAX_BODY_BYTES = 16 * 1_024 * 1_024
 """Maximum size of an answer that is read as a whole. Without a limit, one endless
 answer would take all the memory of a box, and with it all other requests."""
+SEND_RESULT_SECONDS = 0.1
+"""Maximum wait for the result of a send that is under way when the peer closes: after a
+reset it fails at once."""
 MAX_FOREIGN_ANSWERS = 4
 """Number of answers to earlier requests after which the exchange fails."""
 
@@ -53,6 +56,8 @@
         self._head: RequestHead | None = None
         self._body = b""
         self._has_trailing_data = False
+        self._send_ended = _ended_event()
+        self._has_send_failed = False
         self.last_used = trio.current_time()
         self.keep_alive_seconds: float | None = None
         self.on_head: OnHead = _ignore_head
@@ -105,10 +110,14 @@
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a complete request; raise `ExchangeBrokenError` if that fails."""
         self._head, self._body = head, body
+        self._send_ended = trio.Event()
         try:
             await self._stream.send_all(self._encode())
         except (trio.BrokenResourceError, OSError) as error:
+            self._has_send_failed = True
             raise ExchangeBrokenError("the connection broke while sending") from error
+        finally:
+            self._send_ended.set()
 
     async def read_head(self, is_own: AnswerFilter = accept_any_answer) -> ResponseHead:
         """Read the head of the answer for which `is_own` is true, skipping others.
@@ -233,9 +242,30 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            data = bytes(await self._stream.receive_some(RECEIVE_BYTES))
         except (trio.BrokenResourceError, OSError) as error:
             raise ExchangeBrokenError("the connection was reset") from error
+        if not data:
+            await self._check_close()
+        return data
+
+    async def _check_close(self) -> None:
+        """Raise `ExchangeBrokenError` if the connection was reset and not closed.
+
+        The kernel reports a reset once: if a send gets the error, the connection looks
+        closed to whoever reads from it, and an answer without a length complete.
+        """
+        with trio.move_on_after(SEND_RESULT_SECONDS):
+            await self._send_ended.wait()
+        if self._has_send_failed:
+            raise ExchangeBrokenError("the connection was reset")
+
+
+def _ended_event() -> trio.Event:
+    """Return the event of a send that has ended."""
+    event = trio.Event()
+    event.set()
+    return event
 
 
 def _enable_keepalive(connection: trio.socket.SocketType) -> None:
--- a/standins/published_endpoint.py
+++ b/standins/published_endpoint.py
@@ -51,13 +51,19 @@
 
 Fault = Callable[["PublishedEndpoint", "Arrival"], Awaitable[bool]]
 FAULTS: dict[str, Fault] = {}
+EARLY_FAULTS: set[str] = set()
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
-    """Register what an endpoint does instead of answering well."""
+def fault(name: str, *, is_early: bool = False) -> Callable[[Fault], Fault]:
+    """Register what an endpoint does instead of answering well.
+
+    If it `is_early`, the endpoint does it before it reads the request's body.
+    """
 
     def register(function: Fault) -> Fault:
         FAULTS[name] = function
+        if is_early:
+            EARLY_FAULTS.add(name)
         return function
 
     return register
@@ -287,7 +293,7 @@
                 request = event
                 if not self.reads_bodies:
                     await trio.sleep_forever()
-                if self.faults and self.faults[0] == "early":
+                if self.faults and self.faults[0] in EARLY_FAULTS:
                     return Arrival(stream, connection, request, b"")
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -632,7 +638,7 @@
     return False
 
 
-@fault("early")
+@fault("early", is_early=True)
 async def _early(endpoint: PublishedEndpoint, arrival: Arrival) -> bool:
     data = b"HTTP/1.1 413 Too Large\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n"
     await arrival.stream.send_all(data % arrival.identity.encode())
