Answers with a status that doesn't exist or a folded header line are no answers

What callers saw: an endpoint in trouble sends status 600 or 999, and the caller gets it as it came; or a line that begins with a blank, and the caller gets it as a part of the header before it, here of the seal. Endless interim answers (100) kept a request until its route's timeout, and the gateway so busy that sound calls beside eight of them took far longer.

Cause: the codec takes any three digits for a status and joins folded lines silently; interim answers were read without a limit.

Now final statuses are 200 to 599 (RFC 9110, 15), a head with a folded line is no answer (RFC 9112, 5.2), and after eight interim answers nothing more is read: 502 in each case.

Red before: of the rows 'an endpoint's answer has ...' status 600, status 999 and both folded lines, and 'interim answers without end'. Status 000, 099 and 101, blanks, control bytes and empty names, a head that is cut anywhere or never ends were 502 before, which the other rows show: the reports of a status 000, of a name with a blank or control byte, and of a head that stops in the middle can't happen here.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -18,3 +18,29 @@
       | stream     | reset in the upload              |
       | stream     | reset in the upload after 0.03 s |
       | stream     | reset in the upload after 0.2 s  |
+
+  # Statuses that don't exist were passed on, and a folded line became a part of the header
+  # before it.
+  @own_whole_answer
+  Scenario Outline: an endpoint's answer has <answer>
+    Given endpoints whose answers have <answer>
+    When callers send a request "once" and for a "stream"
+    Then each gets a 502 or a stream that is incomplete
+
+    Examples:
+      | answer                    |
+      | status 000                |
+      | status 099                |
+      | status 101                |
+      | status 600                |
+      | status 999                |
+      | a blank in a name         |
+      | a control byte in a name  |
+      | a blank before a colon    |
+      | an empty name             |
+      | a folded line             |
+      | a line folded by a tab    |
+      | a head cut in its status  |
+      | a head cut in a name      |
+      | a head cut before its end |
+      | a head without end        |
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import AsyncIterator, Callable
 from math import inf
 
@@ -16,9 +17,17 @@
 MAX_BODY_BYTES = 16 * 1_024 * 1_024
 """Maximum size of an answer that is read as a whole. Without a limit, one endless
 answer would take all the memory of a box, and with it all other requests."""
+MAX_INTERIM_ANSWERS = 8
+"""Number of interim answers (1xx) before the final one. Endless ones would take the
+time of all other requests."""
+VALID_STATUSES = range(200, 600)
+"""Statuses of final answers (RFC 9110, 15)."""
 SEND_RESULT_SECONDS = 0.1
 """Maximum wait for the result of a send that is under way when the peer closes: after a
 reset it fails at once."""
+FOLDED_LINE = re.compile(rb"\n[ \t]")
+"""A header that goes on in a second line. A proxy must not forward it (RFC 9112, 5.2):
+the line may belong to no header at all."""
 MAX_FOREIGN_ANSWERS = 4
 """Number of answers to earlier requests after which the exchange fails."""
 
@@ -56,6 +65,7 @@
         self._head: RequestHead | None = None
         self._body = b""
         self._has_trailing_data = False
+        self._head_bytes: bytearray | None = None
         self._send_ended = _ended_event()
         self._has_send_failed = False
         self.last_used = trio.current_time()
@@ -192,12 +202,32 @@
         return data + self._connection.send(h11.EndOfMessage())
 
     async def _read_any_head(self) -> ResponseHead:
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.ConnectionClosed):
-                raise ExchangeBrokenError("the connection was closed without an answer")
-            if isinstance(event, h11.Response):
-                break
+        self._head_bytes = bytearray(self._connection.trailing_data[0])
+        try:
+            for _ in range(MAX_INTERIM_ANSWERS + 1):
+                event = await self._next_event()
+                if isinstance(event, h11.ConnectionClosed):
+                    message = "the connection was closed without an answer"
+                    raise ExchangeBrokenError(message)
+                self._check_lines()
+                if isinstance(event, h11.Response):
+                    return self._decode_head(event)
+        finally:
+            self._head_bytes = None
+        raise ExchangeBrokenError("only interim answers were received")
+
+    def _check_lines(self) -> None:
+        """Check the head that was just read; the codec joins folded lines silently."""
+        following = self._connection.trailing_data[0]
+        end = len(self._head_bytes) - len(following)
+        if FOLDED_LINE.search(self._head_bytes, 0, end):
+            raise ExchangeBrokenError("no proper answer: a header has a folded line")
+        self._head_bytes = bytearray(following)
+
+    def _decode_head(self, event: h11.Response) -> ResponseHead:
+        if event.status_code not in VALID_STATUSES:
+            message = f"no proper answer: status {event.status_code}"
+            raise ExchangeBrokenError(message)
         headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
         head = ResponseHead(event.status_code, headers)
         self._record_keep_alive(head)
@@ -238,7 +268,10 @@
                 raise ExchangeBrokenError(f"no proper answer: {error}") from error
             if event is not h11.NEED_DATA:
                 return event
-            self._connection.receive_data(await self._receive())
+            data = await self._receive()
+            if self._head_bytes is not None:
+                self._head_bytes += data
+            self._connection.receive_data(data)
 
     async def _receive(self) -> bytes:
         try:
