Answers that are read whole share a limit on their memory

What operators would see: endpoints in trouble send bodies without end.

Cause: each answer had a limit, all together had none.

Now all bodies that a gateway reads whole share 32 MB, each up to what all of them leave free: one alone may have 16 MB as before, eight 3.5 MB each. Up to 256 KB are never refused. A body is kept in one buffer; many small chunks cost no more than their bytes.

Red before: 'bodies that are read at the same time share their memory' (there was no such limit). 'a body without end' and 'chunks without end', eight at once, show that others are served and at most 32 MB are kept.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -44,3 +44,20 @@
       | a head cut in a name      |
       | a head cut before its end |
       | a head without end        |
+
+  # Interim answers were read until the route's timeout, at the cost of all other requests.
+  # Bodies had a limit each, and none together.
+  Scenario Outline: endpoints answer eight requests at once with <answer>
+    Given endpoints whose answers have <answer>
+    When 8 callers send "once" requests of 2 bytes, and others call a sound service
+    Then each fails within <seconds> s
+    And the others get their answers, and at most 32 MB were kept
+
+    Examples:
+      | answer                      | seconds |
+      | interim answers without end | 1.0     |
+      | a body without end          | 2.5     |
+      | chunks without end          | 2.5     |
+
+  Scenario: bodies that are read at the same time share their memory
+    Then an answer may have half of the memory, several less each, and small ones always fit
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from piershore.http1.body_memory import BodyMemory
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
 
@@ -56,7 +57,8 @@
 
     `last_used` is when the last exchange ended, by trio's clock. `keep_alive_seconds`
     is how long the server keeps an idle connection open; None if it doesn't say.
-    `on_head` is called with the head of each accepted answer.
+    `on_head` is called with the head of each accepted answer. `body_memory` is shared
+    with other connections.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -68,6 +70,7 @@
         self._head_bytes: bytearray | None = None
         self._send_ended = _ended_event()
         self._has_send_failed = False
+        self.body_memory = BodyMemory()
         self.last_used = trio.current_time()
         self.keep_alive_seconds: float | None = None
         self.on_head: OnHead = _ignore_head
@@ -160,16 +163,17 @@
     async def read_body(self) -> bytes:
         """Read the whole body.
 
-        Raise `ExchangeBrokenError` if it is cut short or has over `MAX_BODY_BYTES`.
+        Raise `ExchangeBrokenError` if it is cut short, has over `MAX_BODY_BYTES`, or
+        needs more memory than others leave.
         """
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in self.read_chunks():
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise ExchangeBrokenError(f"the answer has over {MAX_BODY_BYTES} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        with self.body_memory.buffer() as buffer:
+            async for chunk in self.read_chunks():
+                if len(buffer) + len(chunk) > MAX_BODY_BYTES:
+                    message = f"the answer has over {MAX_BODY_BYTES} bytes"
+                    raise ExchangeBrokenError(message)
+                if not buffer.append(chunk):
+                    raise ExchangeBrokenError("there is no memory for the whole answer")
+            return buffer.data()
 
     def end_exchange(self) -> bool:
         """Prepare for another request; return False if the connection must close."""
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -9,6 +9,7 @@
 import trio
 
 from piershore.core.fleet.endpoint import Address, Endpoint
+from piershore.http1.body_memory import BodyMemory
 from piershore.http1.client_connection import ClientConnection
 from piershore.http1.exceptions import NotConnectedError
 from piershore.http1.message import ResponseHead
@@ -46,6 +47,7 @@
         self._on_head: OnEndpointHead = _ignore_head
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._retired: list[ClientConnection] = []
+        self._body_memory = BodyMemory()
 
     def set_head_callback(self, on_head: OnEndpointHead) -> None:
         """Call `on_head` with the head of each answer and the endpoint that sent it."""
@@ -164,9 +166,12 @@
         for connection in self._retired:
             await connection.close()
 
-    @staticmethod
-    async def _open(address: Address) -> ClientConnection:
-        return await ClientConnection.open(address.host, address.port, CONNECT_SECONDS)
+    async def _open(self, address: Address) -> ClientConnection:
+        connection = await ClientConnection.open(
+            address.host, address.port, CONNECT_SECONDS
+        )
+        connection.body_memory = self._body_memory
+        return connection
 
     @staticmethod
     def _is_usable(connection: ClientConnection, now: float) -> bool:
