Agents read answers of endpoints as strictly as gateways do

Answers had no limit on their size.

Cause: agents used httpx's own transport, which passes over a failed send, reads what there is, and leaves the rest to its codec.

Now httpx sends through `EndpointTransport`, which exchanges over the connections that gateways use: one reader of answers for both interfaces. An engine's answer that isn't JSON is a lost engine.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -61,3 +61,25 @@
 
   Scenario: bodies that are read at the same time share their memory
     Then an answer may have half of the memory, several less each, and small ones always fit
+
+  # The client of the product's own interface took parts of answers, folded lines and
+  # statuses that don't exist for whole answers, of any size.
+  @own_whole_answer
+  Scenario Outline: the product's own interface, before an endpoint whose answer has <answer>
+    Then a call and a generation fail if the answer has <answer>
+
+    Examples:
+      | answer                           |
+      | reset in the upload              |
+      | reset in the upload after 0.03 s |
+      | reset in the upload after 0.2 s  |
+      | status 000                       |
+      | status 600                       |
+      | status 999                       |
+      | a control byte in a name         |
+      | a folded line                    |
+      | a head cut in a name             |
+      | a body without end               |
+      | chunks without end               |
+      | a head without end               |
+      | interim answers without end      |
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -15,6 +15,7 @@
     EngineTokens,
     GenerationRequest,
 )
+from piershore.endpoints.endpoint_transport import bounded_lines, EndpointTransport
 from piershore.endpoints.exceptions import (
     EngineBackoffError,
     EngineLostError,
@@ -25,7 +26,6 @@
 from piershore.http1.retry_after import longest_backoff, RETRY_AFTER
 
 CALL_TIMEOUT_SECONDS = 2.0
-MAX_CONNECTIONS = 4_096
 
 
 def _requested_backoff(response: httpx.Response) -> float | None:
@@ -44,11 +44,9 @@
 
     def __init__(self, base_url: str, stall_timeout: float) -> None:
         self._stream_timeout = httpx.Timeout(CALL_TIMEOUT_SECONDS, read=stall_timeout)
+        self._transport = EndpointTransport()
         self._client = httpx.AsyncClient(
-            base_url=base_url,
-            timeout=CALL_TIMEOUT_SECONDS,
-            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
-            trust_env=False,
+            base_url=base_url, timeout=CALL_TIMEOUT_SECONDS, transport=self._transport
         )
         self._on_rate: Callable[[float | None], None] = _ignore_rate
 
@@ -106,10 +104,13 @@
 
     async def _get(self, path: str) -> Any:
         try:
-            response = await self._client.get(path)
-            return response.raise_for_status().json()
+            async with self._client.stream("GET", path) as response:
+                response.raise_for_status()
+                return orjson.loads(await self._transport.read_whole(response))
         except httpx.HTTPError as error:
             raise EngineLostError("the engine can't be reached") from error
+        except orjson.JSONDecodeError as error:
+            raise EngineLostError("the engine's answer is not JSON") from error
 
     async def _stream(
         self, method: str, path: str, body: dict | None
@@ -136,7 +137,7 @@
                         f"the engine answered with status {response.status_code}"
                     )
                 is_open = True
-                async for line in response.aiter_lines():
+                async for line in bounded_lines(response):
                     item = orjson.loads(line)
                     if "end" in item:
                         is_complete = True
--- a/src/piershore/endpoints/http_service_client.py
+++ b/src/piershore/endpoints/http_service_client.py
@@ -6,6 +6,7 @@
 
 from piershore.core.ownership.claim import Answer
 from piershore.core.ports import ServiceClient
+from piershore.endpoints.endpoint_transport import EndpointTransport
 from piershore.endpoints.exceptions import CallNotSentError, CallOutcomeUnknownError
 from piershore.http1.rate_limit import lowest_rate, RATE_LIMIT
 from piershore.http1.retry_after import longest_backoff, RETRY_AFTER
@@ -19,8 +20,9 @@
 
     def __init__(self, base_url: str) -> None:
         timeout = httpx.Timeout(ANSWER_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS)
+        self._transport = EndpointTransport()
         self._client = httpx.AsyncClient(
-            base_url=base_url, timeout=timeout, trust_env=False
+            base_url=base_url, timeout=timeout, transport=self._transport
         )
 
     async def close(self) -> None:
@@ -33,9 +35,10 @@
         if key:
             headers["Idempotency-Key"] = key
         try:
-            response = await self._client.post(
-                f"/call/{kind}", content=body, headers=headers
-            )
+            async with self._client.stream(
+                "POST", f"/call/{kind}", content=body, headers=headers
+            ) as response:
+                content = await self._transport.read_whole(response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise CallNotSentError("the service is unreachable") from error
         except httpx.HTTPError as error:
@@ -46,4 +49,4 @@
         if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
             backoff = longest_backoff(response.headers.get_list(RETRY_AFTER))
         rate = lowest_rate(response.headers.get_list(RATE_LIMIT))
-        return Answer(response.status_code, response.content, backoff, rate)
+        return Answer(response.status_code, content, backoff, rate)
