A probe tells a port that closes connections from one that is silent

An endpoint at its limit of connections closes each further one at once. It counted, like one of which nothing was heard, as not serving, so that a whole unframed answer of a crowded endpoint would have been a failure. Now a port that closes new connections counts as serving, one that stays silent doesn't. Scenario: 'a stream ends while its engine closes new connections'.

--- a/features/steps/stopped_run_steps.py
+++ b/features/steps/stopped_run_steps.py
@@ -100,6 +100,10 @@
     source.silence = Silence.GONE
 
 
+async def close_new_connections(world, source):
+    source.closes_new = True
+
+
 async def leave_and_end(world, source):
     await leave(world, source)
     await trio.sleep(NOTICE_SECONDS)
@@ -126,6 +130,7 @@
     "leaves out an event": leave_out,
     "crashes": crash,
     "stops responding": stop_responding,
+    "has too many connections": close_new_connections,
     "leaves and ends": leave_and_end,
     "leaves, ends and closes its port": leave_and_linger,
     "is removed and ends": vanish_and_end,
--- a/features/unframed_answers.feature
+++ b/features/unframed_answers.feature
@@ -29,6 +29,13 @@
     When a stream of 60 events is read and its engine leaves after 20
     Then all events came once and in order, from 1 run
 
+  # An endpoint at its limit of connections closes each further one immediately.
+  @tokens_once_in_order
+  Scenario: a stream ends while its engine closes new connections
+    Given engines without moves or backups, with answers that end with the connection
+    When a stream of 60 events is read and its engine has too many connections after 20
+    Then all events came once and in order, from 1 run
+
   @own_whole_answer
   Scenario: the endpoint of a call ends in the midst of a slow answer without length
     Given desk endpoints with the faults "unframed as it ends"
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from enum import Enum
 from functools import partial
 
 import trio
@@ -29,6 +30,20 @@
 """Maximum number of idle connections to one endpoint; the usual load needs no more."""
 
 
+class PortState(Enum):
+    """What happens to a new connection.
+
+    `REFUSING`: nobody listens there. `CLOSING` proves nothing: the endpoint may have
+    too many connections, or a load balancer in front of it may have lost it. `SILENT`:
+    nothing was heard.
+    """
+
+    OPEN = "open"
+    REFUSING = "refusing"
+    CLOSING = "closing"
+    SILENT = "silent"
+
+
 OnEndpointHead = Callable[[Endpoint, ResponseHead], None]
 
 
@@ -110,20 +125,15 @@
         await connection.close()
         return True
 
-    async def is_listening(self, address: Address) -> bool | None:
-        """Return whether an endpoint listens at an address; None if unknown.
-
-        A refused connection means that none does. A connection that is closed
-        immediately proves nothing: the endpoint may have too many connections, or a
-        load balancer in front of it may have lost it.
-        """
+    async def probe_port(self, address: Address) -> PortState:
+        """Return what happens to a new connection to an address."""
         try:
             connection = await self._open(address)
         except NotConnectedError as error:
-            return None if error.timed_out else False
+            return PortState.SILENT if error.timed_out else PortState.REFUSING
         try:
             is_closed = await connection.closes_within(IMMEDIATE_CLOSE_SECONDS)
-            return None if is_closed else True
+            return PortState.CLOSING if is_closed else PortState.OPEN
         finally:
             await connection.close()
 
--- a/src/piershore/ingress/attempts/crash_detector.py
+++ b/src/piershore/ingress/attempts/crash_detector.py
@@ -11,7 +11,7 @@
 from piershore.core.quarantine.endpoint_runs import EndpointRuns, REMEMBERED_SECONDS
 from piershore.core.quarantine.request_fingerprint import RequestFingerprint
 from piershore.core.quarantine.request_quarantine import RequestQuarantine
-from piershore.http1.connection_pool import ConnectionPool
+from piershore.http1.connection_pool import ConnectionPool, PortState
 from piershore.telemetry import ingress_metrics
 from piershore.telemetry.event_log import EventLog
 from piershore.telemetry.events import RequestExcused, RequestSuspected
@@ -73,26 +73,27 @@
         self._nursery.start_soon(self._check, endpoint)
 
     async def is_serving(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is found to serve now; probe it to find out.
+        """Return whether an endpoint still serves; probe it to find out.
 
-        It doesn't count as serving if no probe tells. One that leaves must answer two
-        probes: it may close its connections shortly before its port.
+        One that leaves must accept two connections: it may close those that it has
+        shortly before its port. One that closes each new connection has too many.
         """
         identity = endpoint.identity
-        answers_due = 1 + self._directory.is_leaving(identity)
+        missing = 1 + self._directory.is_leaving(identity)
+        state = PortState.SILENT
         for delay in PROBE_DELAYS_SECONDS:
             await trio.sleep(delay)
             if identity in self._crashed:
                 return False
-            is_there = await self._pool.is_listening(endpoint.address)
-            if is_there is False:
+            state = await self._pool.probe_port(endpoint.address)
+            if state is PortState.REFUSING:
                 if not self._directory.is_leaving(identity):
                     self._record_crash(identity)
                 return False
-            answers_due -= bool(is_there)
-            if not answers_due:
+            missing -= state is PortState.OPEN
+            if not missing:
                 return True
-        return False
+        return state is PortState.CLOSING
 
     def record_removal(self, endpoint: Endpoint, *, is_restarted: bool) -> None:
         """Check an endpoint whose entry was removed without a notice.
@@ -180,28 +181,28 @@
 
     async def _probe(self, endpoint: Endpoint) -> None:
         """Probe an endpoint a few times; the first result releases waiting tasks."""
-        identity, is_there = endpoint.identity, None
+        identity, state = endpoint.identity, PortState.SILENT
         for delay in PROBE_DELAYS_SECONDS:
             await trio.sleep(delay)
             if self._directory.is_leaving(identity):
                 return
-            is_there = await self._pool.is_listening(endpoint.address)
-            if is_there is False:
+            state = await self._pool.probe_port(endpoint.address)
+            if state is PortState.REFUSING:
                 self._record_crash(identity)
                 return
             self._checks[identity].set()
-        if is_there:
+        if state is PortState.OPEN:
             self._runs.clear_abandoned(identity)
 
     async def _check_removed(self, endpoint: Endpoint) -> None:
         """Treat a removed endpoint as crashed unless it goes on to take connections."""
-        is_there = None
+        state = PortState.SILENT
         for delay in PROBE_DELAYS_SECONDS:
             await trio.sleep(delay)
-            is_there = await self._pool.is_listening(endpoint.address)
-            if is_there is False:
+            state = await self._pool.probe_port(endpoint.address)
+            if state is PortState.REFUSING:
                 break
-        if not is_there:
+        if state is not PortState.OPEN:
             self._record_crash(endpoint.identity)
 
     def _record_crash(self, identity: str) -> None:
