--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -129,7 +129,7 @@
             follower.set_era_callback(self._on_new_era)
         self._store_access = StoreAccess(
             (self._configuration.health, self._endpoints.health),
-            self._announce_to_peers,
+            self._announce_store_access,
             self._log,
         )
         self._endpoint_prober = endpoint_prober
@@ -331,6 +331,10 @@
     def _announce_to_peers(self) -> None:
         self._state.announce()
 
+    def _announce_store_access(self) -> None:
+        if self._peers is not None and self._peers.is_relied_on():
+            self._state.announce()
+
     def _on_departure(self, departure: Departure) -> None:
         endpoint = departure.endpoint
         streams = self._live.running_at(endpoint.identity)
--- a/src/piershore/ingress/peers/peer_link.py
+++ b/src/piershore/ingress/peers/peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from math import inf
 from uuid import uuid4
 
 import trio
@@ -32,6 +33,7 @@
     WatchCandidate,
 )
 from piershore.core.mechanism import Mechanism
+from piershore.core.process_pause import was_paused
 from piershore.core.quarantine.crash_report import (
     CrashReport,
     decode_reports,
@@ -99,6 +101,7 @@
         # quarantined or cleared.
         self._rounds = SILENT_PEER_ROUND_INTERVAL - 1
         self._sent_at = float("-inf")
+        self._resumed_at = float("-inf")
         self._is_complete = True
         self._socket: trio.socket.SocketType | None = None
         self._live_hosts: set[str] = set()
@@ -176,8 +179,11 @@
         while True:
             await self.send_now()
             peers = len(self._live_hosts)
-            with trio.move_on_after(report_interval(peers)):
+            due = trio.current_time() + report_interval(peers)
+            with trio.move_on_at(due):
                 await self._wait_for_change(triggered_report_interval(peers))
+            if was_paused(due, now := trio.current_time()):
+                self._resumed_at = now
             self._wake, self._failure = trio.Event(), trio.Event()
             await trio.sleep(MIN_TRIGGERED_INTERVAL_SECONDS)
 
@@ -236,7 +242,9 @@
 
     def _watch_candidates(self) -> Iterator[WatchCandidate]:
         now = trio.current_time()
-        oldest = now - max_watcher_report_age(len(self._live_hosts))
+        max_age = max_watcher_report_age(len(self._live_hosts))
+        # After a pause of this process, reports may have arrived and not been read.
+        oldest = now - max_age if now - self._resumed_at > max_age else -inf
         for peer in self.table.live_peers(now):
             report = peer.report
             if not report.is_leaving:
