The answer to a cancelled generation is limited like others

An engine's endless answer to the call that cancels a generation was read into memory without a limit, on the product's own interface. It is read like other whole answers now.

Red before: two rows of 'the product's own interface, before an endpoint whose answer has ...', a body and chunks without end, which cancel as well now.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -66,7 +66,7 @@
   # statuses that don't exist for whole answers, of any size.
   @own_whole_answer
   Scenario Outline: the product's own interface, before an endpoint whose answer has <answer>
-    Then a call and a generation fail if the answer has <answer>
+    Then a call, a generation and its cancelling fail if the answer has <answer>
 
     Examples:
       | answer                           |
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -192,9 +192,22 @@
         await client.close()
 
 
-@then("a call and a generation fail if the answer has {name}")
+async def _cancel(url, is_early):
+    client = HttpEngineClient(url, 2.0)
+    try:
+        return await client.cancel("g1") or "cancelled"
+    except EngineLostError:
+        return None
+    finally:
+        await client.close()
+
+
+@then("a call, a generation and its cancelling fail if the answer has {name}")
 def check_own_interface(context, name):
     answer = BROKEN_ANSWERS[name]
+    attempts = [_call_service, _generate]
+    if not answer.is_early:
+        attempts.append(_cancel)
 
     async def run():
         async with trio.open_nursery() as nursery:
@@ -203,7 +216,7 @@
             with trio.fail_after(20):
                 outcomes = [
                     await attempt(url, answer.is_early)
-                    for attempt in (_call_service, _generate)
+                    for attempt in attempts
                     for _ in range(OWN_CALLS if answer.is_early else 1)
                 ]
             nursery.cancel_scope.cancel()
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -81,7 +81,9 @@
         Raise `EngineLostError` if the engine is unreachable.
         """
         try:
-            await self._client.delete(f"/v1/generations/{identity}")
+            path = f"/v1/generations/{identity}"
+            async with self._client.stream("DELETE", path) as response:
+                await self._transport.read_whole(response)
         except httpx.HTTPError as error:
             raise EngineLostError("the engine can't be reached") from error
 
