--- a/src/piershore/platform/object_client.py
+++ b/src/piershore/platform/object_client.py
@@ -308,7 +308,7 @@
         raise WatchGapError("the store no longer has these changes")
     if status not in ANSWERING_STATUSES:
         raise PlatformUnavailableError(f"the store answered {status}")
-    body = _decode_body(data) if data else {}
+    body = _decode_json(data) if data else {}
     if not isinstance(body, Mapping):
         raise PlatformUnavailableError("the store's answer is not an object")
     return ObjectAnswer(status, body, era)
@@ -318,7 +318,7 @@
     return StoreRevision.of(answer.era, _revision(answer.body.get("at")))
 
 
-def _decode_body(data: bytes) -> Any:
+def _decode_json(data: bytes) -> Any:
     try:
         return decode_json(data)
     except ValueError as error:
