One loop joins the body of an answer, for gateways and agents

The limit of one answer and that of all together were checked by the same loop twice, in ClientConnection.read_body and EndpointTransport.read_whole. Two docstrings say what happens instead of what was heard or told.

broken_answers and slow_readers pass.

--- a/src/piershore/endpoints/endpoint_transport.py
+++ b/src/piershore/endpoints/endpoint_transport.py
@@ -56,12 +56,9 @@
 
     async def read_whole(self, response: httpx.Response) -> bytes:
         """Read a whole body; raise `httpx.ReadError` if it is too large."""
-        with self._body_memory.buffer() as buffer:
-            async for chunk in response.aiter_bytes():
-                is_too_large = len(buffer) + len(chunk) > MAX_BODY_BYTES
-                if is_too_large or not buffer.append(chunk):
-                    raise httpx.ReadError("the answer is too large")
-            return buffer.data()
+        with _httpx_errors():
+            chunks = response.aiter_bytes()
+            return await self._body_memory.join(chunks, MAX_BODY_BYTES)
 
     async def _connect(self, request: httpx.Request) -> ClientConnection:
         now = trio.current_time()
--- a/src/piershore/http1/body_memory.py
+++ b/src/piershore/http1/body_memory.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
 
+from piershore.http1.exceptions import AnswerTooLargeError
+
 CAPACITY_BYTES = 32 * 1_024 * 1_024
 """A quarter of the memory of the smallest boxes."""
 GUARANTEED_BYTES = 256 * 1_024
@@ -56,6 +58,21 @@
         finally:
             self.used_bytes -= len(buffer)
 
+    async def join(self, chunks: AsyncIterator[bytes], max_bytes: int) -> bytes:
+        """Return the chunks of one body as a whole.
+
+        Raise `AnswerTooLargeError` if they have over `max_bytes`, or need more memory
+        than others leave.
+        """
+        with self.buffer() as buffer:
+            async for chunk in chunks:
+                if len(buffer) + len(chunk) > max_bytes:
+                    raise AnswerTooLargeError(f"the answer has over {max_bytes} bytes")
+                if not buffer.append(chunk):
+                    message = "there is no memory for the whole answer"
+                    raise AnswerTooLargeError(message)
+            return buffer.data()
+
     def has_room(self, size: int, more: int) -> bool:
         """Return whether a body may grow by `more` bytes to `size`."""
         return size <= self._capacity_bytes - self.used_bytes - more
--- a/src/piershore/http1/client_connection.py
+++ b/src/piershore/http1/client_connection.py
@@ -166,14 +166,7 @@
         Raise `ExchangeBrokenError` if it is cut short, has over `MAX_BODY_BYTES`, or
         needs more memory than others leave.
         """
-        with self.body_memory.buffer() as buffer:
-            async for chunk in self.read_chunks():
-                if len(buffer) + len(chunk) > MAX_BODY_BYTES:
-                    message = f"the answer has over {MAX_BODY_BYTES} bytes"
-                    raise ExchangeBrokenError(message)
-                if not buffer.append(chunk):
-                    raise ExchangeBrokenError("there is no memory for the whole answer")
-            return buffer.data()
+        return await self.body_memory.join(self.read_chunks(), MAX_BODY_BYTES)
 
     def end_exchange(self) -> bool:
         """Prepare for another request; return False if the connection must close."""
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -35,7 +35,7 @@
 
     `REFUSING`: nobody listens there. `CLOSING` proves nothing: the endpoint may have
     too many connections, or a load balancer in front of it may have lost it. `SILENT`:
-    nothing was heard.
+    the peer didn't respond in time.
     """
 
     OPEN = "open"
--- a/src/piershore/http1/exceptions.py
+++ b/src/piershore/http1/exceptions.py
@@ -35,3 +35,9 @@
     """The exchange failed after at least part of the request may have been sent."""
 
     code = "exchange_broken"
+
+
+class AnswerTooLargeError(ExchangeBrokenError):
+    """The body of an answer is too large to be read as a whole."""
+
+    code = "answer_too_large"
--- a/src/piershore/ingress/live_stream.py
+++ b/src/piershore/ingress/live_stream.py
@@ -97,7 +97,7 @@
 
     @property
     def may_have_been_stopped(self) -> bool:
-        """Whether the run may have ended early because it was told to stop."""
+        """Whether the run may have ended early because of an order to stop it."""
         return any(
             order.may_have_ended_run
             for order in self.stop_orders
