Agents keep connections in the gateways' pool; a watch has one limit

EndpointTransport had a pool of its own, which didn't heed the idle time that an endpoint names in Keep-Alive. It uses ConnectionPool, whose connect timeout and number of idle connections are arguments now; an idle connection is kept for 4 s instead of 5.

The limit of a watch was a condition and a number, held apart; it is one function of seconds.

--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -88,7 +88,7 @@
     async def sample(world):
         _, daemon = world.gateways[0]
         while True:
-            context.kept.append(daemon._state.pool._body_memory.used_bytes)
+            context.kept.append(daemon._state.pool.body_memory.used_bytes)
             await trio.sleep(SAMPLE_SECONDS)
 
     async def script(world):
--- a/src/piershore/endpoints/endpoint_transport.py
+++ b/src/piershore/endpoints/endpoint_transport.py
@@ -9,82 +9,71 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from math import inf
 
 import httpx
 import trio
 
-from piershore.http1.body_memory import BodyMemory
+from piershore.core.fleet.endpoint import Address
 from piershore.http1.client_connection import ClientConnection, MAX_BODY_BYTES
+from piershore.http1.connection_pool import ConnectionPool, MAX_IDLE_SECONDS
 from piershore.http1.exceptions import ExchangeBrokenError, NotConnectedError
 from piershore.http1.message import RequestHead, ResponseHead
 
 DEFAULT_PORT = 80
 MAX_IDLE_CONNECTIONS = 64
-MAX_IDLE_SECONDS = 5.0
 MAX_LINE_BYTES = 1_024 * 1_024
 """Maximum size of a line, which is buffered until it is complete."""
 
-Release = Callable[[ClientConnection, bool], Awaitable[None]]
+Release = Callable[..., Awaitable[None]]
 
 
 class EndpointTransport(httpx.AsyncBaseTransport):
-    """Makes each exchange with an endpoint over a connection of its own."""
+    """Makes each exchange with an endpoint over a pooled connection of its own."""
 
-    def __init__(self) -> None:
-        self._idle: list[ClientConnection] = []
-        self._body_memory = BodyMemory()
+    def __init__(self, connect_seconds: float) -> None:
+        self._pool = ConnectionPool(connect_seconds, MAX_IDLE_CONNECTIONS)
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request; return the answer, whose body is read later."""
         body = await request.aread()
-        connection = await self._connect(request)
+        address = Address(request.url.host, request.url.port or DEFAULT_PORT)
+        connection = await self._connect(address)
         head: ResponseHead | None = None
         try:
             with _httpx_errors():
                 head = await _exchange_heads(connection, request, body)
         finally:
             if head is None:
-                await self._release(connection, False)
-        stream = _AnswerStream(connection, _timeout(request, "read"), self._release)
+                await self._release(address, connection, reusable=False)
+        release = partial(self._release, address, connection)
+        stream = _AnswerStream(connection, _timeout(request, "read"), release)
         return httpx.Response(head.status, headers=head.headers, stream=stream)
 
     async def aclose(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            await self._idle.pop().close()
+        await self._pool.close()
 
     async def read_whole(self, response: httpx.Response) -> bytes:
         """Read a whole body; raise `httpx.ReadError` if it is too large."""
         with _httpx_errors():
             chunks = response.aiter_bytes()
-            return await self._body_memory.join(chunks, MAX_BODY_BYTES)
-
-    async def _connect(self, request: httpx.Request) -> ClientConnection:
-        now = trio.current_time()
-        while self._idle:
-            connection = self._idle.pop()
-            if now - connection.last_used < MAX_IDLE_SECONDS and connection.is_clean():
-                return connection
-            await connection.close()
-        url = request.url
+            return await self._pool.body_memory.join(chunks, MAX_BODY_BYTES)
+
+    async def _connect(self, address: Address) -> ClientConnection:
         try:
-            return await ClientConnection.open(
-                url.host, url.port or DEFAULT_PORT, _timeout(request, "connect")
-            )
+            return await self._pool.acquire_at(address, MAX_IDLE_SECONDS)
         except NotConnectedError as error:
             if error.timed_out:
                 raise httpx.ConnectTimeout(error.message) from error
             raise httpx.ConnectError(error.message) from error
 
-    async def _release(self, connection: ClientConnection, is_complete: bool) -> None:
-        """Keep a connection whose exchange is complete, else close it."""
-        has_room = len(self._idle) < MAX_IDLE_CONNECTIONS
-        if is_complete and has_room and connection.end_exchange():
-            self._idle.append(connection)
-            return
+    async def _release(
+        self, address: Address, connection: ClientConnection, *, reusable: bool
+    ) -> None:
         with trio.CancelScope(shield=True):
-            await connection.close()
+            await self._pool.release(address, connection, reusable=reusable)
 
 
 class _AnswerStream(httpx.AsyncByteStream):
@@ -109,7 +98,7 @@
         """Give the connection back."""
         if not self._is_released:
             self._is_released = True
-            await self._release(self._connection, self._is_complete)
+            await self._release(reusable=self._is_complete)
 
     async def _next_chunk(self, chunks: AsyncIterator[bytes]) -> bytes | None:
         with _httpx_errors(), trio.fail_after(self._timeout):
--- a/src/piershore/endpoints/http_engine_client.py
+++ b/src/piershore/endpoints/http_engine_client.py
@@ -44,7 +44,7 @@
 
     def __init__(self, base_url: str, stall_timeout: float) -> None:
         self._stream_timeout = httpx.Timeout(CALL_TIMEOUT_SECONDS, read=stall_timeout)
-        self._transport = EndpointTransport()
+        self._transport = EndpointTransport(CALL_TIMEOUT_SECONDS)
         self._client = httpx.AsyncClient(
             base_url=base_url, timeout=CALL_TIMEOUT_SECONDS, transport=self._transport
         )
--- a/src/piershore/endpoints/http_service_client.py
+++ b/src/piershore/endpoints/http_service_client.py
@@ -19,10 +19,11 @@
     """Calls one plain service."""
 
     def __init__(self, base_url: str) -> None:
-        timeout = httpx.Timeout(ANSWER_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS)
-        self._transport = EndpointTransport()
+        self._transport = EndpointTransport(CONNECT_TIMEOUT_SECONDS)
         self._client = httpx.AsyncClient(
-            base_url=base_url, timeout=timeout, transport=self._transport
+            base_url=base_url,
+            timeout=ANSWER_TIMEOUT_SECONDS,
+            transport=self._transport,
         )
 
     async def close(self) -> None:
--- a/src/piershore/http1/connection_pool.py
+++ b/src/piershore/http1/connection_pool.py
@@ -55,14 +55,21 @@
     """Hands out connections for one exchange each and keeps the reusable ones.
 
     All answers of endpoints arrive over these connections, whether to requests, probes
-    or moves.
+    or moves. Up to `max_idle_connections` to each address are kept. `body_memory` is
+    what all answers share that are read as a whole.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        connect_seconds: float = CONNECT_SECONDS,
+        max_idle_connections: int = MAX_IDLE_CONNECTIONS,
+    ) -> None:
+        self._connect_seconds = connect_seconds
+        self._max_idle_connections = max_idle_connections
         self._on_head: OnEndpointHead = _ignore_head
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._retired: list[ClientConnection] = []
-        self._body_memory = BodyMemory()
+        self.body_memory = BodyMemory()
 
     def set_head_callback(self, on_head: OnEndpointHead) -> None:
         """Call `on_head` with the head of each answer and the endpoint that sent it."""
@@ -75,7 +82,7 @@
 
         If there is none, open a new one; raise `NotConnectedError` if that fails.
         """
-        connection = await self._acquire(endpoint.address, max_idle_seconds)
+        connection = await self.acquire_at(endpoint.address, max_idle_seconds)
         connection.on_head = partial(self._on_head, endpoint)
         return connection
 
@@ -85,9 +92,10 @@
         connection.on_head = partial(self._on_head, endpoint)
         return connection
 
-    async def _acquire(
+    async def acquire_at(
         self, address: Address, max_idle_seconds: float
     ) -> ClientConnection:
+        """Do the same as `acquire`, for an address of no listed endpoint."""
         now = trio.current_time()
         idle = self._idle.get(address, [])
         while idle:
@@ -142,7 +150,8 @@
     ) -> None:
         """Keep a connection if it is `reusable`, else close it."""
         idle = self._idle.setdefault(address, [])
-        if reusable and len(idle) < MAX_IDLE_CONNECTIONS and connection.end_exchange():
+        has_room = len(idle) < self._max_idle_connections
+        if reusable and has_room and connection.end_exchange():
             idle.append(connection)
             return
         await connection.close()
@@ -178,9 +187,9 @@
 
     async def _open(self, address: Address) -> ClientConnection:
         connection = await ClientConnection.open(
-            address.host, address.port, CONNECT_SECONDS
+            address.host, address.port, self._connect_seconds
         )
-        connection.body_memory = self._body_memory
+        connection.body_memory = self.body_memory
         return connection
 
     @staticmethod
--- a/src/piershore/ingress/daemon.py
+++ b/src/piershore/ingress/daemon.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable, Iterable
+from math import inf
 from random import Random
 
 import trio
@@ -184,9 +185,7 @@
         self._endpoints.set_watch_condition(link.should_watch)
         self._drains.set_watch_condition(link.should_watch)
         # The answers to one kind of watch show that the store answers the others, too.
-        self._endpoints.set_watch_limit(
-            link.is_relied_on, relied_on_watch_seconds(self._settings.change_seconds)
-        )
+        self._endpoints.set_watch_limit(self._watch_limit)
         documents = PeerDocuments(
             self._state, self._settings, link, self._configuration, self._endpoints
         )
@@ -277,6 +276,11 @@
         )
         return is_fresh and not self._store_access.is_silent
 
+    def _watch_limit(self) -> float:
+        if self._peers is None or not self._peers.is_relied_on():
+            return inf
+        return relied_on_watch_seconds(self._settings.change_seconds)
+
     def _store_liveness(self) -> StoreLiveness:
         observations = (
             self._configuration.health.liveness(),
--- a/src/piershore/ingress/followers/store_follower.py
+++ b/src/piershore/ingress/followers/store_follower.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from math import inf
 
 import trio
 
@@ -38,9 +39,9 @@
     return True
 
 
-def never() -> bool:
-    """Return False: watch for the usual time."""
-    return False
+def unlimited() -> float:
+    """Return no limit: watch for the usual time."""
+    return inf
 
 
 def _ignore(era: int) -> None:
@@ -69,8 +70,7 @@
         self._cancel_scope: trio.CancelScope | None = None
         self._settled_at = float("-inf")
         self._should_watch: Callable[[], bool] = always
-        self._is_limited: Callable[[], bool] = never
-        self._limited_watch_seconds = watch_seconds
+        self._watch_limit: Callable[[], float] = unlimited
         self._on_new_era: Callable[[int], None] = _ignore
         self._expected_era = 0
         self.health = StoreHealth(
@@ -98,10 +98,9 @@
         """Don't watch the store while `should_watch` returns false: others do."""
         self._should_watch = should_watch
 
-    def set_watch_limit(self, is_limited: Callable[[], bool], seconds: float) -> None:
-        """Watch for at most `seconds` at a time while `is_limited` returns true."""
-        self._is_limited = is_limited
-        self._limited_watch_seconds = min(seconds, self._watch_seconds)
+    def set_watch_limit(self, watch_limit: Callable[[], float]) -> None:
+        """Watch for at most as many seconds at a time as `watch_limit` returns."""
+        self._watch_limit = watch_limit
 
     def set_era_callback(self, on_new_era: Callable[[int], None]) -> None:
         """Call `on_new_era` when this follower learns of a later era of the store."""
@@ -186,19 +185,14 @@
                 self.health.expect_answer(0.0)
                 self._revision = await self._read()
                 return
-            wait = self._max_watch_seconds * self._state.random.uniform(*WATCH_JITTER)
+            longest = min(self._watch_seconds, self._watch_limit())
+            wait = longest * self._state.random.uniform(*WATCH_JITTER)
             self.health.expect_answer(wait)
             self._revision = await self._apply_changes_after(self._revision, wait)
         finally:
             self.health.clear_expected_answer()
         await self._settle()
 
-    @property
-    def _max_watch_seconds(self) -> float:
-        if self._is_limited():
-            return self._limited_watch_seconds
-        return self._watch_seconds
-
     async def _settle(self) -> None:
         """Pause while it isn't known who else watches and no request is in flight."""
         now = trio.current_time()
