The soak doesn't count refusals that were right as lost service

It now leaves out a 503 with `no_endpoint` or `endpoints_resting` that came while all endpoints of the service left, rested, had ended or had an entry that the store had not shown for 1 s yet. All other answers count as before, other refusals in such times too, and the share is the same. Outages records those times from what the soak itself did, not from what gateways say.

--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -23,6 +23,7 @@
 from devtools.soak.faults import PLANNED_WORK, Troubles
 from devtools.soak.fleet import Fleet, Gateway
 from devtools.soak.limiting_endpoints import LimitingEndpoints
+from devtools.soak.outages import Outages
 from devtools.soak.skewed_connections import SkewedConnections
 from devtools.soak.uneven_fleet import UnevenFleet
 from piershore.http1.client_connection import ClientConnection
@@ -81,6 +82,7 @@
     callers = Callers(fleet, random, options.callers)
     names = PLANNED_WORK if options.planned else ()
     troubles = Troubles(fleet, random, options.gap, names)
+    outages = Outages(fleet)
     extras = []
     if options.crashing:
         extras.append(CrashingCaller(fleet, callers, seed))
@@ -97,8 +99,8 @@
     if options.drill:
         extras.append(Drill(fleet, troubles, seed))
     try:
-        trio.run(_run, fleet, callers, extras, troubles, options.seconds)
-        findings = list(find_broken(fleet, callers, troubles))
+        trio.run(_run, fleet, callers, extras, troubles, outages, options.seconds)
+        findings = list(find_broken(fleet, callers, troubles, outages))
         if options.planned:
             findings += find_broken_by_planned_work(fleet, callers)
     finally:
@@ -128,6 +130,7 @@
     callers: Callers,
     extras: list[Extra],
     troubles: Troubles,
+    outages: Outages,
     seconds: float,
 ) -> None:
     with trio.fail_after(MOST_SECONDS):
@@ -135,6 +138,7 @@
             await fleet.start(nursery)
             await _wait_ready(fleet)
             nursery.start_soon(troubles.watch_standstill)
+            nursery.start_soon(outages.watch)
             async with trio.open_nursery() as playing:
                 playing.start_soon(callers.run, seconds + QUIET_SECONDS)
                 for extra in extras:
--- a/devtools/soak/checks.py
+++ b/devtools/soak/checks.py
@@ -13,9 +13,11 @@
 from devtools.soak.crashing_caller import KIND as CRASHING
 from devtools.soak.faults import Troubles
 from devtools.soak.fleet import ACCOUNTS, DRAIN_SECONDS, Fleet, SoakEndpoint
+from devtools.soak.outages import Outages
 from standins.published_endpoint import AskedRest, PublishedEndpoint
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+NO_ENDPOINT_CODES = (b'"no_endpoint"', b'"endpoints_resting"')
 CONTACT_SECONDS = 3.0
 """A gateway that was disturbed is not held to times for so long."""
 DRAIN_SLACK_SECONDS = 0.5
@@ -37,7 +39,9 @@
 """A gateway, its life, and an endpoint."""
 
 
-def find_broken(fleet: Fleet, callers: Callers, troubles: Troubles) -> Iterator[str]:
+def find_broken(
+    fleet: Fleet, callers: Callers, troubles: Troubles, outages: Outages
+) -> Iterator[str]:
     """Yield each promise that was broken, with its place."""
     runs: Counter[str] = Counter()
     for standin in fleet.standins():
@@ -54,7 +58,7 @@
     yield from _rates(fleet, callers.calls, known)
     yield from _crashing(fleet, known)
     yield from _held_with_parts(callers.calls)
-    yield from _service(callers.calls)
+    yield from find_lost_service(callers.calls, outages)
     yield from _faults_of_the_program(fleet)
 
 
@@ -288,11 +292,29 @@
         yield f"{held} of {len(sound)} sound requests held that share parts"
 
 
-def _service(calls: list[Call]) -> Iterator[str]:
-    calls = [call for call in calls if call.kind != CRASHING]
-    served = sum(call.status == 200 for call in calls)
-    if served < LEAST_SERVED_SHARE * len(calls):
-        yield f"only {served} of {len(calls)} requests were served"
+def find_lost_service(calls: list[Call], outages: Outages) -> Iterator[str]:
+    """Yield a finding if most requests that endpoints could take weren't served."""
+    counted = [
+        call
+        for call in calls
+        if call.kind != CRASHING and not _is_refused_in_outage(call, outages)
+    ]
+    served = sum(call.status == HTTPStatus.OK for call in counted)
+    if served < LEAST_SERVED_SHARE * len(counted):
+        yield f"only {served} of {len(counted)} requests were served"
+
+
+def _is_refused_in_outage(call: Call, outages: Outages) -> bool:
+    """Return whether a call was refused while no endpoint took new requests.
+
+    Callers come again at once, so that such refusals soon outnumber all other answers.
+    """
+    if call.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    if not any(code in call.body for code in NO_ENDPOINT_CODES):
+        return False
+    service = "model" if call.events_wanted else "desk"
+    return outages.covers(service, call.sent_at, call.ended_at)
 
 
 def _faults_of_the_program(fleet: Fleet) -> Iterator[str]:
