--- a/devtools/run_checks.py
+++ b/devtools/run_checks.py
@@ -44,17 +44,19 @@
 
 @dataclass(frozen=True)
 class Counts:
-    """Checks passed and failed, and what those that failed told."""
+    """Checks passed and failed, what those that failed told, and their names."""
 
     passed: int = 0
     failed: int = 0
     told: tuple[str, ...] = ()
+    names: tuple[str, ...] = ()
 
     def __add__(self, other: Counts) -> Counts:
         return Counts(
             self.passed + other.passed,
             self.failed + other.failed,
             self.told + other.told,
+            self.names + other.names,
         )
 
 
@@ -70,6 +72,9 @@
         print("known red:", KNOWN_RED.read_text(), sep="\n")
     for line in counts.told:
         print(line)
+    # Last, for records that keep only the end of the output.
+    for name in counts.names:
+        print(f"failed: {name}")
     print(f"{counts.passed} passed, {counts.failed} failed")
     return 1 if counts.failed else 0
 
@@ -83,7 +88,7 @@
     print(f"{name}: failed", flush=True)
     keep_output(name, output)
     last = output.splitlines()[-LINES_TOLD:]
-    return Counts(failed=1, told=(f"{name} failed:", *last))
+    return Counts(failed=1, told=(f"{name} failed:", *last), names=(name,))
 
 
 def run_soak(option: str) -> Counts:
@@ -102,7 +107,8 @@
         return Counts(passed=1)
     print(f"{name}: failed", flush=True)
     last = output.splitlines()[-LINES_TOLD:]
-    return Counts(failed=1, told=(f"{name} failed:", *last))
+    names = tuple(unknown) or (name,)
+    return Counts(failed=1, told=(f"{name} failed:", *last), names=names)
 
 
 def run_and_print(command: Iterable[str]) -> tuple[int, str]:
@@ -158,10 +164,10 @@
     if found is None:
         print(done.stdout, flush=True)
         keep_output(feature.name, done.stdout)
-        return Counts(failed=1)
+        return Counts(failed=1, names=(feature.name,))
     counts = Counts(int(found[1]), int(found[2]) + int(found[3] or 0))
     if done.returncode != 0 and not counts.failed:
-        counts += Counts(failed=1)
+        counts += Counts(failed=1, names=(feature.name,))
     if counts.failed:
         print(done.stdout, flush=True)
         keep_output(feature.name, done.stdout)
@@ -179,9 +185,12 @@
 def pass_over_known_red(output: str, counts: Counts) -> Counts:
     """Take failures out that KNOWN-RED.txt names, and print them."""
     known = known_red()
-    red = [name for name in FAILING.findall(output) if name.strip() in known]
+    names = [name.strip() for name in FAILING.findall(output)]
+    red = [name for name in names if name in known]
+    unknown = tuple(name for name in names if name not in known)
     print_known_red(red)
-    return Counts(counts.passed, max(0, counts.failed - len(red)))
+    failed = max(0, counts.failed - len(red))
+    return Counts(counts.passed, failed, names=counts.names + unknown)
 
 
 def known_red() -> set[str]:
