A postmortem of the check that took right refusals for lost service

One that has crashed counts as open until it is being replaced, as the check was before: gateways are to find other endpoints. The steps name the fields of a call. Behaviour and assertions are as before; features/soak_service.feature passes.

--- a/devtools/soak/outages.py
+++ b/devtools/soak/outages.py
@@ -17,8 +17,9 @@
 class Outages:
     """Records for each service when all its endpoints were closed to new requests.
 
-    An endpoint is closed while it leaves, asks for rest, or has ended, and until
-    `NEWS_SECONDS` after its entry could be read from the store.
+    An endpoint is closed while it leaves, asks for rest or is being replaced, and until
+    `NEWS_SECONDS` after its entry could be read from the store. One that has crashed
+    counts as open until then: gateways are to find other endpoints.
     """
 
     def __init__(self, fleet: Fleet) -> None:
--- a/features/steps/soak_service_steps.py
+++ b/features/steps/soak_service_steps.py
@@ -72,12 +72,12 @@
 
 def call_of(context, status: int, body: bytes) -> Call:
     return Call(
-        "1",
-        "once",
-        "key-a",
-        "front-0",
-        1,
-        context.ended_at - 0.01,
+        identity="1",
+        kind="once",
+        account="key-a",
+        gateway="front-0",
+        life=1,
+        sent_at=context.ended_at - 0.01,
         status=status,
         body=body,
         ended_at=context.ended_at,
